--- /dev/null
+++ b/cmd/apricotwind/main.go
@@ -0,0 +1,27 @@
+// Command apricotwind schedules latency-critical and batch work on one pool of
+// instances. All work is in package verb.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apricotwind/apricotwind/internal/verb"
+)
+
+func main() {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	drain := make(chan struct{})
+	go func() {
+		<-signals
+		close(drain)
+		<-signals
+		cancel()
+	}()
+	streams := verb.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Drain: drain}
+	os.Exit(verb.Main(ctx, streams, os.Args[1:]))
+}
--- /dev/null
+++ b/internal/agent/links.go
@@ -0,0 +1,218 @@
+// Package agent is the entry's side towards agents: the links they open and the
+// gates that requests are sent to.
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/loop"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// Node is what the links ask of the entry. All functions run on the loop.
+type Node struct {
+	Announced func(link.Announce) link.Welcome
+	Beat      func(link.Announce, link.Beat) link.BeatReply
+	Gone      func(link.Announce)
+}
+
+// linked is one agent with an open link.
+type linked struct {
+	announce link.Announce
+	conn     *link.Conn
+	poking   bool
+	sequence uint64
+	config   uint64
+}
+
+// Links are the open links of an entry. All methods but New run on the loop.
+type Links struct {
+	loop   *loop.Loop
+	node   Node
+	log    *zap.Logger
+	agents map[string]*linked // by instance
+}
+
+// NewLinks makes the links; Serve takes connections.
+func NewLinks(l *loop.Loop, node Node, log *zap.Logger) *Links {
+	return &Links{loop: l, node: node, log: log, agents: map[string]*linked{}}
+}
+
+// Serve takes agents' connections until the listener closes. It runs on a
+// goroutine of its own.
+func (l *Links) Serve(listener net.Listener) error {
+	for {
+		stream, err := listener.Accept()
+		if err != nil {
+			return errors.Wrap(err, "accept link")
+		}
+		l.loop.Go(func() { l.serve(stream) })
+	}
+}
+
+// session is one connection; announce is set once the agent has announced itself.
+type session struct {
+	links *Links
+	conn  *link.Conn
+	ready chan struct{}
+	agent *linked // owned by the loop
+}
+
+func (l *Links) serve(stream net.Conn) {
+	s := &session{links: l, ready: make(chan struct{})}
+	s.conn = link.New(l.loop.Context(), stream, stream.RemoteAddr().String(), s.handle)
+	close(s.ready)
+	select {
+	case <-s.conn.Done():
+	case <-l.loop.Context().Done():
+		s.conn.Close()
+	}
+	l.loop.Post(func() { l.gone(s) })
+}
+
+// gone forgets the agent unless it has a newer link.
+func (l *Links) gone(s *session) {
+	if s.agent == nil {
+		return
+	}
+	name := s.agent.announce.Instance
+	if l.agents[name] != s.agent {
+		return
+	}
+	delete(l.agents, name)
+	l.log.Info("agent-gone", zap.String("instance", name), zap.String("incarnation", s.agent.announce.Incarnation))
+	l.node.Gone(s.agent.announce)
+}
+
+func (s *session) handle(_ context.Context, method string, params json.RawMessage) (any, error) {
+	<-s.ready
+	switch method {
+	case link.MethodAnnounce:
+		announce, err := link.Decode[link.Announce](params)
+		if err != nil {
+			return nil, err
+		}
+		var welcome link.Welcome
+		err = s.links.loop.Do(func() { welcome = s.links.announced(s, announce) })
+		return welcome, err
+	case link.MethodBeat:
+		beat, err := link.Decode[link.Beat](params)
+		if err != nil {
+			return nil, err
+		}
+		var reply link.BeatReply
+		var refused error
+		err = s.links.loop.Do(func() { reply, refused = s.links.beat(s, beat) })
+		return reply, errors.CombineErrors(refused, err)
+	}
+	return nil, link.ErrMethod(method)
+}
+
+func (l *Links) announced(s *session, announce link.Announce) link.Welcome {
+	s.agent = &linked{announce: announce, conn: s.conn, config: announce.Config.Version}
+	l.agents[announce.Instance] = s.agent
+	l.log.Info("agent-announced", zap.String("instance", announce.Instance), zap.String("incarnation", announce.Incarnation),
+		zap.String("domain", announce.Domain), zap.String("rack", announce.Rack), zap.String("gate", announce.Gate))
+	return l.node.Announced(announce)
+}
+
+func (l *Links) beat(s *session, beat link.Beat) (link.BeatReply, error) {
+	if s.agent == nil || s.agent.announce.Instance != beat.Instance || s.agent.announce.Incarnation != beat.Incarnation {
+		return link.BeatReply{}, errors.New("beat of an instance that was not announced on this link")
+	}
+	if beat.Sequence <= s.agent.sequence {
+		return link.BeatReply{}, errors.New("beat came late")
+	}
+	s.agent.sequence = beat.Sequence
+	s.agent.config = beat.Config.Version
+	return l.node.Beat(s.agent.announce, beat), nil
+}
+
+// Poke asks an agent to beat at once; several pokes under way are one.
+func (l *Links) Poke(instance string) {
+	known, ok := l.agents[instance]
+	if !ok || known.poking {
+		return
+	}
+	known.poking = true
+	l.loop.Go(func() {
+		err := known.conn.Notify(l.loop.Context(), link.MethodPoke)
+		l.loop.Post(func() {
+			known.poking = false
+			if err != nil {
+				l.log.Debug("poke-failed", zap.String("instance", instance), zap.Error(err))
+			}
+		})
+	})
+}
+
+// Announcements lists what the linked agents announced.
+func (l *Links) Announcements() []link.Announce {
+	list := make([]link.Announce, 0, len(l.agents))
+	for _, known := range l.agents {
+		list = append(list, known.announce)
+	}
+	return list
+}
+
+// Configs maps each linked instance to the version of the document in force there.
+func (l *Links) Configs() map[string]uint64 {
+	versions := make(map[string]uint64, len(l.agents))
+	for name, known := range l.agents {
+		versions[name] = known.config
+	}
+	return versions
+}
+
+// Gate is where to send requests for an instance and its incarnation.
+func (l *Links) Gate(instance string) (address string, ok bool) {
+	known, ok := l.agents[instance]
+	if !ok {
+		return "", false
+	}
+	return known.announce.Gate, true
+}
+
+// revokeBound is how long an entry asks what became of an attempt.
+const revokeBound = 3 * time.Second
+
+// revokePause is the wait between two tries to ask.
+const revokePause = 200 * time.Millisecond
+
+// Revoke asks the agent where an attempt stands and makes sure that one which has
+// not started never will. It asks again over a new link when the old one is gone;
+// an answer of another incarnation says nothing about the attempt. It runs on any
+// goroutine.
+func (l *Links) Revoke(ctx context.Context, instance, incarnation, attempt string) (string, error) {
+	bounded, cancel := context.WithTimeout(ctx, revokeBound)
+	defer cancel()
+	err := errors.Newf("no link to the agent of %s", instance)
+	for bounded.Err() == nil {
+		var conn *link.Conn
+		loopErr := l.loop.Do(func() {
+			if known, ok := l.agents[instance]; ok {
+				conn = known.conn
+			}
+		})
+		if loopErr != nil {
+			return "", loopErr
+		}
+		if conn != nil {
+			var revoked link.Revoked
+			err = conn.Call(bounded, link.MethodRevoke, link.Revoke{Attempt: attempt}, &revoked)
+			if err == nil && revoked.Incarnation != incarnation {
+				return "", errors.Newf("the agent of %s is another incarnation now", instance)
+			}
+			if err == nil {
+				return revoked.Standing, nil
+			}
+		}
+		loop.Sleep(bounded, revokePause)
+	}
+	return "", err
+}
--- /dev/null
+++ b/internal/decision/placement/beat.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+)
+
+//go:generate stringer -type=Run -linecomment
+
+// Run is what an agent says of a task it holds.
+type Run int
+
+// The runs. From Finished on the task is not running and will not.
+const (
+	Starting Run = iota // starting
+	Running             // running
+	Paused              // paused
+	Finished            // finished
+	Broken              // broken
+	Stopped             // stopped
+	Declined            // declined
+)
+
+// MarshalText writes the run's name.
+func (r Run) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText reads the run's name.
+func (r *Run) UnmarshalText(text []byte) error {
+	for run := Starting; run <= Declined; run++ {
+		if run.String() == string(text) {
+			*r = run
+			return nil
+		}
+	}
+	return fmt.Errorf("no run %q", text)
+}
+
+// Over tells whether a task in this run is not running and will not.
+func (r Run) Over() bool { return r >= Finished }
+
+// Held is one task that an agent holds.
+type Held struct {
+	Task       string `json:"task"`
+	Attempt    int    `json:"attempt"`
+	Run        Run    `json:"run"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Why        string `json:"why,omitempty"`
+}
+
+// Beat is an agent's report to the owner of its shard. Boot names the worker's
+// run: after a restart of the worker it differs, and what is not listed is lost.
+type Beat struct {
+	Instance    string
+	Incarnation string
+	Boot        string
+	Sequence    uint64
+	Busy        int
+	Leaving     bool
+	Held        []Held
+}
+
+// Start tells an agent to run a task.
+type Start struct {
+	Task       string        `json:"task"`
+	Attempt    int           `json:"attempt"`
+	Workspace  string        `json:"workspace"`
+	Class      string        `json:"class"`
+	Need       Need          `json:"need"`
+	Runtime    time.Duration `json:"runtime"`
+	Work       string        `json:"work,omitempty"`
+	Checkpoint string        `json:"checkpoint,omitempty"`
+}
+
+// Stop tells an agent to stop a task, with a checkpoint if Save.
+type Stop struct {
+	Task    string `json:"task"`
+	Attempt int    `json:"attempt"`
+	Save    bool   `json:"save,omitempty"`
+	Why     string `json:"why,omitempty"`
+}
+
+// Forget tells an agent that the end of a task is in the table.
+type Forget struct {
+	Task    string `json:"task"`
+	Attempt int    `json:"attempt"`
+}
+
+// Reply answers a beat. Everything the beat listed and that is not in Stop may
+// run until TTL after the beat was sent, by the agent's clock. TTL is zero when
+// the owner may not grant now.
+type Reply struct {
+	Epoch  uint64        `json:"epoch"`
+	TTL    time.Duration `json:"ttl"`
+	Start  []Start       `json:"start,omitempty"`
+	Stop   []Stop        `json:"stop,omitempty"`
+	Forget []Forget      `json:"forget,omitempty"`
+}
+
+// Beat takes an agent's report and answers with a grant when mayGrant. A beat
+// that came late or twice is answered with nothing.
+func (o *Owner) Beat(now time.Time, beat Beat, mayGrant bool) Reply {
+	at := o.instance(now, beat.Instance)
+	if at.incarnation == beat.Incarnation && beat.Sequence <= at.sequence {
+		return Reply{Epoch: o.epoch}
+	}
+	at.incarnation = beat.Incarnation
+	at.sequence = beat.Sequence
+	at.boot = beat.Boot
+	at.busy = beat.Busy
+	at.leaving = beat.Leaving
+	at.heard = now
+	reply := Reply{Epoch: o.epoch}
+	listed := o.takeHeld(at, beat.Held, &reply)
+	o.takeUnlisted(at, listed, mayGrant, &reply)
+	if mayGrant {
+		reply.TTL = o.ttl
+		at.lapse = now.Add(o.lapseTime())
+	} else {
+		reply.Start = nil
+	}
+	return reply
+}
+
+// takeHeld compares each listed task with its record.
+func (o *Owner) takeHeld(at *instance, listed []Held, reply *Reply) map[string]bool {
+	seen := make(map[string]bool, len(listed))
+	for _, held := range listed {
+		placed, ok := at.tasks[held.Task]
+		current := ok && placed.Attempt == held.Attempt && placed.State == Placed
+		switch {
+		case !current && held.Run.Over():
+			reply.Forget = append(reply.Forget, Forget{Task: held.Task, Attempt: held.Attempt})
+		case !current:
+			reply.Stop = append(reply.Stop, Stop{Task: held.Task, Attempt: held.Attempt, Why: "placed elsewhere or ended"})
+		default:
+			seen[held.Task] = true
+			o.takeCurrent(at, placed, held, reply)
+		}
+	}
+	return seen
+}
+
+func (o *Owner) takeCurrent(at *instance, placed *task, held Held, reply *Reply) {
+	placed.held = &held
+	placed.unlisted = false
+	placed.lostSince = time.Time{}
+	switch {
+	case held.Run.Over():
+		o.mark(placed.chunk)
+	case placed.cancelled:
+		reply.Stop = append(reply.Stop, Stop{Task: held.Task, Attempt: held.Attempt, Why: "cancelled"})
+	case placed.evict != "" || at.leaving:
+		why := placed.evict
+		if why == "" {
+			why = "instance is leaving"
+		}
+		reply.Stop = append(reply.Stop, Stop{Task: held.Task, Attempt: held.Attempt, Save: true, Why: why})
+	}
+}
+
+// takeUnlisted looks at the tasks placed here that the agent does not hold. With
+// the boot they were placed under they were never started, so they may be now.
+func (o *Owner) takeUnlisted(at *instance, listed map[string]bool, mayGrant bool, reply *Reply) {
+	for name, placed := range at.tasks {
+		if listed[name] || placed.State != Placed {
+			continue
+		}
+		placed.held = nil
+		placed.unlisted = true
+		unwanted := placed.cancelled || placed.evict != "" || at.leaving
+		if placed.Boot != at.boot || unwanted {
+			o.mark(placed.chunk)
+			continue
+		}
+		if mayGrant {
+			reply.Start = append(reply.Start, startOf(placed))
+		}
+	}
+}
+
+func startOf(placed *task) Start {
+	of := placed.job
+	return Start{
+		Task:       placed.name(),
+		Attempt:    placed.Attempt,
+		Workspace:  of.Workspace,
+		Class:      of.Class,
+		Need:       of.Need,
+		Runtime:    of.Runtime,
+		Work:       of.Work,
+		Checkpoint: placed.Checkpoint,
+	}
+}
--- /dev/null
+++ b/internal/entry/gate.go
@@ -0,0 +1,192 @@
+// Package entry is the agent's side towards entries: the gate that their requests
+// come through and the links on which it announces itself and beats.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/admission"
+	"github.com/apricotwind/apricotwind/internal/loop"
+	"github.com/apricotwind/apricotwind/internal/metrics"
+	"github.com/apricotwind/apricotwind/internal/problem"
+	"github.com/apricotwind/apricotwind/internal/upstream"
+	"go.uber.org/zap"
+)
+
+// Headers between entry and agent. They are removed before the upstream sees the
+// request.
+const (
+	HeaderAttempt     = "Apricotwind-Attempt"
+	HeaderIncarnation = "Apricotwind-Incarnation"
+	HeaderTimeout     = "Apricotwind-Timeout" // milliseconds left
+	HeaderWorkspace   = "Apricotwind-Workspace"
+	HeaderClass       = "Apricotwind-Class"
+)
+
+// retryAfter is what a refused entry is told to wait before it comes back.
+const retryAfter = time.Second
+
+// Gate is the only way to the instance: it admits requests of entries and
+// forwards them to the upstream.
+type Gate struct {
+	name     string
+	loop     *loop.Loop
+	gate     *admission.Gate // owned by the loop
+	waiting  map[string]chan struct{}
+	upstream *upstream.Client
+	log      *zap.Logger
+	metrics  *metrics.Set
+	observe  func(class string, took time.Duration)
+}
+
+// NewGate makes the handler of the instance named. Observe is called on the loop
+// with the service time of each request.
+func NewGate(name string, l *loop.Loop, gate *admission.Gate, to *upstream.Client, log *zap.Logger, set *metrics.Set, observe func(class string, took time.Duration)) *Gate {
+	return &Gate{
+		name: name, loop: l, gate: gate, waiting: map[string]chan struct{}{},
+		upstream: to, log: log, metrics: set, observe: observe,
+	}
+}
+
+// ServeHTTP admits one request and forwards it.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// Without this, Go drops the rest of a body once the answer has begun.
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		g.refuse(w, http.StatusInternalServerError, "duplex", err.Error())
+		return
+	}
+	arrived := time.Now()
+	attempt, ok := readAttempt(arrived, r)
+	if !ok {
+		g.refuse(w, http.StatusBadRequest, "attempt", "attempt, incarnation or timeout header is missing")
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), attempt.Deadline)
+	defer cancel()
+	verdict := g.admit(ctx, attempt)
+	g.metrics.Add("gate-"+verdict.String(), 1)
+	if verdict != admission.Admit {
+		g.turnAway(w, attempt, verdict)
+		return
+	}
+	g.metrics.Time("gate-wait", time.Since(arrived))
+	defer g.loop.Post(func() { g.finish(attempt) })
+	g.forward(ctx, w, r, attempt)
+}
+
+func readAttempt(now time.Time, r *http.Request) (admission.Attempt, bool) {
+	left, err := strconv.Atoi(r.Header.Get(HeaderTimeout))
+	attempt := admission.Attempt{
+		ID:          r.Header.Get(HeaderAttempt),
+		Workspace:   r.Header.Get(HeaderWorkspace),
+		Incarnation: r.Header.Get(HeaderIncarnation),
+		Deadline:    now.Add(time.Duration(left) * time.Millisecond),
+	}
+	return attempt, err == nil && attempt.ID != "" && attempt.Incarnation != ""
+}
+
+// admit asks the gate, and waits in its queue if it says so.
+func (g *Gate) admit(ctx context.Context, attempt admission.Attempt) admission.Verdict {
+	var verdict admission.Verdict
+	ready := make(chan struct{})
+	err := g.loop.Do(func() {
+		verdict = g.gate.Arrive(time.Now(), attempt)
+		if verdict == admission.Queue {
+			g.waiting[attempt.ID] = ready
+		}
+	})
+	if err != nil {
+		return admission.Leaving
+	}
+	if verdict != admission.Queue {
+		return verdict
+	}
+	select {
+	case <-ready:
+		return admission.Admit
+	case <-ctx.Done():
+	}
+	return g.leaveQueue(ready, attempt)
+}
+
+// leaveQueue takes an attempt out of the queue, unless it was admitted just now.
+func (g *Gate) leaveQueue(ready chan struct{}, attempt admission.Attempt) admission.Verdict {
+	verdict := admission.Late
+	err := g.loop.Do(func() {
+		if !g.gate.Drop(time.Now(), attempt.ID) {
+			verdict = g.afterQueue(ready)
+		}
+		delete(g.waiting, attempt.ID)
+	})
+	if err != nil {
+		return admission.Leaving
+	}
+	return verdict
+}
+
+// afterQueue tells why an attempt is not in the queue any more.
+func (g *Gate) afterQueue(ready chan struct{}) admission.Verdict {
+	select {
+	case <-ready:
+		return admission.Admit
+	default:
+		return admission.Revoked
+	}
+}
+
+func (g *Gate) finish(attempt admission.Attempt) {
+	for _, id := range g.gate.Finish(time.Now(), attempt) {
+		if ready, ok := g.waiting[id]; ok {
+			close(ready)
+			delete(g.waiting, id)
+		}
+	}
+}
+
+// Revoke answers an entry's question where an attempt stands. It runs on the loop.
+func (g *Gate) Revoke(id string) admission.Standing {
+	standing := g.gate.Revoke(time.Now(), id)
+	g.log.Info("revoke", zap.String("attempt", id), zap.Stringer("standing", standing))
+	return standing
+}
+
+func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, attempt admission.Attempt) {
+	class := r.Header.Get(HeaderClass)
+	for _, name := range []string{HeaderAttempt, HeaderIncarnation, HeaderTimeout} {
+		r.Header.Del(name)
+	}
+	w.Header().Set(problem.HeaderPeer, g.name)
+	started := time.Now()
+	failed, broken := g.upstream.Forward(ctx, w, r)
+	took := time.Since(started)
+	g.metrics.Time("upstream", took)
+	switch {
+	case failed != nil:
+		g.metrics.Add("upstream-failed", 1)
+		g.log.Warn("request-failed", zap.String("attempt", attempt.ID), zap.Error(failed))
+		failed.Write(w)
+	case broken != nil:
+		g.metrics.Add("upstream-broken", 1)
+		g.log.Warn("request-broken", zap.String("attempt", attempt.ID), zap.Error(broken))
+		panic(http.ErrAbortHandler)
+	default:
+		g.loop.Post(func() { g.observe(class, took) })
+	}
+}
+
+// turnAway answers an attempt that does not run. Only a duplicate may be running.
+func (g *Gate) turnAway(w http.ResponseWriter, attempt admission.Attempt, verdict admission.Verdict) {
+	g.log.Info("request-refused", zap.String("attempt", attempt.ID), zap.String("workspace", attempt.Workspace), zap.Stringer("why", verdict))
+	if verdict == admission.Duplicate {
+		problem.New(http.StatusConflict, problem.Unknown, "admit", verdict.String()).At(g.name).Write(w)
+		return
+	}
+	g.refuse(w, http.StatusServiceUnavailable, "admit", verdict.String())
+}
+
+func (g *Gate) refuse(w http.ResponseWriter, status int, step, why string) {
+	problem.New(status, problem.Refused, step, why).At(g.name).After(retryAfter).Write(w)
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,175 @@
+// Package link is the protocol between agents and entries: its messages, and the
+// connection that carries them.
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Method names.
+const (
+	MethodAnnounce = "announce"
+	MethodBeat     = "beat"
+	MethodRevoke   = "revoke"
+	MethodPoke     = "poke"
+)
+
+const (
+	// BeatPeriod is the time between two beats of an agent that has no news.
+	BeatPeriod = time.Second
+	// GrantTTL is how long a grant lasts from the sending of its beat.
+	GrantTTL = 4 * time.Second
+	// CallBound is how long one call over a link may take.
+	CallBound = 2 * time.Second
+)
+
+// Config is a configuration document with its version; Text is empty when only
+// the version is said.
+type Config struct {
+	Version uint64 `json:"version"`
+	Text    string `json:"text,omitempty"`
+}
+
+// Capacity is what an instance offers.
+type Capacity struct {
+	Slots        int     `json:"slots"`
+	Connections  int     `json:"connections"`
+	Processors   float64 `json:"cpu"`
+	Memory       int     `json:"memory"` // MB
+	Accelerators int     `json:"accelerators"`
+}
+
+// Need is the part of the capacity that batch tasks take.
+func (c Capacity) Need() placement.Need {
+	return placement.Need{Processors: c.Processors, Memory: c.Memory, Accelerators: c.Accelerators}
+}
+
+// Announce is the first message on a link.
+type Announce struct {
+	Instance    string   `json:"instance"`
+	Incarnation string   `json:"incarnation"`
+	Domain      string   `json:"domain"`
+	Rack        string   `json:"rack"`
+	Gate        string   `json:"gate"` // host:port for request bodies
+	Capacity    Capacity `json:"capacity"`
+	Config      Config   `json:"config"`
+	Leaving     bool     `json:"leaving,omitempty"`
+}
+
+// Peer is an entry that an agent may talk to.
+type Peer struct {
+	Name string `json:"name"`
+	Link string `json:"link"` // host:port
+}
+
+// Welcome answers an announcement.
+type Welcome struct {
+	Entry  string `json:"entry"`
+	Peers  []Peer `json:"peers"`
+	Config Config `json:"config"`
+}
+
+// Beat is an agent's report. Held and Boot go to the owner of its shard only.
+type Beat struct {
+	Instance    string           `json:"instance"`
+	Incarnation string           `json:"incarnation"`
+	Sequence    uint64           `json:"sequence"`
+	Busy        int              `json:"busy"`
+	Queued      int              `json:"queued"`
+	Leaving     bool             `json:"leaving,omitempty"`
+	Config      Config           `json:"config"`
+	Boot        string           `json:"boot,omitempty"`
+	Held        []placement.Held `json:"held,omitempty"`
+}
+
+// BeatReply answers a beat. Owner tells who owns the agent's shard and since which
+// epoch, as far as the entry knows; Grant is nil unless that is the entry itself.
+type BeatReply struct {
+	Owner  string           `json:"owner,omitempty"`
+	Epoch  uint64           `json:"epoch,omitempty"`
+	Peers  []Peer           `json:"peers,omitempty"`
+	Config Config           `json:"config"`
+	Grant  *placement.Reply `json:"grant,omitempty"`
+}
+
+// Revoke asks where an attempt stands and ends it if it has not started.
+type Revoke struct {
+	Attempt string `json:"attempt"`
+}
+
+// Revoked answers: incarnation of the agent and the attempt's standing.
+type Revoked struct {
+	Incarnation string `json:"incarnation"`
+	Standing    string `json:"standing"`
+}
+
+// Handler answers one call; its result is sent back.
+type Handler func(ctx context.Context, method string, params json.RawMessage) (any, error)
+
+// Conn is one link.
+type Conn struct {
+	rpc  *jsonrpc2.Conn
+	peer string
+}
+
+// New runs the protocol over stream with the peer named. Calls that arrive go to
+// handler, each on a goroutine of its own. The link closes with ctx.
+func New(ctx context.Context, stream io.ReadWriteCloser, peer string, handler Handler) *Conn {
+	serve := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		var params json.RawMessage
+		if r.Params != nil {
+			params = *r.Params
+		}
+		return handler(ctx, r.Method, params)
+	}
+	async := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(serve))
+	quiet := jsonrpc2.SetLogger(discard{})
+	return &Conn{rpc: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(stream), async, quiet), peer: peer}
+}
+
+// discard drops the library's own log; errors reach the callers.
+type discard struct{}
+
+// Printf drops a line.
+func (discard) Printf(string, ...any) {}
+
+// Call sends a request and waits for its answer, CallBound at most.
+func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
+	bounded, cancel := context.WithTimeout(ctx, CallBound)
+	defer cancel()
+	err := c.rpc.Call(bounded, method, params, result)
+	return errors.Wrapf(err, "call %s of peer %s", method, c.peer)
+}
+
+// Notify sends a message without an answer.
+func (c *Conn) Notify(ctx context.Context, method string) error {
+	return errors.Wrapf(c.rpc.Notify(ctx, method, nil), "notify %s to peer %s", method, c.peer)
+}
+
+// Done is closed when the link is gone.
+func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
+
+// Close ends the link.
+func (c *Conn) Close() {
+	// A link that is gone already is closed as wished.
+	_ = c.rpc.Close()
+}
+
+// ErrMethod answers calls of a method the peer does not have.
+func ErrMethod(method string) error {
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + method}
+}
+
+// Decode reads the parameters of a call.
+func Decode[T any](params json.RawMessage) (T, error) {
+	var value T
+	err := json.Unmarshal(params, &value)
+	return value, errors.Wrap(err, "decode parameters")
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,117 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/job"
+	"github.com/apricotwind/apricotwind/internal/ledger"
+	"github.com/apricotwind/apricotwind/internal/problem"
+	"github.com/cockroachdb/errors"
+)
+
+// Client calls the operators' side of an entry.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient makes a client of the entry at base, such as http://127.0.0.1:7200.
+func NewClient(base string, client *http.Client) *Client {
+	return &Client{base: base, http: client}
+}
+
+// Target reads the document in force.
+func (c *Client) Target(ctx context.Context) (Document, error) {
+	var document Document
+	return document, c.call(ctx, http.MethodGet, "/target", nil, &document)
+}
+
+// SetTarget proposes a document.
+func (c *Client) SetTarget(ctx context.Context, proposal Proposal) (Accepted, error) {
+	var accepted Accepted
+	return accepted, c.call(ctx, http.MethodPut, "/target", proposal, &accepted)
+}
+
+// Status reads the version in force on each node.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	return status, c.call(ctx, http.MethodGet, "/target/status", nil, &status)
+}
+
+// Local reads the version in force on the entry called and its agents.
+func (c *Client) Local(ctx context.Context) (Status, error) {
+	var status Status
+	return status, c.call(ctx, http.MethodGet, "/target/local", nil, &status)
+}
+
+// History reads every version accepted.
+func (c *Client) History(ctx context.Context) ([]Version, error) {
+	var versions []Version
+	return versions, c.call(ctx, http.MethodGet, "/target/history", nil, &versions)
+}
+
+// Submit submits a job.
+func (c *Client) Submit(ctx context.Context, submission job.Submission) (placement.Job, error) {
+	var accepted placement.Job
+	return accepted, c.call(ctx, http.MethodPost, "/job", submission, &accepted)
+}
+
+// Jobs lists all jobs.
+func (c *Client) Jobs(ctx context.Context) ([]placement.Job, error) {
+	var jobs []placement.Job
+	return jobs, c.call(ctx, http.MethodGet, "/job", nil, &jobs)
+}
+
+// Job reads one job with its tasks.
+func (c *Client) Job(ctx context.Context, id string) (job.Status, error) {
+	var status job.Status
+	return status, c.call(ctx, http.MethodGet, "/job/"+url.PathEscape(id), nil, &status)
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	return c.call(ctx, http.MethodDelete, "/job/"+url.PathEscape(id), nil, nil)
+}
+
+// Report reads the arbitrator's report; empty texts select all.
+func (c *Client) Report(ctx context.Context, from, to time.Time, workspace, class string) (ledger.Report, error) {
+	query := url.Values{"workspace": {workspace}, "class": {class}}
+	query.Set("from", from.Format(time.RFC3339Nano))
+	query.Set("to", to.Format(time.RFC3339Nano))
+	var report ledger.Report
+	return report, c.call(ctx, http.MethodGet, "/report?"+query.Encode(), nil, &report)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		text, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		body = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return errors.Wrapf(err, "entry %q", c.base)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "entry %s", c.base)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := problem.Read(response, c.base); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrapf(json.NewDecoder(response.Body).Decode(out), "decode answer of entry %s", c.base)
+}
--- /dev/null
+++ b/internal/process/entry_agents.go
@@ -0,0 +1,128 @@
+package process
+
+import (
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/decision/routing"
+	"github.com/apricotwind/apricotwind/internal/ledger"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/pkg/document/contract"
+	"go.uber.org/zap"
+)
+
+// announced takes a new agent. It runs on the loop, as all of this file does.
+func (e *Entry) announced(a link.Announce) link.Welcome {
+	e.adoptText(a.Config)
+	e.routing.Announce(time.Now(), routing.Instance{
+		Name: a.Instance, Domain: a.Domain, Incarnation: a.Incarnation, Slots: a.Capacity.Slots,
+	})
+	if a.Leaving {
+		e.routing.Leave(a.Instance)
+	}
+	e.keeper.Announce(instanceOf(a))
+	return link.Welcome{Entry: e.settings.Name, Peers: e.peers(), Config: e.configFor(a.Config.Version)}
+}
+
+func instanceOf(a link.Announce) placement.Instance {
+	return placement.Instance{Name: a.Instance, Domain: a.Domain, Rack: a.Rack, Capacity: a.Capacity.Need()}
+}
+
+func (e *Entry) beat(a link.Announce, beat link.Beat) link.BeatReply {
+	e.routing.Observe(time.Now(), beat.Instance, routing.Load{Busy: beat.Busy, Queued: beat.Queued})
+	if beat.Leaving {
+		e.routing.Leave(beat.Instance)
+	}
+	owner, epoch := e.keeper.Owner(beat.Instance)
+	reply := link.BeatReply{Owner: owner, Epoch: epoch, Peers: e.peers(), Config: e.configFor(beat.Config.Version)}
+	if beat.Boot != "" {
+		reply.Grant = e.keeper.Beat(instanceOf(a), placement.Beat{
+			Instance: beat.Instance, Incarnation: beat.Incarnation, Boot: beat.Boot, Sequence: beat.Sequence,
+			Busy: beat.Busy, Leaving: beat.Leaving, Held: beat.Held,
+		})
+	}
+	return reply
+}
+
+func (e *Entry) gone(a link.Announce) {
+	e.routing.Remove(a.Instance, a.Incarnation)
+}
+
+// configFor is the document for a node that has version: with text if it is newer.
+func (e *Entry) configFor(version uint64) link.Config {
+	document := e.document.Load()
+	config := link.Config{Version: document.Version}
+	if document.Version > version {
+		config.Text = document.Text()
+	}
+	return config
+}
+
+// adoptText takes a document that a peer brought.
+func (e *Entry) adoptText(offered link.Config) {
+	if offered.Version <= e.document.Load().Version || offered.Text == "" {
+		return
+	}
+	document, err := contract.Parse([]byte(offered.Text))
+	if err != nil {
+		e.log.Error("config-refused", zap.Uint64("version", offered.Version), zap.Error(err))
+		return
+	}
+	document.Version = offered.Version
+	e.adopt(document)
+}
+
+// adopt puts a document in force here if its version is higher.
+func (e *Entry) adopt(document contract.Document) {
+	if document.Version <= e.document.Load().Version {
+		return
+	}
+	e.document.Store(&document)
+	e.keeper.SetShares(document.Shares())
+	e.log.Info("config-in-force", zap.Uint64("version", document.Version))
+	for _, a := range e.links.Announcements() {
+		e.links.Poke(a.Instance)
+	}
+}
+
+// decided logs and counts one decision of an owner about a task.
+func (e *Entry) decided(d placement.Decision) {
+	e.log.Info("task-"+d.Move.String(), zap.String("job", d.Job.ID), zap.Int("task", d.Task), zap.Int("attempt", d.Attempt),
+		zap.String("workspace", d.Job.Workspace), zap.String("class", d.Job.Class), zap.String("instance", d.Instance),
+		zap.Int("over", d.Over), zap.Stringer("state", d.State), zap.String("why", d.Why))
+	e.metrics.Add("task-"+d.Move.String(), 1)
+	switch d.Move {
+	case placement.Place:
+	case placement.Return:
+		e.countMove(d)
+	case placement.End:
+		e.countEnd(d)
+	}
+}
+
+func (e *Entry) countMove(d placement.Decision) {
+	switch {
+	case d.Evicted:
+		e.book.Move(d.Job.Workspace, d.Job.Class, "evicted")
+	case d.Lost:
+		e.book.Move(d.Job.Workspace, d.Job.Class, "instance lost")
+	default:
+		e.book.Move(d.Job.Workspace, d.Job.Class, "returned")
+	}
+}
+
+// fates maps the final state of a task to its fate in the ledger.
+var fates = map[placement.State]ledger.Fate{
+	placement.Done:      ledger.Delivered,
+	placement.Failed:    ledger.Failed,
+	placement.Cancelled: ledger.Cancelled,
+	placement.Doubtful:  ledger.Unknown,
+}
+
+func (e *Entry) countEnd(d placement.Decision) {
+	fate, cause := fates[d.State], d.Why
+	if fate == ledger.Delivered && d.Late {
+		fate, cause = ledger.Late, "after the deadline"
+	}
+	e.book.End(d.Job.Workspace, d.Job.Class, fate, cause)
+}
--- /dev/null
+++ b/internal/process/entry_platform.go
@@ -0,0 +1,168 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/config"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/record"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// watchConfig looks for a higher version of the document in the table.
+func (e *Entry) watchConfig(ctx context.Context) {
+	document, err := config.Read(ctx, e.table)
+	if err != nil {
+		e.log.Warn("config-unread", zap.Error(err))
+		return
+	}
+	e.loop.Post(func() { e.adopt(document) })
+}
+
+// writeRow renews this entry's row and looks at those of the others.
+func (e *Entry) writeRow(ctx context.Context) {
+	if e.draining.Load() {
+		return
+	}
+	_, operators, links := e.Addresses()
+	key := record.EntryPrefix + e.settings.Name
+	row, err := e.table.Get(ctx, key)
+	if err == nil {
+		err = e.putRow(ctx, row.Version, record.Entry{
+			Name: e.settings.Name, Incarnation: e.incarnation, Link: links, Operator: operators,
+			Domain: e.settings.Domain, Beat: e.attempts.Add(1),
+		})
+	}
+	rows, scanErr := e.table.Scan(ctx, record.EntryPrefix)
+	if err = errors.CombineErrors(err, scanErr); err != nil {
+		e.log.Warn("entries-unread", zap.Error(err))
+		return
+	}
+	e.loop.Post(func() { e.seeEntries(rows) })
+}
+
+func (e *Entry) putRow(ctx context.Context, version uint64, row record.Entry) error {
+	write, err := record.Put(record.EntryPrefix+row.Name, row)
+	if err != nil {
+		return err
+	}
+	_, err = e.table.Commit(ctx, []table.Condition{{Key: write.Key, Version: version}}, []table.Write{write})
+	return err
+}
+
+func (e *Entry) removeRow(ctx context.Context) {
+	key := record.EntryPrefix + e.settings.Name
+	row, err := e.table.Get(ctx, key)
+	if err == nil {
+		_, err = e.table.Commit(ctx, []table.Condition{{Key: key, Version: row.Version}}, []table.Write{{Key: key, Remove: true}})
+	}
+	if err != nil {
+		e.log.Warn("row-kept", zap.Error(err))
+	}
+}
+
+// seeEntries notes which entries' rows change. Rows that have not changed for long,
+// by this entry's own clock, are removed.
+func (e *Entry) seeEntries(rows []table.Row) {
+	now := time.Now()
+	listed := map[string]bool{}
+	for _, row := range rows {
+		value, err := record.Decode[record.Entry](row)
+		if err != nil {
+			e.log.Error("entry-row", zap.Error(err))
+			continue
+		}
+		listed[value.Name] = true
+		known, ok := e.entries[value.Name]
+		if !ok || known.version != row.Version {
+			e.entries[value.Name] = &otherEntry{row: value, version: row.Version, since: now}
+			continue
+		}
+		if now.Sub(known.since) > goneLife {
+			e.loop.Go(func() { e.forgetEntry(row) })
+		}
+	}
+	for name := range e.entries {
+		if !listed[name] {
+			delete(e.entries, name)
+		}
+	}
+}
+
+func (e *Entry) forgetEntry(row table.Row) {
+	conditions := []table.Condition{{Key: row.Key, Version: row.Version}}
+	_, err := e.table.Commit(e.loop.Context(), conditions, []table.Write{{Key: row.Key, Remove: true}})
+	e.log.Info("entry-forgotten", zap.String("key", row.Key), zap.Error(err))
+}
+
+// live names the entries whose rows change, this one included.
+func (e *Entry) live() []string {
+	names := []string{e.settings.Name}
+	for name, other := range e.entries {
+		if name != e.settings.Name && time.Since(other.since) < rowLife {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// peers lists the live entries for agents.
+func (e *Entry) peers() []link.Peer {
+	_, _, links := e.Addresses()
+	list := []link.Peer{{Name: e.settings.Name, Link: links}}
+	for name, other := range e.entries {
+		if name != e.settings.Name && time.Since(other.since) < rowLife {
+			list = append(list, link.Peer{Name: name, Link: other.row.Link})
+		}
+	}
+	return list
+}
+
+// closeWindow closes the ledger's window and has it stored. It runs on the loop.
+func (e *Entry) closeWindow(last bool) {
+	window, err := e.book.Close(time.Now(), e.document.Load().Version, last)
+	if err != nil {
+		e.log.Error("window-lost", zap.Error(err))
+		return
+	}
+	e.closed = append(e.closed, window)
+	if len(e.closed) > windowsMost {
+		e.log.Error("window-lost", zap.Int("number", e.closed[0].Number), zap.String("why", "too many windows wait for the platform"))
+		e.closed = e.closed[1:]
+	}
+	if last {
+		return
+	}
+	e.loop.Go(func() {
+		if err := e.storeWindows(e.loop.Context()); err != nil {
+			e.log.Warn("ledger-unstored", zap.Error(err))
+		}
+	})
+}
+
+// storeWindows stores the closed windows, oldest first, until one fails.
+func (e *Entry) storeWindows(ctx context.Context) error {
+	select {
+	case e.storing <- struct{}{}:
+		defer func() { <-e.storing }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for {
+		window, ok := e.oldestWindow()
+		if !ok {
+			return nil
+		}
+		if err := e.store.Put(ctx, window); err != nil {
+			return err
+		}
+		e.loopDo(func() {
+			if len(e.closed) > 0 && e.closed[0].Number == window.Number {
+				e.closed = e.closed[1:]
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/process/entry_requests.go
@@ -0,0 +1,184 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/caller"
+	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/decision/routing"
+	"github.com/apricotwind/apricotwind/internal/ledger"
+	"github.com/apricotwind/apricotwind/internal/operator"
+	"github.com/apricotwind/apricotwind/internal/record"
+	"github.com/apricotwind/apricotwind/pkg/document/contract"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"go.uber.org/zap"
+)
+
+// keyBound is how long the end of a keyed request is tried to be recorded.
+const keyBound = 10 * time.Second
+
+func (e *Entry) callerNode() caller.Node {
+	return caller.Node{
+		Document: func() contract.Document { return *e.document.Load() },
+		Pick:     e.pick,
+		Finish: func(choice caller.Choice, ending routing.Ending, took time.Duration) {
+			e.loop.Post(func() {
+				e.routing.Finish(time.Now(), choice.Instance, choice.Incarnation, ending, took)
+			})
+		},
+		Count: func(c caller.Count) {
+			e.loop.Post(func() { e.countRequest(c) })
+		},
+		Revoke: func(ctx context.Context, choice caller.Choice, attempt string) (string, error) {
+			return e.links.Revoke(ctx, choice.Instance, choice.Incarnation, attempt)
+		},
+		Key: caller.Keys{Begin: e.beginKey, End: e.endKey, Drop: e.dropKey},
+	}
+}
+
+func (e *Entry) pick(tried []string) (caller.Choice, bool) {
+	var choice caller.Choice
+	found := false
+	err := e.loop.Do(func() {
+		if e.leaving {
+			return
+		}
+		choice.Choice, found = e.routing.Pick(time.Now(), tried)
+		if found {
+			choice.Gate, found = e.links.Gate(choice.Instance)
+		}
+	})
+	return choice, found && err == nil
+}
+
+func (e *Entry) countRequest(c caller.Count) {
+	e.book.Owe(c.Workspace, c.Class, 1)
+	e.book.End(c.Workspace, c.Class, c.Fate, c.Cause)
+	if c.Fate == ledger.Delivered || c.Fate == ledger.Late {
+		e.book.Time(c.Workspace, c.Class, c.Took)
+	}
+}
+
+func keyOf(workspace, key string) string { return record.KeyPrefix + workspace + "/" + key }
+
+// beginKey claims a key by a conditional insert.
+func (e *Entry) beginKey(ctx context.Context, workspace, key string) (bool, record.Key, error) {
+	mine := record.Key{Attempt: e.unique(), At: time.Now().UTC()}
+	write, err := record.Put(keyOf(workspace, key), mine)
+	if err != nil {
+		return false, record.Key{}, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, platformBound)
+	defer cancel()
+	result, err := e.table.Settle(bounded, []table.Condition{{Key: write.Key, Version: table.Absent}}, []table.Write{write})
+	switch result.Outcome {
+	case table.Committed:
+		return true, record.Key{}, nil
+	case table.Conflict:
+		before, _, err := record.Get[record.Key](bounded, e.table, write.Key)
+		return false, before, err
+	case table.Unknown:
+	}
+	return false, record.Key{}, err
+}
+
+// endKey records what became of a keyed request; while it is not recorded, the key
+// counts as under way and is not run again.
+func (e *Entry) endKey(workspace, key, outcome string, status int) {
+	e.changeKey(workspace, key, func(before record.Key) table.Write {
+		before.Outcome, before.Status = outcome, status
+		// A row that was read back can be written again.
+		write, _ := record.Put(keyOf(workspace, key), before)
+		return write
+	})
+}
+
+// dropKey frees the key of a request that provably was not run.
+func (e *Entry) dropKey(workspace, key string) {
+	e.changeKey(workspace, key, func(record.Key) table.Write {
+		return table.Write{Key: keyOf(workspace, key), Remove: true}
+	})
+}
+
+func (e *Entry) changeKey(workspace, key string, change func(record.Key) table.Write) {
+	e.loop.Go(func() {
+		ctx, cancel := context.WithTimeout(e.loop.Context(), keyBound)
+		defer cancel()
+		before, version, err := record.Get[record.Key](ctx, e.table, keyOf(workspace, key))
+		if err == nil && version != table.Absent {
+			write := change(before)
+			_, err = e.table.Settle(ctx, []table.Condition{{Key: write.Key, Version: version}}, []table.Write{write})
+		}
+		if err != nil {
+			e.log.Warn("key-unrecorded", zap.String("workspace", workspace), zap.String("key", key), zap.Error(err))
+		}
+	})
+}
+
+func (e *Entry) operatorNode() operator.Node {
+	return operator.Node{
+		Document: func() contract.Document { return *e.document.Load() },
+		Local:    e.localVersions,
+		Rooms:    e.rooms,
+		Shards: func() int {
+			count := 0
+			e.loopDo(func() { count = e.keeper.Count() })
+			return count
+		},
+		Learned:  func(document contract.Document) { e.loopDo(func() { e.adopt(document) }) },
+		Accepted: func(of placement.Job) { e.loopDo(func() { e.book.Owe(of.Workspace, of.Class, of.Tasks) }) },
+		Kick:     func() { e.loop.Post(e.keeper.Inbox) },
+		Flush: func(ctx context.Context) error {
+			e.loopDo(func() { e.closeWindow(false) })
+			return e.storeWindows(ctx)
+		},
+		Alive: e.alive,
+	}
+}
+
+func (e *Entry) localVersions() []operator.NodeVersion {
+	list := []operator.NodeVersion{{Node: e.settings.Name, Role: "entry", Version: e.document.Load().Version}}
+	e.loopDo(func() {
+		for name, version := range e.links.Configs() {
+			list = append(list, operator.NodeVersion{Node: name, Role: "agent", Version: version})
+		}
+	})
+	return list
+}
+
+// rooms lists the capacities of the instances that are linked here.
+func (e *Entry) rooms() []placement.Need {
+	var list []placement.Need
+	e.loopDo(func() {
+		for _, a := range e.links.Announcements() {
+			list = append(list, a.Capacity.Need())
+		}
+	})
+	return list
+}
+
+// alive names the runs of entries that still have their open window.
+func (e *Entry) alive(context.Context) map[string]bool {
+	alive := map[string]bool{e.incarnation: true}
+	e.loopDo(func() {
+		for _, other := range e.entries {
+			if time.Since(other.since) < rowLife {
+				alive[other.row.Incarnation] = true
+			}
+		}
+	})
+	return alive
+}
+
+// oldestWindow is the first window that is not stored yet.
+func (e *Entry) oldestWindow() (ledger.Window, bool) {
+	var window ledger.Window
+	found := false
+	e.loopDo(func() {
+		if len(e.closed) > 0 {
+			window, found = e.closed[0], true
+		}
+	})
+	return window, found
+}
--- /dev/null
+++ b/internal/shard/keeper.go
@@ -0,0 +1,287 @@
+// Package shard claims shards in the platform's table and runs their owners.
+package shard
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/loop"
+	"github.com/apricotwind/apricotwind/internal/record"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"go.uber.org/zap"
+)
+
+const (
+	// watchPeriod is the time between two looks at the shard rows.
+	watchPeriod = time.Second
+	// renewPeriod is the time between two renewals of a lease.
+	renewPeriod = 2 * time.Second
+	// lease is how long a renewal holds, from before it was sent.
+	lease = 8 * time.Second
+	// leaseDrift is added by those who wait for a lease to lapse.
+	leaseDrift = 200 * time.Millisecond
+	// planPeriod is the time between two group commits of an owner.
+	planPeriod = 30 * time.Millisecond
+	// workGap is the time without a plan after which this process counts as having
+	// been paused; it then gives its agents workGrace to be heard again before it
+	// calls any of them lost.
+	workGap   = time.Second
+	workGrace = 3 * time.Second
+	// inboxPeriod is the time between two looks at the inbox.
+	inboxPeriod = 500 * time.Millisecond
+)
+
+// Seams are what a keeper asks of its process. All run on the loop.
+type Seams struct {
+	Live    func() []string // names of the live entries, this one included
+	Shares  func() map[string]float64
+	Decided func(placement.Decision)
+	Poke    func(instance string)
+}
+
+// Keeper holds the shards of one entry. All methods but New run on the loop.
+type Keeper struct {
+	name     string
+	loop     *loop.Loop
+	table    *table.Client
+	log      *zap.Logger
+	seams    Seams
+	count    int
+	seen     map[int]*sight
+	owned    map[int]*owned
+	claiming map[int]bool
+	commits  uint64
+	unique   string
+	stopping bool
+	worked   time.Time // of the last plan
+	grace    time.Time // no plan before
+}
+
+// sight is what was last seen of a shard's row, and since when.
+type sight struct {
+	row     record.Shard
+	version uint64
+	since   time.Time
+}
+
+// New makes the keeper of the entry named; incarnation makes its commits unique.
+// It claims nothing before Begin.
+func New(name, incarnation string, l *loop.Loop, client *table.Client, log *zap.Logger, seams Seams) *Keeper {
+	return &Keeper{
+		name: name, loop: l, table: client, log: log, seams: seams, unique: incarnation,
+		seen: map[int]*sight{}, owned: map[int]*owned{}, claiming: map[int]bool{},
+	}
+}
+
+// Begin starts to watch the shards. Count is used if no entry has fixed one yet.
+func (k *Keeper) Begin(count int) {
+	k.loop.Go(func() {
+		fixed := k.fixCount(k.loop.Context(), count)
+		k.loop.Post(func() { k.count = fixed })
+		k.loop.Repeat(watchPeriod, k.watch)
+	})
+	k.loop.Every(planPeriod, k.work)
+	k.loop.Every(renewPeriod, k.renew)
+	k.loop.Every(inboxPeriod, k.Inbox)
+}
+
+// fixCount reads the number of shards, or fixes it; it tries until the table answers.
+func (k *Keeper) fixCount(ctx context.Context, wanted int) int {
+	for ctx.Err() == nil {
+		fixed, version, err := record.Get[record.Shards](ctx, k.table, record.ShardsKey)
+		if err == nil && version != table.Absent {
+			if fixed.Count != wanted {
+				k.log.Warn("shards-fixed", zap.Int("count", fixed.Count), zap.Int("setting", wanted))
+			}
+			return fixed.Count
+		}
+		if err == nil {
+			err = k.putCount(ctx, wanted)
+		}
+		if err != nil {
+			k.log.Warn("shards-unknown", zap.Error(err))
+		}
+		loop.Sleep(ctx, watchPeriod)
+	}
+	return 0
+}
+
+func (k *Keeper) putCount(ctx context.Context, count int) error {
+	write, err := record.Put(record.ShardsKey, record.Shards{Count: count})
+	if err != nil {
+		return err
+	}
+	// Whoever wins, the next read tells the count in force.
+	_, err = k.table.Commit(ctx, []table.Condition{{Key: write.Key, Version: table.Absent}}, []table.Write{write})
+	return err
+}
+
+// Count is the number of shards, 0 while it is not known.
+func (k *Keeper) Count() int { return k.count }
+
+// Owner tells who owns the shard of an instance, and since which epoch.
+func (k *Keeper) Owner(instance string) (string, uint64) {
+	at := record.ShardOf(instance, k.count)
+	if held, ok := k.owned[at]; ok {
+		return k.name, held.owner.Epoch()
+	}
+	if known, ok := k.seen[at]; ok {
+		return known.row.Owner, known.row.Epoch
+	}
+	return "", 0
+}
+
+// Owned counts the shards this entry owns.
+func (k *Keeper) Owned() int { return len(k.owned) }
+
+// Counts sums the tasks that wait and that are placed in the owned shards.
+func (k *Keeper) Counts() (waiting, placed int) {
+	for _, held := range k.owned {
+		w, p := held.owner.Counts()
+		waiting += w
+		placed += p
+	}
+	return waiting, placed
+}
+
+// SetShares hands the contract's shares to the owners.
+func (k *Keeper) SetShares(shares map[string]float64) {
+	for _, held := range k.owned {
+		held.owner.SetShares(shares)
+	}
+}
+
+// Announce hands an instance's announcement to the owner of its shard.
+func (k *Keeper) Announce(announced placement.Instance) {
+	if held, ok := k.owned[record.ShardOf(announced.Name, k.count)]; ok {
+		held.owner.Announce(time.Now(), announced)
+	}
+}
+
+// Beat hands a full beat to the owner, if this entry is that and has loaded the
+// shard; nil otherwise.
+func (k *Keeper) Beat(announced placement.Instance, beat placement.Beat) *placement.Reply {
+	held, ok := k.owned[record.ShardOf(beat.Instance, k.count)]
+	if !ok {
+		return nil
+	}
+	now := time.Now()
+	held.owner.Announce(now, announced)
+	reply := held.owner.Beat(now, beat, now.Before(held.until))
+	return &reply
+}
+
+// watch reads the shard rows. A read that fails makes every row count as seen
+// anew afterwards, so that after an outage the owner has a whole lease to renew.
+func (k *Keeper) watch(ctx context.Context) {
+	rows, err := k.table.Scan(ctx, record.ShardPrefix)
+	k.loop.Post(func() {
+		if err != nil {
+			k.log.Warn("shards-unread", zap.Error(err))
+			clear(k.seen)
+			return
+		}
+		k.see(rows)
+	})
+}
+
+func (k *Keeper) see(rows []table.Row) {
+	now := time.Now()
+	for _, row := range rows {
+		var at int
+		value, err := record.Decode[record.Shard](row)
+		if _, scanErr := fmt.Sscanf(row.Key, record.ShardPrefix+"%d", &at); err != nil || scanErr != nil {
+			k.log.Error("shard-row", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		known, ok := k.seen[at]
+		if !ok || known.version != row.Version {
+			k.seen[at] = &sight{row: value, version: row.Version, since: now}
+		}
+	}
+	for at := range k.count {
+		k.consider(now, at)
+	}
+}
+
+// consider claims a shard that nobody holds. The entry that ranks first for the
+// shard claims at once, the others later by their rank, which spreads the shards.
+func (k *Keeper) consider(now time.Time, at int) {
+	if k.stopping || k.claiming[at] || k.owned[at] != nil {
+		return
+	}
+	known, ok := k.seen[at]
+	if !ok {
+		k.seen[at] = &sight{since: now.Add(-lease - leaseDrift)}
+		return
+	}
+	patience := lease + leaseDrift + time.Duration(k.rank(at))*watchPeriod
+	if known.row.Owner == "" {
+		patience -= lease
+	}
+	if now.Sub(known.since) >= patience {
+		k.claim(at, *known)
+	}
+}
+
+// rank is this entry's place for a shard among the live entries, by rendezvous hash.
+func (k *Keeper) rank(at int) int {
+	own := record.Weigh(k.name, at)
+	rank := 0
+	for _, other := range k.seams.Live() {
+		if other != k.name && record.Weigh(other, at) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// claim takes over a shard by a commit that is conditional on the row as seen.
+func (k *Keeper) claim(at int, known sight) {
+	k.claiming[at] = true
+	epoch := known.row.Epoch + 1
+	k.loop.Go(func() {
+		ctx := k.loop.Context()
+		sent := time.Now()
+		loaded, err := k.claimAndLoad(ctx, at, epoch, known)
+		k.loop.Post(func() {
+			delete(k.claiming, at)
+			if err != nil {
+				k.log.Warn("claim-failed", zap.Int("shard", at), zap.Uint64("epoch", epoch), zap.Error(err))
+				delete(k.seen, at)
+				return
+			}
+			k.hold(at, sent, epoch, loaded)
+		})
+	})
+}
+
+func (k *Keeper) nextCommit() string {
+	k.commits++
+	return fmt.Sprintf("%s-%d", k.unique, k.commits)
+}
+
+// Release gives up all shards in order, so that others need not wait for the leases.
+func (k *Keeper) Release() {
+	k.stopping = true
+	for at, held := range k.owned {
+		held.until = time.Time{}
+		k.loop.Go(func() { k.releaseRow(at, held) })
+		delete(k.owned, at)
+	}
+}
+
+// releaseRow clears the owner in the row. Grants given before may still last; the
+// next owner waits for them, counted from its own claim.
+func (k *Keeper) releaseRow(at int, held *owned) {
+	write, err := record.Put(record.ShardKey(at), record.Shard{Epoch: held.owner.Epoch(), Commit: k.unique + "-release"})
+	if err != nil {
+		k.log.Error("release", zap.Int("shard", at), zap.Error(err))
+		return
+	}
+	conditions := []table.Condition{{Key: write.Key, Version: held.version}}
+	_, err = k.table.Commit(k.loop.Context(), conditions, []table.Write{write})
+	k.log.Info("release", zap.Int("shard", at), zap.Uint64("epoch", held.owner.Epoch()), zap.Error(err))
+}
--- /dev/null
+++ b/internal/verb/agent.go
@@ -0,0 +1,115 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/logs"
+	"github.com/apricotwind/apricotwind/internal/process"
+	"github.com/cockroachdb/errors"
+)
+
+func agentVerb() Verb {
+	return Verb{
+		Name:  "agent",
+		Short: "run the process beside one upstream instance",
+		Long: `
+Runs the agent of one upstream instance until SIGTERM, which drains it: it
+announces the leaving, refuses what is new, lets requests end and tasks
+checkpoint, and goes. A second SIGTERM ends it at once.
+
+The agent is the only gate to its instance: at most --slots requests run and at
+most --connections run or wait, whatever entries believe. It finds the entries
+in the platform's table; --entries names some to begin with while that is out.
+
+Examples:
+  apricotwind agent --name m01 --domain nairobi-a --rack r1 \
+      --platform http://127.0.0.1:7000 --upstream http://127.0.0.1:9001
+  apricotwind agent --settings agent.yaml`,
+		Build: func(flags *flag.FlagSet) Run {
+			c := newAgentCommand(flags)
+			return c.run
+		},
+	}
+}
+
+// agentCommand holds the flags of the verb.
+type agentCommand struct {
+	flags              *flag.FlagSet
+	name, domain, rack *string
+	gate, ops          *addressFlag
+	platform, upstream *urlFlag
+	entries            listFlag
+	capacity           *capacityFlags
+	drain              *time.Duration
+	common             *commonFlags
+}
+
+func newAgentCommand(flags *flag.FlagSet) *agentCommand {
+	c := &agentCommand{
+		flags:    flags,
+		name:     flags.String("name", "", "`name` of the instance, unique in the pool"),
+		domain:   flags.String("domain", "", "failure `domain` of the instance"),
+		rack:     flags.String("rack", "", "`rack` of the instance"),
+		gate:     addressVar(flags, "gate", "127.0.0.1:0", "`address` where entries send requests"),
+		ops:      addressVar(flags, "ops", "127.0.0.1:0", "`address` of metrics and health"),
+		platform: urlVar(flags, "platform", "", "base `URL` of the platform"),
+		upstream: urlVar(flags, "upstream", "", "base `URL` of the instance"),
+		capacity: newCapacityFlags(flags),
+		drain:    flags.Duration("drain", 30*time.Second, "longest `wait` for work to leave at SIGTERM"),
+		common:   newCommonFlags(flags),
+	}
+	flags.Var(&c.entries, "entries", "link `address` of an entry to begin with; may be given several times")
+	return c
+}
+
+func (c *agentCommand) run(ctx context.Context, streams Streams, arguments []string) error {
+	if len(arguments) > 0 {
+		return usagef("takes no arguments: %q", arguments[0])
+	}
+	if err := requireValues(c.flags); err != nil {
+		return err
+	}
+	own, err := c.common.identity()
+	if err != nil {
+		return err
+	}
+	log, err := logs.New(streams.Err, *c.common.level, "agent", *c.name)
+	if err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	node, err := process.NewAgent(ctx, process.AgentSettings{
+		Name: *c.name, Domain: *c.domain, Rack: *c.rack, Gate: c.gate.String(), Ops: c.ops.String(),
+		Upstream: c.upstream.String(), Platform: c.platform.String(), Entries: c.entries,
+		Capacity: c.capacity.capacity(), Drain: *c.drain, Identity: own,
+	}, process.NewNetwork(), log)
+	if err != nil {
+		return err
+	}
+	return untilDrained(streams, node)
+}
+
+// capacityFlags say what an instance offers.
+type capacityFlags struct {
+	slots, connections, memory, accelerators *int
+	processors                               *float64
+}
+
+func newCapacityFlags(flags *flag.FlagSet) *capacityFlags {
+	return &capacityFlags{
+		slots:        flags.Int("slots", 8, "`number` of requests the instance runs at a time"),
+		connections:  flags.Int("connections", 64, "`number` of requests that run or wait"),
+		processors:   flags.Float64("cpu", 30, "`processors` for batch tasks"),
+		memory:       flags.Int("memory", 125_000, "`MB` of memory for batch tasks"),
+		accelerators: flags.Int("accelerators", 0, "`number` of accelerators"),
+	}
+}
+
+func (c *capacityFlags) capacity() link.Capacity {
+	return link.Capacity{
+		Slots: *c.slots, Connections: *c.connections, Processors: *c.processors,
+		Memory: *c.memory, Accelerators: *c.accelerators,
+	}
+}
--- /dev/null
+++ b/internal/verb/entry.go
@@ -0,0 +1,129 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"strings"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/caller"
+	"github.com/apricotwind/apricotwind/internal/logs"
+	"github.com/apricotwind/apricotwind/internal/process"
+	"github.com/cockroachdb/errors"
+)
+
+func entryVerb() Verb {
+	return Verb{
+		Name:  "entry",
+		Short: "run an entry: takes requests and jobs, routes and places them",
+		Long: `
+Runs an entry instance until SIGTERM, which drains it: it gives up its shards,
+refuses new requests and lets those in flight end. A second SIGTERM ends it at
+once. It has three listeners: towards callers, towards operators, and the links
+of agents.
+
+A route gives the requests below a path a class and a workspace:
+PREFIX=CLASS@WORKSPACE. The headers Apricotwind-Class and Apricotwind-Workspace
+go before it.
+
+Examples:
+  apricotwind entry --name e1 --domain nairobi-a --platform http://127.0.0.1:7000
+  apricotwind entry --settings entry.yaml
+  apricotwind entry --name e1 --domain nairobi-a --platform http://127.0.0.1:7000 \
+      --caller 127.0.0.1:8080 --route /kilele/=preview@kilele`,
+		Build: func(flags *flag.FlagSet) Run {
+			c := newEntryCommand(flags)
+			return c.run
+		},
+	}
+}
+
+// bodyMost is the preset limit of a request's body, in bytes.
+const bodyMost = 64 << 20
+
+// entryCommand holds the flags of the verb.
+type entryCommand struct {
+	flags                       *flag.FlagSet
+	name, domain                *string
+	caller, operator, link      *addressFlag
+	platform                    *urlFlag
+	routes                      listFlag
+	shards, connections, sample *int
+	bodyMost                    *int64
+	window, drain               *time.Duration
+	common                      *commonFlags
+}
+
+func newEntryCommand(flags *flag.FlagSet) *entryCommand {
+	c := &entryCommand{
+		flags:       flags,
+		name:        flags.String("name", "", "`name` of this entry, unique among entries"),
+		domain:      flags.String("domain", "", "failure `domain` of this entry"),
+		caller:      addressVar(flags, "caller", "127.0.0.1:7100", "`address` towards callers"),
+		operator:    addressVar(flags, "operator", "127.0.0.1:7200", "`address` towards operators"),
+		link:        addressVar(flags, "link", "127.0.0.1:7300", "`address` towards agents"),
+		platform:    urlVar(flags, "platform", "", "base `URL` of the platform's table and object store"),
+		shards:      flags.Int("shards", 1, "`number` of shards, fixed by the first entry ever started"),
+		connections: flags.Int("connections", 10_000, "most connections of callers at a time"),
+		sample:      flags.Int("sample", 1, "log one routing decision in so `many`"),
+		bodyMost:    flags.Int64("body", bodyMost, "most `bytes` of a request's body"),
+		window:      flags.Duration("window", 10*time.Second, "`length` of a window of the ledger"),
+		drain:       flags.Duration("drain", 30*time.Second, "longest `wait` for requests in flight at SIGTERM"),
+		common:      newCommonFlags(flags),
+	}
+	flags.Var(&c.routes, "route", "`PREFIX=CLASS@WORKSPACE`; may be given several times")
+	return c
+}
+
+func (c *entryCommand) run(ctx context.Context, streams Streams, arguments []string) error {
+	if len(arguments) > 0 {
+		return usagef("takes no arguments: %q", arguments[0])
+	}
+	if err := requireValues(c.flags); err != nil {
+		return err
+	}
+	settings, err := c.settings()
+	if err != nil {
+		return err
+	}
+	log, err := logs.New(streams.Err, *c.common.level, "entry", *c.name)
+	if err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	node, err := process.NewEntry(ctx, settings, process.NewNetwork(), log)
+	if err != nil {
+		return err
+	}
+	return untilDrained(streams, node)
+}
+
+func (c *entryCommand) settings() (process.EntrySettings, error) {
+	routes, err := parseRoutes(c.routes)
+	if err != nil {
+		return process.EntrySettings{}, err
+	}
+	own, err := c.common.identity()
+	if err != nil {
+		return process.EntrySettings{}, err
+	}
+	return process.EntrySettings{
+		Name: *c.name, Domain: *c.domain, Caller: c.caller.String(), Operator: c.operator.String(),
+		Link: c.link.String(), Platform: c.platform.String(), Shards: *c.shards, Routes: routes,
+		BodyMost: *c.bodyMost, Connections: *c.connections, Window: *c.window, Sample: *c.sample,
+		Drain: *c.drain, Identity: own,
+	}, nil
+}
+
+// parseRoutes reads routes such as /kilele/=preview@kilele.
+func parseRoutes(texts []string) ([]caller.Route, error) {
+	var routes []caller.Route
+	for _, text := range texts {
+		prefix, rest, hasClass := strings.Cut(text, "=")
+		class, workspace, hasWorkspace := strings.Cut(rest, "@")
+		if !hasClass || !hasWorkspace || !strings.HasPrefix(prefix, "/") {
+			return nil, usagef("route %q is not PREFIX=CLASS@WORKSPACE with a prefix that begins with /", text)
+		}
+		routes = append(routes, caller.Route{Prefix: prefix, Class: class, Workspace: workspace})
+	}
+	return routes, nil
+}
--- /dev/null
+++ b/internal/verb/help.go
@@ -0,0 +1,33 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"strings"
+)
+
+func helpVerb() Verb {
+	return Verb{
+		Name:  "help",
+		Takes: "[VERB]",
+		Short: "show all verbs, or one with its flags and examples",
+		Long: `
+Examples:
+  apricotwind help
+  apricotwind help job submit`,
+		Build: func(*flag.FlagSet) Run { return runHelp },
+	}
+}
+
+func runHelp(_ context.Context, streams Streams, arguments []string) error {
+	if len(arguments) == 0 {
+		writeOverview(streams.Out)
+		return nil
+	}
+	verb, rest, ok := find(arguments)
+	if !ok || len(rest) > 0 {
+		return usagef("there is no verb %q", strings.Join(arguments, " "))
+	}
+	writeHelp(streams.Out, verb)
+	return nil
+}
--- /dev/null
+++ b/internal/verb/job_cancel.go
@@ -0,0 +1,34 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+)
+
+func jobCancelVerb() Verb {
+	return Verb{
+		Name:  "job cancel",
+		Takes: "JOB",
+		Short: "cancel a job: what waits ends, what runs is stopped",
+		Long: `
+Cancels a job. It returns once the cancellation is stored; 'job status' shows the
+tasks end. Cancelling twice is cancelling once.
+
+Example:
+  apricotwind job cancel j5f3a`,
+		Build: func(flags *flag.FlagSet) Run {
+			to := newOperatorFlags(flags)
+			return func(ctx context.Context, streams Streams, arguments []string) error {
+				if len(arguments) != 1 {
+					return usagef("takes one job, not %d arguments", len(arguments))
+				}
+				if err := to.client().Cancel(ctx, arguments[0]); err != nil {
+					return err
+				}
+				fmt.Fprintf(streams.Out, "%s: cancellation stored\n", arguments[0])
+				return nil
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/verb/job_list.go
@@ -0,0 +1,37 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+	"time"
+)
+
+func jobListVerb() Verb {
+	return Verb{
+		Name:  "job list",
+		Short: "list all jobs, oldest first",
+		Long: `
+Lists the jobs in the platform's table.
+
+Example:
+  apricotwind job list --entry http://127.0.0.1:7200`,
+		Build: func(flags *flag.FlagSet) Run {
+			to := newOperatorFlags(flags)
+			return func(ctx context.Context, streams Streams, _ []string) error {
+				jobs, err := to.client().Jobs(ctx)
+				if err != nil {
+					return err
+				}
+				columns := tabwriter.NewWriter(streams.Out, 0, 0, 2, ' ', 0)
+				fmt.Fprintf(columns, "job\tworkspace\tclass\ttasks\tsubmitted\tdeadline\n")
+				for _, of := range jobs {
+					fmt.Fprintf(columns, "%s\t%s\t%s\t%d\t%s\t%s\n", of.ID, of.Workspace, of.Class, of.Tasks,
+						of.Submitted.Format(time.RFC3339), of.Deadline.Format(time.RFC3339))
+				}
+				return columns.Flush()
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/verb/job_status.go
@@ -0,0 +1,100 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/job"
+)
+
+func jobStatusVerb() Verb {
+	return Verb{
+		Name:  "job status",
+		Takes: "JOB",
+		Short: "follow a job: its tasks, attempts, and the reason of each move",
+		Long: `
+Shows a job and its tasks. With --wait it returns when every task has ended, and
+fails if any did not end as done.
+
+Example:
+  $ apricotwind job status j5f3a
+  j5f3a kilele rebrand: 40 tasks, 38 done, 2 placed
+  task  state   attempt  instance  evictions  why
+  0     done    1        m04       0
+  7     placed  2        m02       1          evicted from m09: instance is leaving`,
+		Build: func(flags *flag.FlagSet) Run {
+			to := newOperatorFlags(flags)
+			wait := flags.Duration("wait", 0, "longest `wait` for the end of every task")
+			return func(ctx context.Context, streams Streams, arguments []string) error {
+				if len(arguments) != 1 {
+					return usagef("takes one job, not %d arguments", len(arguments))
+				}
+				return runJobStatus(ctx, streams, to, arguments[0], *wait)
+			}
+		},
+	}
+}
+
+// jobPeriod is the time between two looks at a job that is waited for.
+const jobPeriod = 200 * time.Millisecond
+
+func runJobStatus(ctx context.Context, streams Streams, to *operatorFlags, id string, wait time.Duration) error {
+	client := to.client()
+	until := time.Now().Add(wait)
+	for {
+		status, err := client.Job(ctx, id)
+		over := err == nil && ended(status)
+		if over || !time.Now().Before(until) {
+			if err != nil {
+				return err
+			}
+			return concludeJob(streams.Out, status, wait > 0)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(jobPeriod):
+		}
+	}
+}
+
+func ended(status job.Status) bool {
+	for _, task := range status.Tasks {
+		if !task.State.Final() {
+			return false
+		}
+	}
+	return true
+}
+
+func concludeJob(w io.Writer, status job.Status, waited bool) error {
+	if err := writeJob(w, status); err != nil {
+		return err
+	}
+	done := status.Counts["done"]
+	if waited && done < status.Job.Tasks {
+		return fmt.Errorf("job %s: %d of %d tasks are done", status.Job.ID, done, status.Job.Tasks)
+	}
+	return nil
+}
+
+func writeJob(w io.Writer, status job.Status) error {
+	of := status.Job
+	fmt.Fprintf(w, "%s %s %s: %d tasks", of.ID, of.Workspace, of.Class, of.Tasks)
+	for _, state := range []string{"waiting", "placed", "done", "failed", "cancelled", "unknown"} {
+		if n := status.Counts[state]; n > 0 {
+			fmt.Fprintf(w, ", %d %s", n, state)
+		}
+	}
+	fmt.Fprintln(w)
+	columns := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(columns, "task\tstate\tattempt\tinstance\tevictions\twhy\n")
+	for _, task := range status.Tasks {
+		fmt.Fprintf(columns, "%d\t%s\t%d\t%s\t%d\t%s\n", task.Number, task.State, task.Attempt, task.Instance, task.Evictions, task.Why)
+	}
+	return columns.Flush()
+}
--- /dev/null
+++ b/internal/verb/report.go
@@ -0,0 +1,83 @@
+package verb
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/ledger"
+)
+
+func reportVerb() Verb {
+	return Verb{
+		Name:  "report",
+		Short: "show what was owed, delivered, and why",
+		Long: `
+The arbitrator's answer: what each workspace and class was owed over a period,
+what it got, and the causes of every shortfall. Windows of the ledger that are
+missing are named.
+
+Examples:
+  apricotwind report
+  apricotwind report --from 2026-12-04T08:00:00Z --workspace kilele
+  apricotwind report --format html > report.html`,
+		Build: func(flags *flag.FlagSet) Run {
+			c := &reportCommand{
+				to:        newOperatorFlags(flags),
+				from:      flags.String("from", "", "begin of the period, RFC 3339 `time` (default all)"),
+				until:     flags.String("to", "", "end of the period, RFC 3339 `time` (default now)"),
+				workspace: flags.String("workspace", "", "only this `workspace`"),
+				class:     flags.String("class", "", "only this `class`"),
+				format:    flags.String("format", "text", "text, json or html"),
+			}
+			return c.run
+		},
+	}
+}
+
+type reportCommand struct {
+	to                                    *operatorFlags
+	from, until, workspace, class, format *string
+}
+
+func (c *reportCommand) run(ctx context.Context, streams Streams, _ []string) error {
+	from, err := parseTime("from", *c.from, time.Time{})
+	if err != nil {
+		return err
+	}
+	until, err := parseTime("to", *c.until, clock())
+	if err != nil {
+		return err
+	}
+	report, err := c.to.client().Report(ctx, from, until, *c.workspace, *c.class)
+	if err != nil {
+		return err
+	}
+	return writeReport(streams, *c.format, report)
+}
+
+func writeReport(streams Streams, format string, report ledger.Report) error {
+	switch format {
+	case "text":
+		return report.WriteText(streams.Out)
+	case "json":
+		encoder := json.NewEncoder(streams.Out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(report)
+	case "html":
+		return report.WriteHTML(streams.Out)
+	}
+	return usagef("format %q is none of text, json, html", format)
+}
+
+func parseTime(name, text string, preset time.Time) (time.Time, error) {
+	if text == "" {
+		return preset, nil
+	}
+	parsed, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return time.Time{}, usagef("--%s: %q is no time such as 2026-12-04T08:00:00Z", name, text)
+	}
+	return parsed, nil
+}
--- /dev/null
+++ b/internal/verb/standin_platform.go
@@ -0,0 +1,84 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/standin"
+	"github.com/cockroachdb/errors"
+)
+
+func standinPlatformVerb() Verb {
+	return Verb{
+		Name:  "standin platform",
+		Short: "run a stand-in of the platform's table and object store",
+		Long: `
+Runs a small stand-in of the platform until SIGTERM. With --journal it writes
+every change to a file before it answers and reads the file back at its start,
+as the real platform lasts through a crash.
+
+Its faults are set while it runs, at PUT /knobs.
+
+Examples:
+  apricotwind standin platform --listen 127.0.0.1:7000 --journal platform.journal
+  curl -X PUT -d '{"outage":true}' http://127.0.0.1:7000/knobs
+  curl -X PUT -d '{"delay":200000000,"lost":0.1,"rate":300}' http://127.0.0.1:7000/knobs
+  curl -X PUT -d '{}' http://127.0.0.1:7000/knobs`,
+		Build: func(flags *flag.FlagSet) Run {
+			listen := addressVar(flags, "listen", "127.0.0.1:7000", "`address` to listen on")
+			journal := flags.String("journal", "", "`file` that keeps every change")
+			seed := flags.Uint64("seed", 1, "`seed` of its faults")
+			return func(_ context.Context, streams Streams, _ []string) error {
+				return runStandinPlatform(streams, listen.String(), *journal, *seed)
+			}
+		},
+	}
+}
+
+func runStandinPlatform(streams Streams, address, journal string, seed uint64) error {
+	var kept io.Writer
+	if journal != "" {
+		file, err := os.OpenFile(journal, os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o644)
+		if err != nil {
+			return errors.Wrap(err, "open journal")
+		}
+		defer func() { _ = file.Close() }()
+		kept = file
+	}
+	platform := standin.NewPlatform(seed, kept)
+	if file, ok := kept.(*os.File); ok {
+		if err := platform.Restore(file); err != nil {
+			return err
+		}
+	}
+	return serveStandin(streams, address, platform.Handler())
+}
+
+// drainBound is how long a stand-in lets its requests end.
+const drainBound = 5 * time.Second
+
+// serveStandin serves handler until the process is told to drain.
+func serveStandin(streams Streams, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "setting listen")
+	}
+	fmt.Fprintf(streams.Err, "listening on %s\n", listener.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: drainBound}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-streams.Drain:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainBound)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/verb/table.go
@@ -0,0 +1,74 @@
+package verb
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// table lists the verbs in the order help shows them.
+func table() []Verb {
+	return []Verb{
+		demoVerb(),
+		entryVerb(),
+		agentVerb(),
+		standinPlatformVerb(),
+		standinUpstreamVerb(),
+		targetGetVerb(),
+		targetSetVerb(),
+		targetStatusVerb(),
+		targetHistoryVerb(),
+		jobSubmitVerb(),
+		jobStatusVerb(),
+		jobListVerb(),
+		jobCancelVerb(),
+		reportVerb(),
+		replayVerb(),
+		traceVerb(),
+		settingsCheckVerb(),
+		versionVerb(),
+		helpVerb(),
+	}
+}
+
+func writeOverview(w io.Writer) {
+	fmt.Fprintf(w, "%s schedules latency-critical and batch work on one pool of instances.\n\nUsage: %s VERB [flags] [arguments]\n\nVerbs:\n", program, program)
+	columns := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, verb := range table() {
+		fmt.Fprintf(columns, "  %s\t%s\n", verb.Name, verb.Short)
+	}
+	// A terminal that is gone cannot be told more.
+	_ = columns.Flush()
+	fmt.Fprintf(w, "\n'%s help VERB' or '%s VERB --help' shows a verb with examples.\n", program, program)
+}
+
+func writeHelp(w io.Writer, verb Verb) {
+	usage := []string{program, verb.Name}
+	flags := flag.NewFlagSet(verb.Name, flag.ContinueOnError)
+	verb.Build(flags)
+	any := false
+	flags.VisitAll(func(*flag.Flag) { any = true })
+	if any {
+		usage = append(usage, "[flags]")
+	}
+	if verb.Takes != "" {
+		usage = append(usage, verb.Takes)
+	}
+	fmt.Fprintf(w, "Usage: %s\n\n%s\n", strings.Join(usage, " "), strings.TrimSpace(verb.Long))
+	if !any {
+		return
+	}
+	fmt.Fprintf(w, "\nFlags (also APRICOTWIND_* variables and keys of the --settings file):\n")
+	flags.VisitAll(func(f *flag.Flag) { writeFlag(w, f) })
+}
+
+func writeFlag(w io.Writer, f *flag.Flag) {
+	kind, usage := flag.UnquoteUsage(f)
+	fmt.Fprintf(w, "  --%s %s\n        %s", f.Name, kind, usage)
+	if f.DefValue != "" && f.DefValue != "0" && f.DefValue != "0s" && f.DefValue != "false" {
+		fmt.Fprintf(w, " (default %s)", f.DefValue)
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/internal/verb/target_get.go
@@ -0,0 +1,33 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+)
+
+func targetGetVerb() Verb {
+	return Verb{
+		Name:  "target get",
+		Short: "print the document of contract and targets in force",
+		Long: `
+Prints the document in force. Its version goes to standard error, so that the
+document alone can be saved, changed and proposed with 'target set'.
+
+Example:
+  $ apricotwind target get > targets.yaml
+  version 3`,
+		Build: func(flags *flag.FlagSet) Run {
+			to := newOperatorFlags(flags)
+			return func(ctx context.Context, streams Streams, _ []string) error {
+				document, err := to.client().Target(ctx)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(streams.Err, "version %d\n", document.Version)
+				fmt.Fprint(streams.Out, document.Text)
+				return nil
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/verb/target_history.go
@@ -0,0 +1,38 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+)
+
+func targetHistoryVerb() Verb {
+	return Verb{
+		Name:  "target history",
+		Short: "show every document accepted: who, when, what",
+		Long: `
+Shows every version accepted, oldest first, with what it changed.
+
+Example:
+  $ apricotwind target history
+  version 2 by wanjiru at 2026-12-04T09:00:00Z
+    class preview: latency 150ms -> 120ms`,
+		Build: func(flags *flag.FlagSet) Run {
+			to := newOperatorFlags(flags)
+			return func(ctx context.Context, streams Streams, _ []string) error {
+				versions, err := to.client().History(ctx)
+				if err != nil {
+					return err
+				}
+				for _, version := range versions {
+					fmt.Fprintf(streams.Out, "version %d by %s at %s\n", version.Version, version.By, version.At.Format(time.RFC3339))
+					for _, change := range version.Changes {
+						fmt.Fprintf(streams.Out, "  %s\n", change)
+					}
+				}
+				return nil
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/verb/trace.go
@@ -0,0 +1,31 @@
+package verb
+
+import (
+	"context"
+	"flag"
+
+	"github.com/apricotwind/apricotwind/internal/day"
+)
+
+func traceVerb() Verb {
+	return Verb{
+		Name:  "trace",
+		Short: "make a recorded day from a seed",
+		Long: `
+Writes a day of requests, jobs and failures of a setting, from a seed: the same
+seed gives the same day. Its assumptions are stated in its first lines; sizes are
+as the sites stated them, load and times are assumed.
+
+Example:
+  apricotwind trace --setting lechtal --weather bad --seed 7 > bad.trace
+  apricotwind replay bad.trace`,
+		Build: func(flags *flag.FlagSet) Run {
+			setting := flags.String("setting", "mkutano", "mkutano or lechtal")
+			weather := flags.String("weather", "calm", "calm or bad")
+			seed := flags.Uint64("seed", 1, "`seed` of the day")
+			return func(_ context.Context, streams Streams, _ []string) error {
+				return day.Generate(streams.Out, *setting, *weather, *seed)
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/verb/version.go
@@ -0,0 +1,29 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+)
+
+// version is the release; it is raised by hand.
+const version = "0.1.0"
+
+func versionVerb() Verb {
+	return Verb{
+		Name:  "version",
+		Short: "print the version",
+		Long: `
+Prints the version of this program.
+
+Example:
+  $ apricotwind version
+  apricotwind ` + version,
+		Build: func(*flag.FlagSet) Run {
+			return func(_ context.Context, streams Streams, _ []string) error {
+				_, err := fmt.Fprintln(streams.Out, program, version)
+				return err
+			}
+		},
+	}
+}
--- /dev/null
+++ b/pkg/document/contract/contract.go
@@ -0,0 +1,376 @@
+// Package contract is the document that operators revise: workspaces, what the
+// contract owes them, and the targets of each class of work.
+//
+//	workspaces:
+//	  - name: kilele
+//	    share: 25
+//	classes:
+//	  - name: preview
+//	    kind: service
+//	    quantile: 0.99
+//	    latency: 150ms
+package contract
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apricotwind/apricotwind/pkg/document/schema"
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+//go:generate stringer -type=Kind -linecomment
+
+// Kind is the kind of a class of work.
+type Kind int
+
+// The kinds of classes.
+const (
+	Service Kind = iota // service
+	Batch               // batch
+	Sync                // sync
+)
+
+// Kinds lists every kind.
+func Kinds() []Kind { return []Kind{Service, Batch, Sync} }
+
+// Workspace is one of those who share the instances.
+type Workspace struct {
+	Name  string
+	Share float64 // percent of the instances that the contract owes it
+}
+
+// Class is a class of work with its target.
+type Class struct {
+	Name     string
+	Kind     Kind
+	Quantile float64       // service: the quantile of the latency target
+	Latency  time.Duration // service: the latency owed at Quantile
+	Deadline time.Duration // batch: from submission to the end of each task
+	Progress float64       // sync: share of a processor's time owed while it runs
+}
+
+// Document is a contract with targets. Version 0 means none was accepted yet.
+type Document struct {
+	Version    uint64
+	Workspaces []Workspace
+	Classes    []Class
+	text       string
+}
+
+// Text is the YAML text the document was read from.
+func (d Document) Text() string { return d.text }
+
+// Class finds a class by name.
+func (d Document) Class(name string) (Class, bool) {
+	return find(d.Classes, func(c Class) bool { return c.Name == name })
+}
+
+// Workspace finds a workspace by name.
+func (d Document) Workspace(name string) (Workspace, bool) {
+	return find(d.Workspaces, func(w Workspace) bool { return w.Name == name })
+}
+
+// Shares maps each workspace to the share it is owed, in percent.
+func (d Document) Shares() map[string]float64 {
+	shares := make(map[string]float64, len(d.Workspaces))
+	for _, workspace := range d.Workspaces {
+		shares[workspace.Name] = workspace.Share
+	}
+	return shares
+}
+
+func find[T any](list []T, is func(T) bool) (T, bool) {
+	at := slices.IndexFunc(list, is)
+	if at < 0 {
+		var none T
+		return none, false
+	}
+	return list[at], true
+}
+
+// refused are keys that do not exist on purpose.
+var refused = map[string]string{
+	"weight":    "weights do not exist: state a target (latency, deadline or progress) instead",
+	"weights":   "weights do not exist: state a target (latency, deadline or progress) instead",
+	"priority":  "priorities do not exist: state a target (latency, deadline or progress) instead",
+	"address":   "addresses do not exist here: instances announce themselves",
+	"addresses": "addresses do not exist here: instances announce themselves",
+	"instance":  "instances are not named here: state a target and the system chooses them",
+	"instances": "instances are not named here: state a target and the system chooses them",
+}
+
+// Parse reads and checks a document; its error is schema.Problems when the text
+// is YAML.
+func Parse(text []byte) (Document, error) {
+	root, err := schema.Parse(text)
+	if err != nil {
+		return Document{}, err
+	}
+	document := Document{text: string(text)}
+	problems := root.Mapping([]schema.Field{
+		{Key: "workspaces", Required: true, Read: func(n schema.Node) schema.Problems {
+			return n.Sequence(document.readWorkspace)
+		}},
+		{Key: "classes", Required: true, Read: func(n schema.Node) schema.Problems {
+			return n.Sequence(document.readClass)
+		}},
+	}, refused)
+	if total := document.totalShare(); total > 100 {
+		problems = append(problems, root.Problem("the shares of the workspaces add up to %g, over 100", total))
+	}
+	if len(problems) > 0 {
+		return Document{}, problems
+	}
+	return document, nil
+}
+
+func (d *Document) totalShare() float64 {
+	total := 0.0
+	for _, workspace := range d.Workspaces {
+		total += workspace.Share
+	}
+	return total
+}
+
+func (d *Document) readWorkspace(n schema.Node) schema.Problems {
+	var workspace Workspace
+	problems := n.Mapping([]schema.Field{
+		{Key: "name", Required: true, Read: schema.Text(&workspace.Name)},
+		{Key: "share", Required: true, Read: schema.Number(&workspace.Share)},
+	}, refused)
+	if len(problems) > 0 {
+		return problems
+	}
+	if text := checkName(workspace.Name); text != "" {
+		problems = append(problems, n.Problem("%s", text))
+	}
+	if workspace.Share <= 0 || workspace.Share > 100 {
+		problems = append(problems, n.Problem("share must be over 0 and at most 100 percent, not %g", workspace.Share))
+	}
+	if _, twice := d.Workspace(workspace.Name); twice {
+		problems = append(problems, n.Problem("workspace %s is given twice", workspace.Name))
+	}
+	d.Workspaces = append(d.Workspaces, workspace)
+	return problems
+}
+
+func (d *Document) readClass(n schema.Node) schema.Problems {
+	var class Class
+	given := map[string]bool{}
+	note := func(key string, read func(schema.Node) schema.Problems) schema.Field {
+		return schema.Field{Key: key, Read: func(value schema.Node) schema.Problems {
+			given[key] = true
+			return read(value)
+		}}
+	}
+	problems := n.Mapping([]schema.Field{
+		{Key: "name", Required: true, Read: schema.Text(&class.Name)},
+		{Key: "kind", Required: true, Read: readKind(&class.Kind)},
+		note("quantile", schema.Number(&class.Quantile)),
+		note("latency", schema.Duration(&class.Latency)),
+		note("deadline", schema.Duration(&class.Deadline)),
+		note("progress", schema.Number(&class.Progress)),
+	}, refused)
+	if len(problems) > 0 {
+		return problems
+	}
+	problems = append(problems, checkTargets(n, class, given)...)
+	if text := checkName(class.Name); text != "" {
+		problems = append(problems, n.Problem("%s", text))
+	}
+	if _, twice := d.Class(class.Name); twice {
+		problems = append(problems, n.Problem("class %s is given twice", class.Name))
+	}
+	d.Classes = append(d.Classes, class)
+	return problems
+}
+
+// targets lists the target keys of each kind and the range of each.
+var targets = map[Kind][]target{
+	Service: {
+		{"quantile", "over 0 and below 1", func(c Class) bool { return c.Quantile > 0 && c.Quantile < 1 }},
+		{"latency", "over 0", func(c Class) bool { return c.Latency > 0 }},
+	},
+	Batch: {{"deadline", "over 0", func(c Class) bool { return c.Deadline > 0 }}},
+	Sync:  {{"progress", "over 0 and at most 1", func(c Class) bool { return c.Progress > 0 && c.Progress <= 1 }}},
+}
+
+type target struct {
+	key    string
+	bounds string
+	holds  func(Class) bool
+}
+
+func checkTargets(n schema.Node, class Class, given map[string]bool) schema.Problems {
+	var problems schema.Problems
+	var allowed []string
+	for _, t := range targets[class.Kind] {
+		allowed = append(allowed, t.key)
+		switch {
+		case !given[t.key]:
+			problems = append(problems, n.Problem("class %s: a %s class needs %s", class.Name, class.Kind, t.key))
+		case !t.holds(class):
+			problems = append(problems, n.Problem("class %s: %s must be %s", class.Name, t.key, t.bounds))
+		}
+	}
+	for _, key := range []string{"quantile", "latency", "deadline", "progress"} {
+		if given[key] && !slices.Contains(allowed, key) {
+			problems = append(problems, n.Problem("class %s: %s is no target of a %s class (it has %s)",
+				class.Name, key, class.Kind, strings.Join(allowed, ", ")))
+		}
+	}
+	return problems
+}
+
+func readKind(into *Kind) func(schema.Node) schema.Problems {
+	return func(n schema.Node) schema.Problems {
+		text, _ := n.Scalar()
+		for _, kind := range Kinds() {
+			if kind.String() == text {
+				*into = kind
+				return nil
+			}
+		}
+		return schema.Problems{n.Problem("%q is no kind: service, batch or sync", text)}
+	}
+}
+
+// nameMost is the longest name, in bytes.
+const nameMost = 40
+
+func checkName(name string) string {
+	if name == "" || len(name) > nameMost {
+		return fmt.Sprintf("a name has 1 to %d characters", nameMost)
+	}
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' {
+			return fmt.Sprintf("name %q may hold a-z, 0-9 and - only", name)
+		}
+	}
+	return ""
+}
+
+// yamlClass is a class as it is written, with only the targets of its kind.
+type yamlClass struct {
+	Name     string  `yaml:"name"`
+	Kind     string  `yaml:"kind"`
+	Quantile float64 `yaml:"quantile,omitempty"`
+	Latency  string  `yaml:"latency,omitempty"`
+	Deadline string  `yaml:"deadline,omitempty"`
+	Progress float64 `yaml:"progress,omitempty"`
+}
+
+type yamlWorkspace struct {
+	Name  string  `yaml:"name"`
+	Share float64 `yaml:"share"`
+}
+
+type yamlDocument struct {
+	Workspaces []yamlWorkspace `yaml:"workspaces"`
+	Classes    []yamlClass     `yaml:"classes"`
+}
+
+// Revise returns the document with targets of one class replaced, such as
+// {"latency": "120ms"}. The result is checked like any other document.
+func (d Document) Revise(class string, revised map[string]string) (Document, error) {
+	if _, ok := d.Class(class); !ok {
+		return Document{}, errors.Newf("there is no class %q", class)
+	}
+	var out yamlDocument
+	if err := yaml.Unmarshal([]byte(d.text), &out); err != nil {
+		return Document{}, errors.Wrap(err, "read the document in force")
+	}
+	for i := range out.Classes {
+		if out.Classes[i].Name == class {
+			if err := reviseClass(&out.Classes[i], revised); err != nil {
+				return Document{}, err
+			}
+		}
+	}
+	text, err := yaml.Marshal(out)
+	if err != nil {
+		return Document{}, errors.Wrap(err, "write the document")
+	}
+	return Parse(text)
+}
+
+func reviseClass(class *yamlClass, revised map[string]string) error {
+	for key, value := range revised {
+		var err error
+		switch key {
+		case "latency":
+			class.Latency = value
+		case "deadline":
+			class.Deadline = value
+		case "quantile":
+			_, err = fmt.Sscanf(value, "%g", &class.Quantile)
+		case "progress":
+			_, err = fmt.Sscanf(value, "%g", &class.Progress)
+		default:
+			return errors.Newf("%q is no target: latency, quantile, deadline or progress", key)
+		}
+		if err != nil {
+			return errors.Newf("%s: %q is not a number", key, value)
+		}
+	}
+	return nil
+}
+
+// Diff lists what differs between two documents, one line each, such as
+// `class preview: latency 150ms -> 120ms`.
+func Diff(before, after Document) []string {
+	var lines []string
+	for _, old := range before.Workspaces {
+		if _, kept := after.Workspace(old.Name); !kept {
+			lines = append(lines, "workspace "+old.Name+": removed")
+		}
+	}
+	for _, new := range after.Workspaces {
+		old, known := before.Workspace(new.Name)
+		lines = append(lines, changed("workspace "+new.Name, known, old.fields(), new.fields())...)
+	}
+	for _, old := range before.Classes {
+		if _, kept := after.Class(old.Name); !kept {
+			lines = append(lines, "class "+old.Name+": removed")
+		}
+	}
+	for _, new := range after.Classes {
+		old, known := before.Class(new.Name)
+		lines = append(lines, changed("class "+new.Name, known, old.fields(), new.fields())...)
+	}
+	return lines
+}
+
+// field is one key of a workspace or class with its value as text.
+type field struct{ key, value string }
+
+func (w Workspace) fields() []field {
+	return []field{{"share", fmt.Sprint(w.Share)}}
+}
+
+func (c Class) fields() []field {
+	return []field{
+		{"kind", c.Kind.String()},
+		{"quantile", fmt.Sprint(c.Quantile)},
+		{"latency", c.Latency.String()},
+		{"deadline", c.Deadline.String()},
+		{"progress", fmt.Sprint(c.Progress)},
+	}
+}
+
+func changed(what string, known bool, before, after []field) []string {
+	if !known {
+		return []string{what + ": added"}
+	}
+	var lines []string
+	for i := range after {
+		if before[i].value != after[i].value {
+			lines = append(lines, fmt.Sprintf("%s: %s %s -> %s", what, after[i].key, before[i].value, after[i].value))
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/pkg/platform/table/http.go
@@ -0,0 +1,82 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+)
+
+// CommitRequest is the body of POST /table/commit.
+type CommitRequest struct {
+	Conditions []Condition `json:"conditions"`
+	Writes     []Write     `json:"writes"`
+}
+
+// CommitReply is its answer; Done is false on a conflict.
+type CommitReply struct {
+	Done    bool   `json:"done"`
+	Version uint64 `json:"version"`
+}
+
+// NewOverHTTP makes a client of the service at base, such as http://127.0.0.1:7000.
+func NewOverHTTP(base string, client *http.Client) *Client {
+	h := overHTTP{base: base, client: client}
+	return New(h.get, h.scan, h.commit)
+}
+
+type overHTTP struct {
+	base   string
+	client *http.Client
+}
+
+func (h overHTTP) get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := h.call(ctx, http.MethodGet, "/table/row?key="+url.QueryEscape(key), nil, &row)
+	return row, err
+}
+
+func (h overHTTP) scan(ctx context.Context, prefix string) ([]Row, error) {
+	var rows []Row
+	err := h.call(ctx, http.MethodGet, "/table/rows?prefix="+url.QueryEscape(prefix), nil, &rows)
+	return rows, err
+}
+
+func (h overHTTP) commit(ctx context.Context, conditions []Condition, writes []Write) (Result, error) {
+	body, err := json.Marshal(CommitRequest{Conditions: conditions, Writes: writes})
+	if err != nil {
+		return Result{}, errors.Wrap(err, "encode commit")
+	}
+	var reply CommitReply
+	if err := h.call(ctx, http.MethodPost, "/table/commit", body, &reply); err != nil {
+		return Result{Outcome: Unknown}, err
+	}
+	if !reply.Done {
+		return Result{Outcome: Conflict}, nil
+	}
+	return Result{Outcome: Committed, Version: reply.Version}, nil
+}
+
+func (h overHTTP) call(ctx context.Context, method, path string, body []byte, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, h.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "peer %s", h.base), ErrUnavailable)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Mark(errors.Newf("peer %s answered %s", h.base, response.Status), ErrUnavailable)
+	}
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "read from peer %s", h.base), ErrUnavailable)
+	}
+	return errors.Wrapf(json.Unmarshal(raw, into), "decode answer of peer %s", h.base)
+}
