--- a/internal/day/generate.go
+++ b/internal/day/generate.go
@@ -102,7 +102,7 @@
 	},
 }
 
-// faults of a calm and a bad day; %s is the prefix of instance names.
+// faults of a calm and a bad day; %s stands for the prefix of instance names.
 var faults = map[string][]string{
 	"calm": {"fail 5.000 %s03", "return 9.500 %s03", "leave 7.000 %s08"},
 	"bad": {
@@ -128,7 +128,7 @@
 		fmt.Fprintln(&text, line)
 	}
 	for _, line := range events {
-		fmt.Fprintf(&text, line+"\n", site.prefix)
+		fmt.Fprintln(&text, strings.ReplaceAll(line, "%s", site.prefix))
 	}
 	fmt.Fprintf(&text, "target 6.000 %s latency=%s\n", site.class, map[string]string{"mkutano": "120ms", "lechtal": "250ms"}[name])
 	for _, line := range site.expected {
--- a/internal/decision/placement/beat.go
+++ b/internal/decision/placement/beat.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -161,7 +163,8 @@
 // takeUnlisted looks at the tasks placed here that the agent does not hold. With
 // the boot they were placed under they were never started, so they may be now.
 func (o *Owner) takeUnlisted(at *instance, listed map[string]bool, mayGrant bool, reply *Reply) {
-	for name, placed := range at.tasks {
+	for _, name := range slices.Sorted(maps.Keys(at.tasks)) {
+		placed := at.tasks[name]
 		if listed[name] || placed.State != Placed {
 			continue
 		}
--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -67,13 +68,13 @@
 // hosts lists the instances that may get new tasks, in order of name.
 func (o *Owner) hosts(now time.Time) []*instance {
 	var found []*instance
-	for _, at := range o.instances {
+	for _, name := range o.names {
+		at := o.instances[name]
 		heard := at.boot != "" && now.Sub(at.heard) <= o.ttl
 		if heard && !at.leaving && !now.Before(at.sickUntil) {
 			found = append(found, at)
 		}
 	}
-	slices.SortFunc(found, func(a, b *instance) int { return cmp.Compare(a.Name, b.Name) })
 	return found
 }
 
@@ -117,9 +118,11 @@
 func (o *Owner) overuse() map[string]float64 {
 	var whole Need
 	used := map[string]Need{}
-	for _, at := range o.instances {
+	for _, name := range o.names {
+		at := o.instances[name]
 		whole = whole.Plus(at.Capacity)
-		for _, t := range at.tasks {
+		for _, task := range slices.Sorted(maps.Keys(at.tasks)) {
+			t := at.tasks[task]
 			used[t.job.Workspace] = used[t.job.Workspace].Plus(t.job.Need)
 		}
 	}
--- a/internal/decision/placement/move_string.go
+++ b/internal/decision/placement/move_string.go
@@ -11,11 +11,12 @@
 	_ = x[Place-0]
 	_ = x[Return-1]
 	_ = x[End-2]
+	_ = x[Hold-3]
 }
 
-const _Move_name = "placereturnend"
+const _Move_name = "placereturnendhold"
 
-var _Move_index = [...]uint8{0, 5, 11, 14}
+var _Move_index = [...]uint8{0, 5, 11, 14, 18}
 
 func (i Move) String() string {
 	idx := int(i) - 0
--- a/internal/decision/placement/owner.go
+++ b/internal/decision/placement/owner.go
@@ -91,6 +91,7 @@
 	shares    map[string]float64
 	jobs      map[string]*job
 	instances map[string]*instance
+	names     []string // of instances, sorted: decisions must not hang on map order
 	waiting   map[*task]bool
 	dirty     []*chunk
 	inflight  []*chunk
@@ -107,6 +108,7 @@
 	Place  Move = iota // place
 	Return             // return
 	End                // end
+	Hold               // hold
 )
 
 // Decision is one decision about a task, for the log and the ledger.
@@ -188,6 +190,8 @@
 			tasks:    map[string]*task{},
 		}
 		o.instances[name] = known
+		at, _ := slices.BinarySearch(o.names, name)
+		o.names = slices.Insert(o.names, at, name)
 	}
 	return known
 }
--- a/internal/decision/placement/plan.go
+++ b/internal/decision/placement/plan.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -57,6 +59,13 @@
 		return
 	}
 	t.Task = next
+	if next.State == Placed && before.State == Placed {
+		o.decisions = append(o.decisions, Decision{
+			Move: Hold, Job: t.job.Job, Task: t.Number, Attempt: next.Attempt, Instance: next.Instance,
+			State: next.State, Why: next.Why,
+		})
+		return
+	}
 	if before.State == Placed {
 		o.vacate(o.instances[before.Instance], t)
 	}
@@ -98,11 +107,13 @@
 // markLost marks the chunks with tasks on instances that are silent and whose
 // every grant has lapsed.
 func (o *Owner) markLost(now time.Time) {
-	for _, at := range o.instances {
+	for _, name := range o.names {
+		at := o.instances[name]
 		if now.Sub(at.heard) <= o.ttl || now.Before(at.lapse) {
 			continue
 		}
-		for _, t := range at.tasks {
+		for _, task := range slices.Sorted(maps.Keys(at.tasks)) {
+			t := at.tasks[task]
 			if t.lostSince.IsZero() {
 				t.lostSince = now
 			}
@@ -231,7 +242,9 @@
 	case now.Sub(t.lostSince) >= settleBound:
 		return t.end(now, Doubtful, "instance "+t.Instance+" lost and did not come back to say")
 	}
-	return t.Task
+	next := t.Task
+	next.Why = "held: instance " + t.Instance + " is lost and may have run it"
+	return next
 }
 
 func (t *task) back(why string) Task {
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -4,11 +4,12 @@
 	"cmp"
 	"context"
 	"fmt"
-	"maps"
 	"slices"
+	"strings"
 
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/job"
+	"github.com/apricotwind/apricotwind/internal/ledger"
 	"github.com/apricotwind/apricotwind/internal/standin"
 )
 
@@ -148,21 +149,23 @@
 	return check
 }
 
-// checkEnds holds when every task of every job has a final state.
+// checkEnds holds when every task of every job has a final state, or waits for the
+// word of a lost instance that may have run it and must not be run again.
 func checkEnds(statuses []job.Status) Check {
 	counts := map[string]int{}
-	check := Check{Text: "no task was lost: each has ended", Held: true}
+	check := Check{Text: "no task was lost: each has ended, or is held for a lost instance that may have run it", Held: true}
 	for _, status := range statuses {
-		total := 0
-		for state, n := range status.Counts {
-			counts[state] += n
-			total += n
+		check.Held = check.Held && len(status.Tasks) == status.Job.Tasks
+		for _, task := range status.Tasks {
+			state := task.State.String()
+			held := task.State == placement.Placed && !status.Job.Idempotent && strings.HasPrefix(task.Why, "held: ")
+			if held {
+				state = "held"
+			}
+			check.Held = check.Held && (held || task.State.Final())
+			counts[state]++
 		}
-		open := status.Counts[placement.Waiting.String()] + status.Counts[placement.Placed.String()]
-		check.Held = check.Held && total == status.Job.Tasks && open == 0
-	}
-	for _, state := range slices.Sorted(maps.Keys(counts)) {
-		check.Detail += fmt.Sprintf("%d %s ", counts[state], state)
 	}
+	check.Detail = strings.Join(ledger.Ranked(counts), ", ")
 	return check
 }
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -235,6 +235,7 @@
 // awaitJobs waits until every job has ended, tailBound at most.
 func (p *player) awaitJobs(ctx context.Context) {
 	until := time.Now().Add(tailBound)
+	said := time.Now()
 	for time.Now().Before(until) && ctx.Err() == nil {
 		open := 0
 		for _, id := range p.jobs {
@@ -248,7 +249,10 @@
 		if open == 0 {
 			return
 		}
-		p.say("waiting for %d tasks", open)
+		if time.Since(said) > progressPeriod {
+			said = time.Now()
+			p.say("waiting for %d tasks", open)
+		}
 		loop.Sleep(ctx, jobPause)
 	}
 }
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -92,7 +92,7 @@
 		zap.Int("over", d.Over), zap.Stringer("state", d.State), zap.String("why", d.Why))
 	e.metrics.Add("task-"+d.Move.String(), 1)
 	switch d.Move {
-	case placement.Place:
+	case placement.Place, placement.Hold:
 	case placement.Return:
 		e.countMove(d)
 	case placement.End:
--- /dev/null
+++ b/internal/replay/replay.go
@@ -0,0 +1,258 @@
+// Package replay runs recorded days through the decision code.
+package replay
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/day"
+	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/decision/routing"
+	"github.com/apricotwind/apricotwind/internal/ledger"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/pkg/document/contract"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// nearDelay and farDelay are the one-way times inside a domain and between two.
+	nearDelay = 200 * time.Microsecond
+	farDelay  = 5 * time.Millisecond
+	// commitTime is how long the platform takes for a commit.
+	commitTime = 10 * time.Millisecond
+	// planPeriod is the time between two plans of the owner.
+	planPeriod = 30 * time.Millisecond
+	// ownerLease is how long the owner may grant while the platform is out.
+	ownerLease = 8 * time.Second
+	// tail is how long a run goes on after the last event of the day.
+	tail = 60 * time.Second
+)
+
+// Options choose the policies of a run. Throttle is interference control.
+type Options struct {
+	Seed     uint64
+	Chooser  routing.Chooser
+	Placer   placement.Placer
+	Throttle bool
+	Trace    io.Writer // decision lines; nil for none
+}
+
+// Outcome is what a run came to.
+type Outcome struct {
+	Report  ledger.Report
+	Commits int // of the owner
+	Rows    int // written by them
+	Starts  int // tasks placed
+	Evicted int
+	Retried int
+	Unmet   []string // expectations of the day that were not met
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Time
+	order int
+	act   func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds an event.
+func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop takes the last event off.
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// run is one replay under way.
+type run struct {
+	day      day.Day
+	options  Options
+	queue    queue
+	order    int
+	now      time.Time
+	begun    time.Time
+	end      time.Time
+	document contract.Document
+	entries  []*entry
+	hosts    map[string]*host
+	names    []string
+	owner    *placement.Owner
+	book     *ledger.Book
+	outage   time.Time // the platform is out until then
+	renewed  time.Time // the owner's lease was renewed last
+	outcome  Outcome
+	failure  error
+}
+
+// entry is one entry's state.
+type entry struct {
+	of      day.Entry
+	routing *routing.State
+}
+
+// epoch is the time at which every replay begins.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Run replays a day and reports what it came to.
+func Run(of day.Day, options Options) (Outcome, error) {
+	document, err := contract.Parse([]byte(of.Contract))
+	if err != nil {
+		return Outcome{}, errors.Wrap(err, "contract of the day")
+	}
+	document.Version = 1
+	r := &run{
+		day: of, options: options, now: epoch, begun: epoch, end: epoch.Add(of.Length() + tail),
+		document: document, hosts: map[string]*host{}, renewed: epoch,
+		owner: placement.New(epoch, options.Placer, 1, link.GrantTTL),
+		book:  ledger.New(epoch, "replay", "replay"),
+	}
+	r.owner.SetShares(document.Shares())
+	for i, each := range of.Entries {
+		r.entries = append(r.entries, &entry{of: each, routing: routing.New(each.Domain, options.Chooser, options.Seed+uint64(i))})
+	}
+	for _, each := range of.Instances {
+		r.addHost(each, 1)
+	}
+	for number, each := range of.Events {
+		r.at(epoch.Add(each.At), func() { r.happen(number, each) })
+	}
+	r.every(planPeriod, r.plan)
+	r.loop()
+	return r.conclude()
+}
+
+func (r *run) loop() {
+	for r.queue.Len() > 0 && r.failure == nil {
+		next := heap.Pop(&r.queue).(event)
+		if next.at.After(r.end) {
+			return
+		}
+		r.now = next.at
+		next.act()
+	}
+}
+
+func (r *run) at(when time.Time, act func()) {
+	r.order++
+	heap.Push(&r.queue, event{at: when, order: r.order, act: act})
+}
+
+func (r *run) after(d time.Duration, act func()) { r.at(r.now.Add(d), act) }
+
+// every repeats act each period to the end of the run.
+func (r *run) every(period time.Duration, act func()) {
+	r.after(period, func() {
+		act()
+		r.every(period, act)
+	})
+}
+
+// say writes one decision line.
+func (r *run) say(format string, arguments ...any) {
+	if r.options.Trace == nil || r.failure != nil {
+		return
+	}
+	_, err := fmt.Fprintf(r.options.Trace, "t=%.3f "+format+"\n", append([]any{r.now.Sub(r.begun).Seconds()}, arguments...)...)
+	r.failure = errors.Wrap(err, "write decisions")
+}
+
+// happen acts on one event of the day.
+func (r *run) happen(number int, e day.Event) {
+	switch e.Kind {
+	case day.Request:
+		r.arrive(number, e)
+	case day.Job:
+		r.submit(number, e)
+	case day.Fail:
+		r.fail(e.Instance)
+	case day.Return:
+		r.comeBack(e.Instance)
+	case day.Leave:
+		r.leave(e.Instance)
+	case day.Slow:
+		if h := r.host(e.Instance); h != nil {
+			h.percent = e.Percent
+		}
+	case day.Target:
+		r.revise(e)
+	case day.Outage:
+		r.outage = r.now.Add(e.For)
+		r.say("outage until=%.3f", r.outage.Sub(r.begun).Seconds())
+	}
+}
+
+func (r *run) host(name string) *host {
+	h, ok := r.hosts[name]
+	if !ok {
+		r.failure = errors.Newf("the day names an instance %q that is not there", name)
+	}
+	return h
+}
+
+func (r *run) revise(e day.Event) {
+	after, err := r.document.Revise(e.Class, e.Changes)
+	if err != nil {
+		r.failure = err
+		return
+	}
+	after.Version = r.document.Version + 1
+	r.document = after
+	r.owner.SetShares(after.Shares())
+	for _, name := range r.names {
+		r.hosts[name].setTargets(after)
+	}
+	r.say("config version=%d class=%s", after.Version, e.Class)
+}
+
+// delay is the one-way time between two domains.
+func delay(from, to string) time.Duration {
+	if from == to {
+		return nearDelay
+	}
+	return farDelay
+}
+
+// conclude closes the ledger and compares it with what the day expects.
+func (r *run) conclude() (Outcome, error) {
+	if r.failure != nil {
+		return Outcome{}, r.failure
+	}
+	window, err := r.book.Close(r.now, r.document.Version, true)
+	if err != nil {
+		return Outcome{}, err
+	}
+	report, err := ledger.Build(ledger.Query{From: r.begun, To: r.now}, r.document, []ledger.Window{window}, nil)
+	if err != nil {
+		return Outcome{}, err
+	}
+	r.outcome.Report = report
+	for _, expected := range r.day.Expected {
+		delivered, ended := 0, 0
+		for _, line := range report.Lines {
+			if line.Class == expected.Class {
+				delivered += line.Fates[ledger.Delivered.String()]
+				ended += line.Owed
+			}
+		}
+		if share := float64(delivered) / float64(max(ended, 1)); share < expected.Share {
+			r.outcome.Unmet = append(r.outcome.Unmet, fmt.Sprintf("%s: share %.3f, %g expected", expected.Class, share, expected.Share))
+		}
+	}
+	return r.outcome, nil
+}
--- /dev/null
+++ b/internal/replay/requests.go
@@ -0,0 +1,161 @@
+package replay
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/day"
+	"github.com/apricotwind/apricotwind/internal/decision/admission"
+	"github.com/apricotwind/apricotwind/internal/decision/routing"
+	"github.com/apricotwind/apricotwind/internal/ledger"
+)
+
+const (
+	// attemptsMost is how often one request is tried.
+	attemptsMost = 4
+	// patience is how long a request may take.
+	patience = 30 * time.Second
+)
+
+// request is one request under way.
+type request struct {
+	number int
+	event  day.Event
+	entry  *entry
+	begun  time.Time
+	tried  []string
+	last   string
+}
+
+// attempt is one try of a request.
+type attempt struct {
+	*request
+	id     string
+	choice routing.Choice
+	host   *host
+	sent   time.Time
+	began  time.Time
+	ended  bool
+}
+
+func sortedAttempts(sets ...map[string]*attempt) []*attempt {
+	var list []*attempt
+	for _, set := range sets {
+		for _, each := range set {
+			list = append(list, each)
+		}
+	}
+	slices.SortFunc(list, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+// arrive brings a request to an entry; the entries take turns.
+func (r *run) arrive(number int, e day.Event) {
+	q := &request{number: number, event: e, entry: r.entries[number%len(r.entries)], begun: r.now, last: "no capacity"}
+	r.book.Owe(e.Workspace, e.Class, 1)
+	r.try(q)
+}
+
+func (r *run) try(q *request) {
+	if len(q.tried) >= attemptsMost {
+		r.refuse(q)
+		return
+	}
+	choice, ok := q.entry.routing.Pick(r.now, q.tried)
+	if !ok {
+		r.refuse(q)
+		return
+	}
+	if len(q.tried) > 0 {
+		r.outcome.Retried++
+	}
+	at := &attempt{
+		request: q, id: fmt.Sprintf("%05d.%d", q.number, len(q.tried)+1),
+		choice: choice, host: r.hosts[choice.Instance], sent: r.now,
+	}
+	q.tried = append(q.tried, choice.Instance)
+	r.say("route request=%d entry=%s class=%s instance=%s over=%d wait=%s why=%s", q.number, q.entry.of.Name, q.event.Class,
+		choice.Instance, choice.Over, choice.Wait.Round(time.Millisecond), choice.Why)
+	r.after(at.delay(), func() { r.reach(at) })
+}
+
+func (a *attempt) delay() time.Duration { return delay(a.host.of.Domain, a.entry.of.Domain) }
+
+func (r *run) refuse(q *request) {
+	r.say("refuse request=%d why=%q", q.number, q.last)
+	r.book.End(q.event.Workspace, q.event.Class, ledger.Refused, q.last)
+}
+
+// reach brings an attempt to the gate of its instance.
+func (r *run) reach(at *attempt) {
+	h := at.host
+	if h.dead {
+		r.after(at.delay(), func() { r.broken(at) })
+		return
+	}
+	verdict := h.gate.Arrive(r.now, admission.Attempt{
+		ID: at.id, Workspace: at.event.Workspace, Incarnation: at.choice.Incarnation, Deadline: at.begun.Add(patience),
+	})
+	switch verdict {
+	case admission.Admit:
+		h.serve(at)
+	case admission.Queue:
+		h.waiting[at.id] = at
+	case admission.Full, admission.Leaving, admission.Late, admission.Incarnation, admission.Duplicate, admission.Revoked:
+		r.after(at.delay(), func() {
+			at.entry.routing.Finish(r.now, h.of.Name, at.choice.Incarnation, routing.Refused, 0)
+			at.last = "no capacity"
+			r.try(at.request)
+		})
+	}
+}
+
+// serve runs an admitted attempt for its recorded time, longer beside busy tasks.
+func (h *host) serve(at *attempt) {
+	at.began = h.run.now
+	h.running[at.id] = at
+	slow := float64(h.percent) / 100 * (1 + disturbance*h.load())
+	h.run.after(time.Duration(float64(at.event.Service)*slow), func() { h.served(at) })
+}
+
+func (h *host) served(at *attempt) {
+	if h.dead {
+		return
+	}
+	r := h.run
+	delete(h.running, at.id)
+	h.throttle.Observe(r.now, at.event.Class, r.now.Sub(at.began))
+	for _, id := range h.gate.Finish(r.now, admission.Attempt{ID: at.id, Workspace: at.event.Workspace}) {
+		next := h.waiting[id]
+		delete(h.waiting, id)
+		h.serve(next)
+	}
+	r.after(at.delay(), func() { r.answered(at) })
+}
+
+func (r *run) answered(at *attempt) {
+	at.entry.routing.Finish(r.now, at.host.of.Name, at.choice.Incarnation, routing.Answered, r.now.Sub(at.sent))
+	took := r.now.Sub(at.begun)
+	class, _ := r.document.Class(at.event.Class)
+	fate, cause := ledger.Delivered, ""
+	if took > class.Latency {
+		fate, cause = ledger.Late, "over the latency target"
+	}
+	r.book.End(at.event.Workspace, at.event.Class, fate, cause)
+	r.book.Time(at.event.Workspace, at.event.Class, took)
+}
+
+// broken takes a connection that broke; recorded requests are idempotent, so they
+// are tried elsewhere.
+func (r *run) broken(at *attempt) {
+	if at.ended {
+		return
+	}
+	at.ended = true
+	at.entry.routing.Finish(r.now, at.host.of.Name, at.choice.Incarnation, routing.Failed, 0)
+	at.last = "instance failed"
+	r.say("broken request=%d instance=%s", at.number, at.host.of.Name)
+	r.try(at.request)
+}
