Load tool and kill test; connections with unread bodies are closed

Cause: under SIGKILL of each process in turn (test/kills), an entry that refused requests whose body it had not read panicked with 'invalid concurrent Body.Read call': Go's server, told to answer before the body's end, reads the next request while it drains the old body. Ruled out: our own concurrent reads (the stack shows only the server's goroutine). Logs also held a stack trace in every error line, and one line a second for each reader while the platform was out. Change: full duplex only while a body is unread, and the answer then says that the connection closes; errors are logged as text; trouble is logged when it begins, ends and every 10 s.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SETTINGS := mkutano lechtal
 WEATHERS := calm bad
 
-.PHONY: build check race fmt lint docs generate traces tools demo clean
+.PHONY: build check race fmt lint docs generate traces tools demo clean kills
 
 build:
 	go build -o bin/apricotwind ./cmd/apricotwind
@@ -44,6 +44,10 @@
 docs: build
 	go run ./test/docs README.md docs/*.md
 
+# Processes of the real deployment killed under load; takes 45 s.
+kills: build
+	test/kills/run
+
 demo: build
 	bin/apricotwind demo
 
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -8,6 +8,8 @@
 	"net"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/cockroachdb/errors"
@@ -145,7 +147,7 @@
 		l.loop.Post(func() {
 			known.poking = false
 			if err != nil {
-				l.log.Debug("poke-failed", zap.String("instance", instance), zap.Error(err))
+				l.log.Debug("poke-failed", zap.String("instance", instance), logs.Error(err))
 			}
 		})
 	})
--- a/internal/caller/attempts.go
+++ b/internal/caller/attempts.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/agent"
 	"github.com/apricotwind/apricotwind/internal/decision/admission"
 	"github.com/apricotwind/apricotwind/internal/decision/routing"
@@ -99,6 +101,7 @@
 	h.count(q, last.fate(), last.cause)
 	h.log.Info("request-ended", zap.String("workspace", q.workspace), zap.String("class", q.class.Name),
 		zap.String("outcome", last.problem.Outcome), zap.String("why", last.problem.Detail), zap.Int("attempts", len(tried)))
+	q.body.CloseUnlessEnded(w)
 	last.problem.Write(w)
 	return false, last.problem.Status
 }
@@ -149,12 +152,13 @@
 		return result{}, false
 	}
 	status := sent.Response.StatusCode
+	q.body.CloseUnlessEnded(w)
 	err := forward.Answer(w, sent.Response)
 	took := time.Since(q.begun)
 	if err != nil {
 		h.node.Finish(choice, routing.Gone, took)
 		h.count(q, ledger.Unknown, "answer cut short")
-		h.log.Warn("answer-broken", zap.String("instance", choice.Instance), zap.Error(err))
+		h.log.Warn("answer-broken", zap.String("instance", choice.Instance), logs.Error(err))
 		panic(http.ErrAbortHandler)
 	}
 	ending := routing.Answered
@@ -177,11 +181,11 @@
 	if sent.Err == nil {
 		return h.refusedByGate(choice, sent.Response, q, took)
 	}
-	h.log.Warn("attempt-failed", zap.String("attempt", attempt), zap.String("instance", choice.Instance), zap.Error(sent.Err))
+	h.log.Warn("attempt-failed", zap.String("attempt", attempt), zap.String("instance", choice.Instance), logs.Error(sent.Err))
 	if ctx.Err() != nil {
 		return h.gaveUp(ctx, choice, took)
 	}
-	if q.body.broken.Load() {
+	if q.body.Broken() {
 		h.node.Finish(choice, routing.Gone, took)
 		return end{problem.New(http.StatusBadRequest, problem.Unknown, "body", "the body was cut short or is over the limit").At(h.name), "caller's body broken"}, false
 	}
@@ -195,7 +199,7 @@
 		return end{unknown, "instance failed"}, true
 	}
 	standing, err := h.node.Revoke(ctx, choice, attempt)
-	h.log.Info("revoked", zap.String("attempt", attempt), zap.String("instance", choice.Instance), zap.String("standing", standing), zap.Error(err))
+	h.log.Info("revoked", zap.String("attempt", attempt), zap.String("instance", choice.Instance), zap.String("standing", standing), logs.Error(err))
 	if err == nil && notRun(standing) {
 		return end{refused, "instance failed"}, true
 	}
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
-	"sync/atomic"
 
+	"github.com/apricotwind/apricotwind/internal/forward"
 	"github.com/cockroachdb/errors"
 )
 
@@ -14,48 +14,32 @@
 // streamed: it is not touched before a gate has admitted the request.
 const keepMost = 64 << 10
 
-// body is a request body that can be sent again while no more than its kept head
-// was read.
+// body is a request body that can be sent again as long as it is kept whole or no
+// attempt has read from it.
 type body struct {
-	head   []byte
-	whole  bool // head is all of it
-	rest   io.Reader
-	tapped atomic.Bool // the rest was read from
-	broken atomic.Bool // the caller did not send all of it
+	*forward.Body
+	kept  []byte
+	whole bool
 }
 
 // newBody takes a request's body, and reads it if it is short.
 func newBody(r *http.Request) (*body, error) {
+	b := &body{Body: forward.Track(r)}
 	if r.ContentLength < 0 || r.ContentLength > keepMost {
-		return &body{rest: r.Body}, nil
+		return b, nil
 	}
-	head := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, head); err != nil {
-		return nil, errors.Wrap(err, "read body")
-	}
-	return &body{head: head, whole: true}, nil
+	kept, err := io.ReadAll(b.Body)
+	b.kept, b.whole = kept, true
+	return b, errors.Wrap(err, "read body")
 }
 
 // again tells whether the body can be sent once more.
-func (b *body) again() bool { return !b.tapped.Load() }
+func (b *body) again() bool { return b.whole || !b.Touched() }
 
 // reader gives the body from its start.
 func (b *body) reader() io.ReadCloser {
 	if b.whole {
-		return io.NopCloser(bytes.NewReader(b.head))
-	}
-	return io.NopCloser(tap{b})
-}
-
-// tap notes that the rest was read, and whether it ended before its time.
-type tap struct{ of *body }
-
-// Read reads the rest of the body.
-func (t tap) Read(p []byte) (int, error) {
-	t.of.tapped.Store(true)
-	n, err := t.of.rest.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		t.of.broken.Store(true)
+		return io.NopCloser(bytes.NewReader(b.kept))
 	}
-	return n, err
+	return b.Body
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -104,10 +104,6 @@
 
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
-		h.refuse(w, problem.New(http.StatusInternalServerError, problem.Refused, "duplex", err.Error()))
-		return
-	}
 	q, refused := h.check(w, r)
 	if refused != nil {
 		h.refuse(w, *refused)
@@ -127,6 +123,7 @@
 func (h *Handler) refuse(w http.ResponseWriter, p problem.Problem) {
 	h.metrics.Add("caller-refused", 1)
 	h.log.Info("request-turned-away", zap.String("step", p.Step), zap.String("why", p.Detail))
+	w.Header().Set("Connection", "close")
 	p.At(h.name).Write(w)
 }
 
@@ -163,6 +160,9 @@
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, h.bodyMost)
 	kept, err := newBody(r)
+	if err == nil {
+		err = kept.Duplex(w)
+	}
 	if err != nil {
 		return nil, failure(http.StatusBadRequest, "body", bodyText(err))
 	}
--- a/internal/caller/keyed.go
+++ b/internal/caller/keyed.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/ledger"
 	"github.com/apricotwind/apricotwind/internal/problem"
 	"github.com/apricotwind/apricotwind/internal/record"
@@ -26,12 +28,14 @@
 	switch {
 	case err != nil:
 		h.count(q, ledger.Refused, "platform out")
-		h.log.Warn("key-unknown", zap.String("workspace", q.workspace), zap.Error(err))
+		q.body.CloseUnlessEnded(w)
+		h.log.Warn("key-unknown", zap.String("workspace", q.workspace), logs.Error(err))
 		problem.New(http.StatusServiceUnavailable, problem.Refused, "key", "the platform cannot say whether the key was used: "+err.Error()).
 			At("platform").After(5 * time.Second).Write(w)
 		return
 	case !begun:
 		h.metrics.Add("key-seen", 1)
+		q.body.CloseUnlessEnded(w)
 		seenBefore(before).At(h.name).Write(w)
 		return
 	}
--- a/internal/decision/interference/interference.go
+++ b/internal/decision/interference/interference.go
@@ -14,8 +14,8 @@
 	samplesLeast = 10
 	// near is the share of the target from which on tasks are throttled.
 	near = 0.9
-	// clear is the share of the target below which the throttle is released.
-	clear = 0.7
+	// far is the share of the target below which the throttle is released.
+	far = 0.7
 	// cut is what a throttle step leaves of the share.
 	cut = 0.5
 	// shareLeast keeps tasks from standing still.
@@ -83,7 +83,7 @@
 	switch {
 	case pressure >= near && s.share > shareLeast && since >= cutPeriod:
 		s.share = max(s.share*cut, shareLeast)
-	case pressure < clear && s.share < 1 && since >= releasePeriod:
+	case pressure < far && s.share < 1 && since >= releasePeriod:
 		s.share = min(s.share+releaseStep, 1)
 	default:
 		return Decision{}, false
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -14,6 +14,7 @@
 	"github.com/apricotwind/apricotwind/internal/ledger"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/operator"
+	"github.com/apricotwind/apricotwind/internal/problem"
 	"github.com/apricotwind/apricotwind/internal/standin"
 	"github.com/apricotwind/apricotwind/pkg/document/contract"
 	"github.com/cockroachdb/errors"
@@ -36,9 +37,9 @@
 
 // Result is what a played day came to.
 type Result struct {
-	Day    string        `json:"day"`
-	Report ledger.Report `json:"report"`
-	Checks []Check       `json:"checks"`
+	Day    string          `json:"day"`
+	Report ledger.Report   `json:"report"`
+	Checks []standin.Check `json:"checks"`
 }
 
 // player plays one day on a pool.
@@ -50,18 +51,11 @@
 	log      *zap.Logger
 
 	mu       sync.Mutex
-	answers  map[int]answer
+	sent     []standin.Request
 	jobs     []string
 	failures []error
 }
 
-// answer is what the caller of a request got.
-type answer struct {
-	status  int
-	outcome string
-	err     error
-}
-
 // Play runs a day and reports. Progress goes to progress while it runs.
 func Play(ctx context.Context, of day.Day, seed uint64, log *zap.Logger, progress io.Writer) (Result, error) {
 	pool, err := New(ctx, of, seed, log)
@@ -70,7 +64,7 @@
 	}
 	defer pool.Stop()
 	p := &player{
-		pool: pool, day: of, progress: progress, log: log, answers: map[int]answer{},
+		pool: pool, day: of, progress: progress, log: log,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
 	}
 	defer p.http.CloseIdleConnections()
@@ -159,20 +153,23 @@
 	r.Header.Set("Apricotwind-Workspace", event.Workspace)
 	r.Header.Set(standin.HeaderWork, strconv.FormatFloat(event.Service.Seconds()*1000, 'f', 1, 64))
 	r.Header.Set(standin.HeaderRequest, name(number))
-	got := p.call(r)
+	said := p.call(r)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.answers[number] = got
+	p.sent = append(p.sent, standin.Request{ID: name(number), Idempotent: true, Said: said})
 }
 
-func (p *player) call(r *http.Request) answer {
+// call makes a request and tells what its caller was told.
+func (p *player) call(r *http.Request) standin.Said {
 	response, err := p.http.Do(r)
 	if err != nil {
-		return answer{err: err}
+		return standin.Nothing
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
-	return answer{status: response.StatusCode, outcome: response.Header.Get("Apricotwind-Outcome"), err: err}
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return standin.Nothing
+	}
+	return standin.SaidBy(response.Header.Get(problem.HeaderOutcome))
 }
 
 // submit submits a job, again with the same key while the platform is out.
@@ -276,7 +273,7 @@
 		return Result{}, err
 	}
 	for _, failure := range p.failures {
-		checks = append(checks, Check{Text: "the day was played as recorded", Detail: failure.Error()})
+		checks = append(checks, standin.Check{Text: "the day was played as recorded", Detail: failure.Error()})
 	}
 	return Result{Day: p.day.Setting, Report: report, Checks: checks}, errors.Wrap(ctx.Err(), "demo")
 }
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/decision/admission"
+	"github.com/apricotwind/apricotwind/internal/forward"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/metrics"
 	"github.com/apricotwind/apricotwind/internal/problem"
@@ -53,11 +56,6 @@
 
 // ServeHTTP admits one request and forwards it.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	// Without this, Go drops the rest of a body once the answer has begun.
-	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
-		g.refuse(w, http.StatusInternalServerError, "duplex", err.Error())
-		return
-	}
 	arrived := time.Now()
 	attempt, ok := readAttempt(arrived, r)
 	if !ok {
@@ -69,12 +67,18 @@
 	verdict := g.admit(ctx, attempt)
 	g.metrics.Add("gate-"+verdict.String(), 1)
 	if verdict != admission.Admit {
+		w.Header().Set("Connection", "close")
 		g.turnAway(w, attempt, verdict)
 		return
 	}
 	g.metrics.Time("gate-wait", time.Since(arrived))
 	defer g.loop.Post(func() { g.finish(attempt) })
-	g.forward(ctx, w, r, attempt)
+	body := forward.Track(r)
+	if err := body.Duplex(w); err != nil {
+		g.refuse(w, http.StatusInternalServerError, "duplex", err.Error())
+		return
+	}
+	g.forward(ctx, w, r, body, attempt)
 }
 
 func readAttempt(now time.Time, r *http.Request) (admission.Attempt, bool) {
@@ -153,24 +157,25 @@
 	return standing
 }
 
-func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, attempt admission.Attempt) {
+func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, body *forward.Body, attempt admission.Attempt) {
 	class := r.Header.Get(HeaderClass)
 	for _, name := range []string{HeaderAttempt, HeaderIncarnation, HeaderTimeout} {
 		r.Header.Del(name)
 	}
 	w.Header().Set(problem.HeaderPeer, g.name)
 	started := time.Now()
-	failed, broken := g.upstream.Forward(ctx, w, r)
+	failed, broken := g.upstream.Forward(ctx, w, r, body)
 	took := time.Since(started)
 	g.metrics.Time("upstream", took)
 	switch {
 	case failed != nil:
 		g.metrics.Add("upstream-failed", 1)
-		g.log.Warn("request-failed", zap.String("attempt", attempt.ID), zap.Error(failed))
+		g.log.Warn("request-failed", zap.String("attempt", attempt.ID), logs.Error(failed))
+		body.CloseUnlessEnded(w)
 		failed.Write(w)
 	case broken != nil:
 		g.metrics.Add("upstream-broken", 1)
-		g.log.Warn("request-broken", zap.String("attempt", attempt.ID), zap.Error(broken))
+		g.log.Warn("request-broken", zap.String("attempt", attempt.ID), logs.Error(broken))
 		panic(http.ErrAbortHandler)
 	default:
 		g.loop.Post(func() { g.observe(class, took) })
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/loop"
@@ -107,7 +109,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		l.log.Debug("link-down", zap.String("entry", p.Link), zap.Error(err))
+		l.log.Debug("link-down", zap.String("entry", p.Link), logs.Error(err))
 		if time.Since(lastOpen) > forgetAfter {
 			l.loop.Post(func() { delete(l.peers, p.Link) })
 			return
@@ -198,7 +200,7 @@
 
 func (l *Links) answered(p *peer, conn *link.Conn, sent time.Time, report link.Beat, reply link.BeatReply, err error) {
 	if err != nil {
-		l.log.Debug("beat-failed", zap.String("entry", p.Name), zap.Error(err))
+		l.log.Debug("beat-failed", zap.String("entry", p.Name), logs.Error(err))
 		conn.Close()
 		return
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -48,3 +49,46 @@
 	s.left = 0
 	return true, left
 }
+
+// Error is the field of an error: its text in one line, without a stack. It is
+// left out when there is none.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
+// repeatAfter is how long an unchanged trouble is not logged again.
+const repeatAfter = 10 * time.Second
+
+// Trouble logs something that fails again and again: the first time, then every
+// repeatAfter with how often it failed since, and once when it is over.
+type Trouble struct {
+	log   *zap.Logger
+	event string
+	mu    sync.Mutex
+	count int
+	said  time.Time
+}
+
+// NewTrouble makes the log of one kind of trouble.
+func NewTrouble(log *zap.Logger, event string) *Trouble { return &Trouble{log: log, event: event} }
+
+// Note takes the end of one try.
+func (t *Trouble) Note(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		if t.count > 0 {
+			t.log.Info(t.event+"-over", zap.Int("failed", t.count))
+		}
+		t.count = 0
+		return
+	}
+	t.count++
+	if t.count == 1 || time.Since(t.said) >= repeatAfter {
+		t.said = time.Now()
+		t.log.Warn(t.event, zap.Int("failed", t.count), Error(err))
+	}
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/config"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/job"
@@ -143,7 +145,7 @@
 	}
 	version, err := config.Accept(c.ctx, s.table, proposal.Base, document, proposal.By, s.unique())
 	if err != nil {
-		s.log.Info("target-refused", zap.Uint64("base", proposal.Base), zap.String("by", proposal.By), zap.Error(err))
+		s.log.Info("target-refused", zap.Uint64("base", proposal.Base), zap.String("by", proposal.By), logs.Error(err))
 		return nil, s.withDiff(c.ctx, proposal, err)
 	}
 	document.Version = version
@@ -237,7 +239,7 @@
 	}
 	checked, err := job.Check(time.Now().UTC(), submission, document, s.node.Rooms())
 	if err != nil {
-		s.log.Info("job-refused", zap.String("workspace", submission.Workspace), zap.String("class", submission.Class), zap.Error(err))
+		s.log.Info("job-refused", zap.String("workspace", submission.Workspace), zap.String("class", submission.Class), logs.Error(err))
 		return nil, err
 	}
 	unique := s.unique()
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/decision/admission"
 	"github.com/apricotwind/apricotwind/internal/decision/interference"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
@@ -187,7 +189,7 @@
 	}
 	peers, err := record.Entries(ctx, a.table)
 	if err != nil {
-		a.log.Warn("entries-unknown", zap.Error(err))
+		a.log.Warn("entries-unknown", logs.Error(err))
 	}
 	return peers
 }
@@ -237,7 +239,7 @@
 	}
 	document, err := contract.Parse([]byte(offered.Text))
 	if err != nil {
-		a.log.Error("config-refused", zap.Uint64("version", offered.Version), zap.Error(err))
+		a.log.Error("config-refused", zap.Uint64("version", offered.Version), logs.Error(err))
 		return
 	}
 	document.Version = offered.Version
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -85,9 +85,13 @@
 	storing   chan struct{} // holds one token: windows are stored one at a time
 	cause     atomic.Pointer[error]
 	listeners listeners
+	troubles  troubles
 	servers   []*http.Server
 }
 
+// troubles are what may fail for as long as the platform is out.
+type troubles struct{ config, entries, ledger *logs.Trouble }
+
 type listeners struct{ caller, operator, link net.Listener }
 
 // otherEntry is an entry as seen in the table.
@@ -108,6 +112,11 @@
 		settings: settings, incarnation: newIncarnation(), log: log, loop: loop.New(ctx), metrics: metrics.New(),
 		table: table.NewOverHTTP(settings.Platform, platform), network: network, listeners: opened,
 		entries: map[string]*otherEntry{}, storing: make(chan struct{}, 1),
+		troubles: troubles{
+			config:  logs.NewTrouble(log, "config-unread"),
+			entries: logs.NewTrouble(log, "entries-unread"),
+			ledger:  logs.NewTrouble(log, "ledger-unstored"),
+		},
 	}
 	e.document.Store(&contract.Document{})
 	e.store = ledger.NewStore(e.table, object.NewOverHTTP(settings.Platform, platform))
@@ -259,12 +268,12 @@
 	e.removeRow(bounded)
 	for _, server := range e.servers {
 		if err := server.Shutdown(bounded); err != nil {
-			e.log.Warn("drain-cut", zap.Error(err))
+			e.log.Warn("drain-cut", logs.Error(err))
 		}
 	}
 	e.loopDo(func() { e.closeWindow(true) })
 	if err := e.storeWindows(bounded); err != nil {
-		e.log.Warn("ledger-unstored", zap.Error(err))
+		e.log.Warn("ledger-unstored", logs.Error(err))
 	}
 	e.log.Info("drained")
 	e.loop.Stop()
@@ -274,7 +283,7 @@
 // loopDo runs f on the loop; after the loop's end there is nothing left to do.
 func (e *Entry) loopDo(f func()) {
 	if err := e.loop.Do(f); err != nil {
-		e.log.Debug("ended", zap.Error(err))
+		e.log.Debug("ended", logs.Error(err))
 	}
 }
 
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/decision/routing"
 	"github.com/apricotwind/apricotwind/internal/ledger"
@@ -65,7 +67,7 @@
 	}
 	document, err := contract.Parse([]byte(offered.Text))
 	if err != nil {
-		e.log.Error("config-refused", zap.Uint64("version", offered.Version), zap.Error(err))
+		e.log.Error("config-refused", zap.Uint64("version", offered.Version), logs.Error(err))
 		return
 	}
 	document.Version = offered.Version
--- a/internal/process/entry_platform.go
+++ b/internal/process/entry_platform.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/config"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/record"
@@ -15,8 +17,8 @@
 // watchConfig looks for a higher version of the document in the table.
 func (e *Entry) watchConfig(ctx context.Context) {
 	document, err := config.Read(ctx, e.table)
+	e.troubles.config.Note(err)
 	if err != nil {
-		e.log.Warn("config-unread", zap.Error(err))
 		return
 	}
 	e.loop.Post(func() { e.adopt(document) })
@@ -37,8 +39,9 @@
 		})
 	}
 	rows, scanErr := e.table.Scan(ctx, record.EntryPrefix)
-	if err = errors.CombineErrors(err, scanErr); err != nil {
-		e.log.Warn("entries-unread", zap.Error(err))
+	err = errors.CombineErrors(err, scanErr)
+	e.troubles.entries.Note(err)
+	if err != nil {
 		return
 	}
 	e.loop.Post(func() { e.seeEntries(rows) })
@@ -60,7 +63,7 @@
 		_, err = e.table.Commit(ctx, []table.Condition{{Key: key, Version: row.Version}}, []table.Write{{Key: key, Remove: true}})
 	}
 	if err != nil {
-		e.log.Warn("row-kept", zap.Error(err))
+		e.log.Warn("row-kept", logs.Error(err))
 	}
 }
 
@@ -72,7 +75,7 @@
 	for _, row := range rows {
 		value, err := record.Decode[record.Entry](row)
 		if err != nil {
-			e.log.Error("entry-row", zap.Error(err))
+			e.log.Error("entry-row", logs.Error(err))
 			continue
 		}
 		listed[value.Name] = true
@@ -95,7 +98,7 @@
 func (e *Entry) forgetEntry(row table.Row) {
 	conditions := []table.Condition{{Key: row.Key, Version: row.Version}}
 	_, err := e.table.Commit(e.loop.Context(), conditions, []table.Write{{Key: row.Key, Remove: true}})
-	e.log.Info("entry-forgotten", zap.String("key", row.Key), zap.Error(err))
+	e.log.Info("entry-forgotten", zap.String("key", row.Key), logs.Error(err))
 }
 
 // live names the entries whose rows change, this one included.
@@ -125,7 +128,7 @@
 func (e *Entry) closeWindow(last bool) {
 	window, err := e.book.Close(time.Now(), e.document.Load().Version, last)
 	if err != nil {
-		e.log.Error("window-lost", zap.Error(err))
+		e.log.Error("window-lost", logs.Error(err))
 		return
 	}
 	e.closed = append(e.closed, window)
@@ -137,9 +140,7 @@
 		return
 	}
 	e.loop.Go(func() {
-		if err := e.storeWindows(e.loop.Context()); err != nil {
-			e.log.Warn("ledger-unstored", zap.Error(err))
-		}
+		e.troubles.ledger.Note(e.storeWindows(e.loop.Context()))
 	})
 }
 
--- a/internal/process/entry_requests.go
+++ b/internal/process/entry_requests.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/caller"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/decision/routing"
@@ -111,7 +113,7 @@
 			_, err = e.table.Settle(ctx, []table.Condition{{Key: write.Key, Version: version}}, []table.Write{write})
 		}
 		if err != nil {
-			e.log.Warn("key-unrecorded", zap.String("workspace", workspace), zap.String("key", key), zap.Error(err))
+			e.log.Warn("key-unrecorded", zap.String("workspace", workspace), zap.String("key", key), logs.Error(err))
 		}
 	})
 }
--- a/internal/shard/inbox.go
+++ b/internal/shard/inbox.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/record"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
 	"go.uber.org/zap"
@@ -33,9 +35,7 @@
 		rows, err := k.inboxRows(k.loop.Context(), at)
 		k.loop.Post(func() {
 			held.reading = false
-			if err != nil {
-				k.log.Warn("inbox-unread", zap.Int("shard", at), zap.Error(err))
-			}
+			k.inbox.Note(err)
 			if k.owned[at] == held {
 				k.takeUp(at, held, rows)
 			}
@@ -92,7 +92,7 @@
 		conditions := []table.Condition{{Key: each.key, Version: each.at}}
 		_, err := k.table.Commit(k.loop.Context(), conditions, []table.Write{{Key: each.key, Remove: true}})
 		if err != nil {
-			k.log.Warn("inbox-kept", zap.Int("shard", at), zap.String("key", each.key), zap.Error(err))
+			k.log.Warn("inbox-kept", zap.Int("shard", at), zap.String("key", each.key), logs.Error(err))
 		}
 	})
 }
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/record"
@@ -48,6 +50,8 @@
 	table    *table.Client
 	log      *zap.Logger
 	seams    Seams
+	reading  *logs.Trouble
+	inbox    *logs.Trouble
 	count    int
 	seen     map[int]*sight
 	owned    map[int]*owned
@@ -71,6 +75,7 @@
 func New(name, incarnation string, l *loop.Loop, client *table.Client, log *zap.Logger, seams Seams) *Keeper {
 	return &Keeper{
 		name: name, loop: l, table: client, log: log, seams: seams, unique: incarnation,
+		reading: logs.NewTrouble(log, "shards-unread"), inbox: logs.NewTrouble(log, "inbox-unread"),
 		seen: map[int]*sight{}, owned: map[int]*owned{}, claiming: map[int]bool{},
 	}
 }
@@ -101,7 +106,7 @@
 			err = k.putCount(ctx, wanted)
 		}
 		if err != nil {
-			k.log.Warn("shards-unknown", zap.Error(err))
+			k.log.Warn("shards-unknown", logs.Error(err))
 		}
 		loop.Sleep(ctx, watchPeriod)
 	}
@@ -177,9 +182,9 @@
 // anew afterwards, so that after an outage the owner has a whole lease to renew.
 func (k *Keeper) watch(ctx context.Context) {
 	rows, err := k.table.Scan(ctx, record.ShardPrefix)
+	k.reading.Note(err)
 	k.loop.Post(func() {
 		if err != nil {
-			k.log.Warn("shards-unread", zap.Error(err))
 			clear(k.seen)
 			return
 		}
@@ -193,7 +198,7 @@
 		var at int
 		value, err := record.Decode[record.Shard](row)
 		if _, scanErr := fmt.Sscanf(row.Key, record.ShardPrefix+"%d", &at); err != nil || scanErr != nil {
-			k.log.Error("shard-row", zap.String("key", row.Key), zap.Error(err))
+			k.log.Error("shard-row", zap.String("key", row.Key), logs.Error(err))
 			continue
 		}
 		known, ok := k.seen[at]
@@ -249,7 +254,7 @@
 		k.loop.Post(func() {
 			delete(k.claiming, at)
 			if err != nil {
-				k.log.Warn("claim-failed", zap.Int("shard", at), zap.Uint64("epoch", epoch), zap.Error(err))
+				k.log.Warn("claim-failed", zap.Int("shard", at), zap.Uint64("epoch", epoch), logs.Error(err))
 				delete(k.seen, at)
 				return
 			}
@@ -278,10 +283,10 @@
 func (k *Keeper) releaseRow(at int, held *owned) {
 	write, err := record.Put(record.ShardKey(at), record.Shard{Epoch: held.owner.Epoch(), Commit: k.unique + "-release"})
 	if err != nil {
-		k.log.Error("release", zap.Int("shard", at), zap.Error(err))
+		k.log.Error("release", zap.Int("shard", at), logs.Error(err))
 		return
 	}
 	conditions := []table.Condition{{Key: write.Key, Version: held.version}}
 	_, err = k.table.Commit(k.loop.Context(), conditions, []table.Write{write})
-	k.log.Info("release", zap.Int("shard", at), zap.Uint64("epoch", held.owner.Epoch()), zap.Error(err))
+	k.log.Info("release", zap.Int("shard", at), zap.Uint64("epoch", held.owner.Epoch()), logs.Error(err))
 }
--- a/internal/shard/owned.go
+++ b/internal/shard/owned.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/record"
@@ -161,7 +163,7 @@
 // lose gives up a shard that another entry has taken.
 func (k *Keeper) lose(at int, held *owned, step string, result table.Result, err error) {
 	k.log.Warn("shard-lost", zap.Int("shard", at), zap.Uint64("epoch", held.owner.Epoch()),
-		zap.String("step", step), zap.Stringer("outcome", result.Outcome), zap.Error(err))
+		zap.String("step", step), zap.Stringer("outcome", result.Outcome), logs.Error(err))
 	held.until = time.Time{}
 	delete(k.owned, at)
 	delete(k.seen, at)
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -53,22 +54,10 @@
 // Slow makes requests take percent of their usual time.
 func (u *Upstream) Slow(percent int64) { u.slow.Store(percent) }
 
-// Most is the highest number of requests that ran at a time, Over how often that
-// was above the slots.
-func (u *Upstream) Most() (most, over int64) { return u.most.Load(), u.over.Load() }
-
-// Runs tells how often each request id was run.
-func (u *Upstream) Runs() map[string]int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	runs := make(map[string]int, len(u.runs))
-	for id, n := range u.runs {
-		runs[id] = n
-	}
-	return runs
-}
-
 // Witness is what the stand-in saw, for checks from outside.
+//
+// Most is the highest number of requests that ran at a time, Over how often that
+// was above the slots, Requests how often each request id was run.
 type Witness struct {
 	Name     string         `json:"name"`
 	Most     int64          `json:"most"`
@@ -77,14 +66,23 @@
 	Spans    []Span         `json:"spans"`
 }
 
+// Witness is what this upstream saw so far.
+func (u *Upstream) Witness() Witness {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return Witness{
+		Name: u.name, Most: u.most.Load(), Over: u.over.Load(),
+		Requests: maps.Clone(u.runs), Spans: u.worker.Spans(),
+	}
+}
+
 // Handler serves requests on every path, the task interface below /task/, and what
 // it saw at /standin/witness.
 func (u *Upstream) Handler() http.Handler {
 	router := httprouter.New()
 	u.worker.Routes(router)
 	router.GET("/standin/witness", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		most, over := u.Most()
-		reply(w, Witness{Name: u.name, Most: most, Over: over, Requests: u.Runs(), Spans: u.worker.Spans()})
+		reply(w, u.Witness())
 	})
 	router.NotFound = http.HandlerFunc(u.serve)
 	router.HandleMethodNotAllowed = false
@@ -115,7 +113,10 @@
 
 func (u *Upstream) enter(id string) {
 	now := u.busy.Add(1)
-	for most := u.most.Load(); now > most && !u.most.CompareAndSwap(most, now); most = u.most.Load() {
+	for most := u.most.Load(); now > most; most = u.most.Load() {
+		if u.most.CompareAndSwap(most, now) {
+			break
+		}
 	}
 	if now > int64(u.slots) {
 		u.over.Add(1)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -54,13 +54,14 @@
 // Forward sends the request and writes the whole answer to w. A problem is
 // returned when nothing was written yet; with broken the answer was cut short
 // and the connection to the entry must be broken too.
-func (c *Client) Forward(ctx context.Context, w http.ResponseWriter, in *http.Request) (failed *problem.Problem, broken error) {
-	out := forward.Request(ctx, in, c.base, in.Body)
+func (c *Client) Forward(ctx context.Context, w http.ResponseWriter, in *http.Request, body *forward.Body) (failed *problem.Problem, broken error) {
+	out := forward.Request(ctx, in, c.base, body)
 	sent := forward.Send(out, c.transport)
 	if sent.Err != nil {
 		p := c.explain(ctx, sent)
 		return &p, nil
 	}
+	body.CloseUnlessEnded(w)
 	// Only the gate itself may speak of outcomes.
 	sent.Response.Header.Del(problem.HeaderOutcome)
 	return nil, errors.Wrapf(forward.Answer(w, sent.Response), "peer %s", c.base.Host)
--- a/internal/verb/addresses.go
+++ b/internal/verb/addresses.go
@@ -79,3 +79,16 @@
 	}
 	return nil
 }
+
+// checkLoopback refuses a URL whose host is not a loopback address.
+func checkLoopback(target string) error {
+	parsed, err := url.Parse(target)
+	if err != nil {
+		return usagef("%q is no URL", target)
+	}
+	address, err := netip.ParseAddr(parsed.Hostname())
+	if err != nil || !address.IsLoopback() {
+		return usagef("%q is no loopback address", target)
+	}
+	return nil
+}
--- a/internal/verb/demo.go
+++ b/internal/verb/demo.go
@@ -114,11 +114,7 @@
 	}
 	fmt.Fprintln(streams.Out)
 	for _, check := range result.Checks {
-		word := "held"
-		if !check.Held {
-			word = "BROKEN"
-		}
-		fmt.Fprintf(streams.Out, "%-6s  %s (%s)\n", word, check.Text, check.Detail)
+		fmt.Fprintf(streams.Out, "%-6s  %s (%s)\n", word(check.Held), check.Text, check.Detail)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/verb/load.go
@@ -0,0 +1,104 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/load"
+	"github.com/cockroachdb/errors"
+)
+
+func loadVerb() Verb {
+	return Verb{
+		Name:  "load",
+		Short: "send requests through entries at a steady rate and check every answer",
+		Long: `
+Sends requests to stand-in upstreams through entries, in turn, at a steady rate
+whether or not they are answered in time, and compares every answer with what was
+asked. With --witness it then compares what callers were told with what the
+upstreams saw: it fails if an answer was wrong or short, a refused request was
+run, one that may run once only ran twice, an instance was overfull, or a task ran
+in two places. Addresses are loopback addresses only.
+
+Example:
+  apricotwind load --caller http://127.0.0.1:7100 --caller http://127.0.0.1:7101 \
+      --class preview --workspace kilele --rate 100 --for 20s --post 0.3 \
+      --witness http://127.0.0.1:9001`,
+		Build: func(flags *flag.FlagSet) Run {
+			c := newLoadCommand(flags)
+			return c.run
+		},
+	}
+}
+
+type loadCommand struct {
+	callers, witnesses listFlag
+	plan               load.Plan
+}
+
+func newLoadCommand(flags *flag.FlagSet) *loadCommand {
+	c := &loadCommand{}
+	flags.Var(&c.callers, "caller", "callers' `URL` of an entry; may be given several times")
+	flags.Var(&c.witnesses, "witness", "`URL` of a stand-in upstream; may be given several times")
+	flags.Float64Var(&c.plan.Rate, "rate", 50, "`requests` a second")
+	flags.DurationVar(&c.plan.For, "for", 10*time.Second, "`time` to send for")
+	flags.DurationVar(&c.plan.Work, "work", 5*time.Millisecond, "`time` of service of a request")
+	flags.Float64Var(&c.plan.Post, "post", 0.2, "`share` of requests that carry a body and may run once only")
+	flags.StringVar(&c.plan.Class, "class", "", "`name` of the class")
+	flags.StringVar(&c.plan.Workspace, "workspace", "", "`name` of the workspace")
+	flags.Uint64Var(&c.plan.Seed, "seed", 1, "`seed` of the mix of requests")
+	return c
+}
+
+func (c *loadCommand) run(ctx context.Context, streams Streams, arguments []string) error {
+	c.plan.Callers, c.plan.Witnesses = c.callers, c.witnesses
+	switch {
+	case len(arguments) > 0:
+		return usagef("takes no arguments: %q", arguments[0])
+	case len(c.plan.Callers) == 0:
+		return usagef("--caller is missing")
+	case c.plan.Rate <= 0 || c.plan.For <= 0:
+		return usagef("--rate and --for must be over 0")
+	}
+	for _, target := range append(append([]string(nil), c.callers...), c.witnesses...) {
+		if err := checkLoopback(target); err != nil {
+			return err
+		}
+	}
+	result, err := load.Run(ctx, c.plan)
+	if err != nil {
+		return err
+	}
+	return c.show(streams.Out, result)
+}
+
+func (c *loadCommand) show(w io.Writer, result load.Result) error {
+	fmt.Fprintf(w, "sent %d, answered %d, refused %d, unknown %d, without an answer %d, dropped by this tool %d\n",
+		result.Sent, result.Answered, result.Refused, result.Unknown, result.Nothing, result.Dropped)
+	fmt.Fprintf(w, "latency of answers: p50 %s, p99 %s, p99.9 %s\n", result.P50, result.P99, result.P999)
+	fmt.Fprintf(w, "wrong answers: %d\n", len(result.Wrong))
+	for _, wrong := range result.Wrong {
+		fmt.Fprintf(w, "  %s\n", wrong)
+	}
+	broken := len(result.Wrong)
+	for _, check := range result.Checks {
+		fmt.Fprintf(w, "%-6s  %s (%s)\n", word(check.Held), check.Text, check.Detail)
+		if !check.Held {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Newf("%d things that must always hold did not", broken)
+	}
+	return nil
+}
+
+func word(held bool) string {
+	if held {
+		return "held"
+	}
+	return "BROKEN"
+}
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -27,6 +27,7 @@
 		reportVerb(),
 		replayVerb(),
 		traceVerb(),
+		loadVerb(),
 		settingsCheckVerb(),
 		versionVerb(),
 		helpVerb(),
@@ -48,16 +49,16 @@
 	usage := []string{program, verb.Name}
 	flags := flag.NewFlagSet(verb.Name, flag.ContinueOnError)
 	verb.Build(flags)
-	any := false
-	flags.VisitAll(func(*flag.Flag) { any = true })
-	if any {
+	hasFlags := false
+	flags.VisitAll(func(*flag.Flag) { hasFlags = true })
+	if hasFlags {
 		usage = append(usage, "[flags]")
 	}
 	if verb.Takes != "" {
 		usage = append(usage, verb.Takes)
 	}
 	fmt.Fprintf(w, "Usage: %s\n\n%s\n", strings.Join(usage, " "), strings.TrimSpace(verb.Long))
-	if !any {
+	if !hasFlags {
 		return
 	}
 	fmt.Fprintf(w, "\nFlags (also APRICOTWIND_* variables and keys of the --settings file):\n")
--- a/internal/worker/report.go
+++ b/internal/worker/report.go
@@ -4,9 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 )
 
 // lease tells the worker which tasks may run and until when, and takes its
@@ -97,7 +98,7 @@
 	if t.boot == "" {
 		return
 	}
-	t.log.Warn("worker-lost", zap.Error(err))
+	t.log.Warn("worker-lost", logs.Error(err))
 	t.boot = ""
 }
 
--- a/internal/worker/tasks.go
+++ b/internal/worker/tasks.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
+
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/problem"
@@ -216,7 +218,7 @@
 		t.changed()
 		return
 	default:
-		t.log.Warn("task-start-doubt", zap.String("task", of.Task), zap.Int("attempt", of.Attempt), zap.Error(err))
+		t.log.Warn("task-start-doubt", zap.String("task", of.Task), zap.Int("attempt", of.Attempt), logs.Error(err))
 	}
 	t.lease()
 }
@@ -272,7 +274,7 @@
 		h.Checkpoint = checkpoint
 	}
 	if err != nil {
-		t.log.Warn("task-stop-failed", zap.String("task", of.Task), zap.Int("attempt", of.Attempt), zap.Error(err))
+		t.log.Warn("task-stop-failed", zap.String("task", of.Task), zap.Int("attempt", of.Attempt), logs.Error(err))
 		return
 	}
 	h.Run, h.Why = placement.Stopped, why
