Failure tests of the whole path on the paused clock; agents find entries again

The first run of eleven faults found one: an agent cut off for 20 s never linked again, because it looked for entries only while its count of links was zero and that count was refreshed only by a message over a link. A task evicted from an instance could also go straight back. Ruled out: the grant logic (the tasks were paused in time and held). Change: the links count themselves; a task avoids the instance it left last.

--- /dev/null
+++ b/internal/decision/admission/admission_test.go
@@ -0,0 +1,124 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func try(id string) Attempt {
+	return Attempt{ID: id, Workspace: "w", Incarnation: "i", Deadline: start.Add(time.Minute)}
+}
+
+func TestVerdicts(t *testing.T) {
+	late := try("late")
+	late.Deadline = start
+	other := try("other")
+	other.Incarnation = "j"
+	cases := []struct {
+		name    string
+		prepare func(*Gate)
+		attempt Attempt
+		want    Verdict
+	}{
+		{"slot free", func(*Gate) {}, try("a"), Admit},
+		{"slots taken", func(g *Gate) { g.Arrive(start, try("x")) }, try("a"), Queue},
+		{"connections taken", func(g *Gate) { g.Arrive(start, try("x")); g.Arrive(start, try("y")) }, try("a"), Full},
+		{"leaving", func(g *Gate) { g.Leave() }, try("a"), Leaving},
+		{"second copy", func(g *Gate) { g.Arrive(start, try("a")) }, try("a"), Duplicate},
+		{"late copy of a revoked one", func(g *Gate) { g.Revoke(start, "a") }, try("a"), Revoked},
+		{"deadline passed", func(*Gate) {}, late, Late},
+		{"meant for another incarnation", func(*Gate) {}, other, Incarnation},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := New("i", Limits{Slots: 1, Connections: 2})
+			c.prepare(g)
+			if got := g.Arrive(start, c.attempt); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestRevokedAttemptNeverRuns(t *testing.T) {
+	g := New("i", Limits{Slots: 1, Connections: 4})
+	g.Arrive(start, try("a"))
+	g.Arrive(start, try("b"))
+	if got := g.Revoke(start, "b"); got != Never {
+		t.Fatalf("waiting attempt: got %s", got)
+	}
+	if got := g.Revoke(start, "a"); got != Started {
+		t.Fatalf("running attempt: got %s", got)
+	}
+	if next := g.Finish(start, try("a")); len(next) != 0 {
+		t.Fatalf("revoked attempt was started: %v", next)
+	}
+}
+
+// TestSeededInterleavings drives the gate by chance and compares it with what must
+// always hold: never over the slots, and nothing that was refused or revoked runs.
+func TestSeededInterleavings(t *testing.T) {
+	for seed := range uint64(500) {
+		if err := interleave(seed); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+func interleave(seed uint64) error {
+	random := rand.New(rand.NewPCG(seed, 0))
+	limits := Limits{Slots: 1 + random.IntN(4), Connections: 5}
+	g := New("i", limits)
+	now := start
+	running, dead := map[string]bool{}, map[string]bool{}
+	begin := func(id string) error {
+		running[id] = true
+		if dead[id] {
+			return fmt.Errorf("%s runs after it was refused", id)
+		}
+		if len(running) > limits.Slots {
+			return fmt.Errorf("%d run in %d slots", len(running), limits.Slots)
+		}
+		return nil
+	}
+	for range 200 {
+		now = now.Add(time.Duration(random.IntN(100)) * time.Millisecond)
+		id := fmt.Sprint(random.IntN(40))
+		attempt := try(id)
+		attempt.Workspace = fmt.Sprint(random.IntN(3))
+		switch random.IntN(4) {
+		case 0, 1:
+			switch g.Arrive(now, attempt) {
+			case Admit:
+				if err := begin(id); err != nil {
+					return err
+				}
+			case Full, Late, Leaving, Incarnation:
+				dead[id] = true
+			case Queue, Duplicate, Revoked:
+			}
+		case 2:
+			if standing := g.Revoke(now, id); standing == Never || standing == Refuse {
+				if running[id] {
+					return fmt.Errorf("%s runs and was said not to", id)
+				}
+				dead[id] = true
+			}
+		case 3:
+			if !running[id] {
+				continue
+			}
+			delete(running, id)
+			for _, next := range g.Finish(now, attempt) {
+				if err := begin(next); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -166,6 +166,9 @@
 	busyWeight = 0.05
 	// failedWeight keeps a task away from an instance where runs failed of late.
 	failedWeight = 1.0
+	// leftWeight keeps a task from going back to the instance it left last, unless
+	// no other has room.
+	leftWeight = 10.0
 )
 
 // score is lower for a better instance.
@@ -177,6 +180,10 @@
 			same++
 		}
 	}
+	left := 0.0
+	if at.Name == t.Left {
+		left = leftWeight
+	}
 	spread := float64(same) / float64(max(t.job.Tasks, 1))
-	return fill + rackWeight*spread + busyWeight*float64(at.busy) + failedWeight*float64(at.failures)
+	return fill + rackWeight*spread + busyWeight*float64(at.busy) + failedWeight*float64(at.failures) + left
 }
--- a/internal/decision/placement/plan.go
+++ b/internal/decision/placement/plan.go
@@ -250,6 +250,7 @@
 func (t *task) back(why string) Task {
 	next := t.Task
 	next.State = Waiting
+	next.Left = t.Instance
 	next.Instance = ""
 	next.Boot = ""
 	next.Why = why
--- a/internal/decision/placement/task.go
+++ b/internal/decision/placement/task.go
@@ -111,6 +111,7 @@
 	Attempt    int       `json:"attempt,omitempty"`
 	Instance   string    `json:"instance,omitempty"`
 	Boot       string    `json:"boot,omitempty"` // of the worker it was placed on
+	Left       string    `json:"left,omitempty"` // instance it left last without an end
 	Checkpoint string    `json:"checkpoint,omitempty"`
 	Failures   int       `json:"failures,omitempty"`
 	Evictions  int       `json:"evictions,omitempty"`
--- a/internal/decision/routing/routing.go
+++ b/internal/decision/routing/routing.go
@@ -215,13 +215,7 @@
 	if failed.failures < ejectAfter {
 		return
 	}
-	aside := 0
-	for _, other := range s.instances {
-		if now.Before(other.asideUntil) {
-			aside++
-		}
-	}
-	if float64(aside+1) > ejectShare*float64(len(s.instances)) {
+	if float64(s.asideCount(now)+1) > ejectShare*float64(len(s.instances)) {
 		return
 	}
 	failed.asideUntil = now.Add(min(ejectFirst<<min(failed.ejections, 5), ejectLongest))
@@ -229,6 +223,17 @@
 	failed.failures = 0
 }
 
+// asideCount is how many instances are set aside.
+func (s *State) asideCount(now time.Time) int {
+	aside := 0
+	for _, known := range s.instances {
+		if now.Before(known.asideUntil) {
+			aside++
+		}
+	}
+	return aside
+}
+
 func (s *State) usable(now time.Time, known *instance) bool {
 	return !known.leaving && now.Sub(known.heard) <= silenceBound && !now.Before(known.asideUntil)
 }
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/logs"
@@ -31,7 +32,7 @@
 	Granted  func(sent time.Time, listed []placement.Held, reply placement.Reply)
 	Adopt    func(link.Config)
 	Revoke   func(attempt string) link.Revoked
-	Seeds    func(context.Context) []link.Peer // on any goroutine: entries to begin with
+	Seeds    func(context.Context) []link.Peer // on any goroutine: entries to begin with while no link is open
 }
 
 // Dial opens a connection to an entry.
@@ -46,6 +47,7 @@
 	peers map[string]*peer // by link address
 	owner string           // name of the owner of this agent's shard, as last heard
 	epoch uint64           // the epoch of that owner
+	open  atomic.Int64     // links that are open
 }
 
 // peer is one entry.
@@ -61,24 +63,18 @@
 func NewLinks(l *loop.Loop, node Node, dial Dial, log *zap.Logger) *Links {
 	links := &Links{loop: l, node: node, dial: dial, log: log, peers: map[string]*peer{}}
 	l.Repeat(link.BeatPeriod, func(ctx context.Context) {
-		if seeds := node.Seeds(ctx); len(seeds) > 0 {
-			l.Post(func() { links.meet(seeds) })
+		if links.Open() > 0 {
+			return
 		}
+		seeds := node.Seeds(ctx)
+		l.Post(func() { links.meet(seeds) })
 	})
 	l.Every(link.BeatPeriod, links.News)
 	return links
 }
 
-// Count is the number of open links.
-func (l *Links) Count() int {
-	n := 0
-	for _, p := range l.peers {
-		if p.conn != nil {
-			n++
-		}
-	}
-	return n
-}
+// Open is the number of open links. It may be called on any goroutine.
+func (l *Links) Open() int { return int(l.open.Load()) }
 
 // meet dials entries that are new, up to linksMost and the owner.
 func (l *Links) meet(found []link.Peer) {
@@ -140,6 +136,8 @@
 	if err := conn.Call(ctx, link.MethodAnnounce, announce, &welcome); err != nil {
 		return false, err
 	}
+	l.open.Add(1)
+	defer l.open.Add(-1)
 	l.loop.Post(func() { l.opened(p, conn, welcome) })
 	select {
 	case <-conn.Done():
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -80,7 +80,6 @@
 	opsListener  net.Listener
 	servers      []*http.Server
 	leavingNow   atomic.Bool
-	linked       atomic.Int64
 	cause        atomic.Pointer[error]
 }
 
@@ -177,9 +176,6 @@
 // seeds names the entries to begin with: those of the settings, or else those
 // that have a row in the table. Once linked, entries name each other.
 func (a *Agent) seeds(ctx context.Context) []link.Peer {
-	if a.linked.Load() > 0 {
-		return nil
-	}
 	var found []link.Peer
 	for _, address := range a.settings.Entries {
 		found = append(found, link.Peer{Link: address})
@@ -233,7 +229,6 @@
 
 // adopt takes a configuration if it is higher than the one in force here.
 func (a *Agent) adopt(offered link.Config) {
-	a.linked.Store(int64(a.links.Count()))
 	if offered.Version <= a.config.Version || offered.Text == "" {
 		return
 	}
@@ -274,7 +269,7 @@
 	if a.leavingNow.Load() {
 		return errors.New("leaving")
 	}
-	if a.linked.Load() == 0 {
+	if a.links.Open() == 0 {
 		return errors.New("no link to an entry")
 	}
 	return nil
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -68,7 +68,7 @@
 	table       *table.Client
 	store       *ledger.Store
 	gates       *agent.Gates
-	network     Network
+	platform    *http.Client // also for the operators' side of other entries
 
 	// Owned by the loop.
 	routing *routing.State
@@ -110,7 +110,7 @@
 	platform := network.client(platformBound)
 	e := &Entry{
 		settings: settings, incarnation: newIncarnation(), log: log, loop: loop.New(ctx), metrics: metrics.New(),
-		table: table.NewOverHTTP(settings.Platform, platform), network: network, listeners: opened,
+		table: table.NewOverHTTP(settings.Platform, platform), platform: platform, listeners: opened,
 		entries: map[string]*otherEntry{}, storing: make(chan struct{}, 1),
 		troubles: troubles{
 			config:  logs.NewTrouble(log, "config-unread"),
@@ -197,7 +197,7 @@
 	operators := httprouter.New()
 	addHealth(operators, e.metrics, e.ready)
 	server := operator.NewServer(e.settings.Name, e.operatorNode(), e.table, e.store, e.log, e.unique, func(base string) *operator.Client {
-		return operator.NewClient(base, e.network.client(platformBound))
+		return operator.NewClient(base, e.platform)
 	})
 	server.Routes(operators)
 	e.serve(e.listeners.operator, operators)
@@ -297,6 +297,7 @@
 func (e *Entry) Wait() error {
 	e.loop.Wait()
 	e.gates.Close()
+	e.platform.CloseIdleConnections()
 	if cause := e.cause.Load(); cause != nil {
 		return *cause
 	}
--- /dev/null
+++ b/internal/process/process_test.go
@@ -0,0 +1,245 @@
+package process
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/job"
+	"github.com/apricotwind/apricotwind/internal/operator"
+	"github.com/apricotwind/apricotwind/internal/problem"
+	"github.com/apricotwind/apricotwind/internal/standin"
+)
+
+// ready puts the contract in force and waits until every node has it.
+func (p *pool) ready() {
+	p.t.Helper()
+	time.Sleep(3 * time.Second)
+	if _, err := p.operator("e0").SetTarget(p.ctx, operator.Proposal{Text: testContract, By: "test"}); err != nil {
+		p.t.Fatal(err)
+	}
+	time.Sleep(3 * time.Second)
+	status, err := p.operator("e1").Status(p.ctx)
+	if err != nil || len(status.Nodes) != len(p.agents)+2 || len(status.Laggards(1)) > 0 {
+		p.t.Fatalf("in force: %+v, %v", status, err)
+	}
+}
+
+func (p *pool) submit(s job.Submission) string {
+	p.t.Helper()
+	s.Workspace, s.Class, s.Processors = "kilele", "rebrand", 2
+	accepted, err := p.operator("e1").Submit(p.ctx, s)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return accepted.ID
+}
+
+// status reads a job, through whichever entry lives.
+func (p *pool) status(id string) job.Status {
+	p.t.Helper()
+	var err error
+	for _, name := range []string{"e0", "e1"} {
+		var status job.Status
+		if status, err = p.operator(name).Job(p.ctx, id); err == nil {
+			return status
+		}
+	}
+	p.t.Fatal(err)
+	return job.Status{}
+}
+
+// promises checks what must always hold of all that the upstreams saw.
+func (p *pool) promises() {
+	p.t.Helper()
+	seen := p.witnesses()
+	for _, check := range []standin.Check{
+		standin.CheckCapacity(seen),
+		standin.CheckOnePlace(seen),
+		standin.CheckResumed(seen, func(string) bool { return p.once }),
+	} {
+		if !check.Held {
+			p.t.Errorf("%s: %s", check.Text, check.Detail)
+		}
+	}
+}
+
+// attempts is the highest attempt number and the sum of evictions of a job's tasks.
+func attempts(status job.Status) (most, evictions int) {
+	for _, task := range status.Tasks {
+		most = max(most, task.Attempt)
+		evictions += task.Evictions
+	}
+	return most, evictions
+}
+
+// do sends a request through e0 and returns its status, outcome and body.
+func (p *pool) do(method, entry string, body io.Reader, headers ...string) (status int, outcome, text string) {
+	p.t.Helper()
+	callers, _, _ := p.entries[entry].Addresses()
+	r, err := http.NewRequestWithContext(p.ctx, method, "http://"+callers+"/deck", body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r.Header.Set("Apricotwind-Class", "preview")
+	r.Header.Set("Apricotwind-Workspace", "kilele")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := p.client.Do(r)
+	if err != nil {
+		return 0, err.Error(), ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error(), string(raw)
+	}
+	return response.StatusCode, response.Header.Get(problem.HeaderOutcome), string(raw)
+}
+
+func TestRequestsAndJobEndToEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(t, 3)
+		p.ready()
+		for _, entry := range []string{"e0", "e1"} {
+			status, outcome, text := p.do(http.MethodGet, entry, nil)
+			if status != http.StatusOK || outcome != "" || !strings.Contains(text, "GET /deck") {
+				t.Fatalf("%s: %d %q %q", entry, status, outcome, text)
+			}
+		}
+		id := p.submit(job.Submission{Tasks: 20, Runtime: 2 * time.Second})
+		time.Sleep(30 * time.Second)
+		status := p.status(id)
+		if most, _ := attempts(status); status.Counts["done"] != 20 || most != 1 {
+			t.Fatalf("%v, %d attempts", status.Counts, most)
+		}
+		p.promises()
+	})
+}
+
+// faults are what is done to the pool while a job of 24 tasks of 10 s runs, and
+// what must become of the job.
+var faults = []struct {
+	name       string
+	idempotent bool
+	fault      func(p *pool)
+	check      func(t *testing.T, status job.Status)
+}{
+	{"agent cut off from the entries", true, func(p *pool) {
+		p.net.cut("m0", "e0", true)
+		p.net.cut("m0", "e1", true)
+	}, moved},
+	{"agent cut off and back, once only", false, func(p *pool) {
+		p.net.cut("m0", "e0", true)
+		p.net.cut("m0", "e1", true)
+		time.Sleep(20 * time.Second)
+		p.net.cut("m0", "e0", false)
+		p.net.cut("m0", "e1", false)
+	}, stayed},
+	{"agent killed and started again at once", false, func(p *pool) {
+		p.agents["m0"].Kill()
+		p.startAgent("m0")
+	}, stayed},
+	{"agent killed for good", true, func(p *pool) { p.agents["m0"].Kill() }, moved},
+	{"worker's machine lost and replaced, once only", false, func(p *pool) {
+		p.agents["m0"].Kill()
+		_ = p.servers["u-m0"].Close()
+		p.upstreams["m0"].Worker().Halt()
+		time.Sleep(10 * time.Second)
+		p.startUpstream("m0")
+		p.startAgent("m0")
+	}, func(t *testing.T, status job.Status) {
+		if n := status.Counts["unknown"]; n != 4 || status.Counts["done"] != 20 {
+			t.Errorf("4 of 24 tasks were on the machine: %v", status.Counts)
+		}
+	}},
+	{"owner killed", false, func(p *pool) {
+		for name, e := range p.entries {
+			if e.keeper.Owned() > 0 {
+				e.Kill()
+				delete(p.entries, name)
+				p.startEntry(name)
+				return
+			}
+		}
+		p.t.Error("no entry owns the shard")
+	}, stayed},
+	{"owner drained", false, func(p *pool) {
+		for name, e := range p.entries {
+			if e.keeper.Owned() > 0 {
+				if err := e.Drain(); err != nil {
+					p.t.Error(err)
+				}
+				p.startEntry(name)
+				return
+			}
+		}
+	}, stayed},
+	{"platform out for 30 s", false, func(p *pool) {
+		p.platform.Set(standin.Knobs{Outage: true})
+		time.Sleep(30 * time.Second)
+		p.platform.Set(standin.Knobs{})
+	}, stayed},
+	{"platform slow, and loses answers after the write", false, func(p *pool) {
+		p.platform.Set(standin.Knobs{Delay: 300 * time.Millisecond, Lost: 0.3})
+	}, stayed},
+	{"owner cut off from the platform but not from agents", false, func(p *pool) {
+		for name, e := range p.entries {
+			if e.keeper.Owned() > 0 {
+				p.net.cut(name, "platform", true)
+				time.Sleep(40 * time.Second)
+				p.net.cut(name, "platform", false)
+				return
+			}
+		}
+	}, stayed},
+	{"agent drained", false, func(p *pool) {
+		if err := p.agents["m0"].Drain(); err != nil {
+			p.t.Error(err)
+		}
+		delete(p.agents, "m0")
+	}, func(t *testing.T, status job.Status) {
+		moved(t, status)
+		if _, evictions := attempts(status); evictions != 4 {
+			t.Errorf("4 tasks ran there, %d evictions", evictions)
+		}
+	}},
+}
+
+// stayed holds when every task ended where it was first placed.
+func stayed(t *testing.T, status job.Status) {
+	t.Helper()
+	if most, _ := attempts(status); status.Counts["done"] != 24 || most != 1 {
+		t.Errorf("%v, up to %d attempts; want all done at the first", status.Counts, most)
+	}
+}
+
+// moved holds when every task ended and some went elsewhere.
+func moved(t *testing.T, status job.Status) {
+	t.Helper()
+	if most, _ := attempts(status); status.Counts["done"] != 24 || most != 2 {
+		t.Errorf("%v, up to %d attempts; want all done, some at the second", status.Counts, most)
+	}
+}
+
+func TestJobThroughFaults(t *testing.T) {
+	for _, c := range faults {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPool(t, 3)
+				p.ready()
+				id := p.submit(job.Submission{Tasks: 24, Runtime: 10 * time.Second, Idempotent: c.idempotent})
+				time.Sleep(5 * time.Second)
+				p.once = !c.idempotent
+				c.fault(p)
+				time.Sleep(2 * time.Minute)
+				c.check(t, p.status(id))
+				p.promises()
+			})
+		})
+	}
+}
