--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -176,6 +176,8 @@
 		})
 		e.keeper.Begin(e.settings.Shards)
 	})
+	e.metrics.Gauge("shards", func() any { return e.Shards() })
+	e.metrics.Gauge("config", func() any { return e.document.Load().Version })
 	e.loop.Repeat(configPeriod, e.watchConfig)
 	e.loop.Repeat(rowPeriod, e.writeRow)
 	e.loop.Every(e.settings.Window, func() { e.closeWindow(false) })
@@ -251,6 +253,13 @@
 	return e.listeners.caller.Addr().String(), e.listeners.operator.Addr().String(), e.listeners.link.Addr().String()
 }
 
+// Shards is the number of shards that this entry owns.
+func (e *Entry) Shards() int {
+	owned := 0
+	e.loopDo(func() { owned = e.keeper.Owned() })
+	return owned
+}
+
 // Drain leaves gracefully: it gives up its shards and its row, refuses new
 // requests, lets those in flight end, stores the last window, and ends.
 func (e *Entry) Drain() error {
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -1,4 +1,4 @@
-package process
+package process_test
 
 import (
 	"io"
@@ -9,29 +9,27 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/job"
-	"github.com/apricotwind/apricotwind/internal/operator"
 	"github.com/apricotwind/apricotwind/internal/problem"
+	"github.com/apricotwind/apricotwind/internal/rig"
 	"github.com/apricotwind/apricotwind/internal/standin"
 )
 
-// ready puts the contract in force and waits until every node has it.
-func (p *pool) ready() {
-	p.t.Helper()
-	time.Sleep(3 * time.Second)
-	if _, err := p.operator("e0").SetTarget(p.ctx, operator.Proposal{Text: testContract, By: "test"}); err != nil {
-		p.t.Fatal(err)
-	}
-	time.Sleep(3 * time.Second)
-	status, err := p.operator("e1").Status(p.ctx)
-	if err != nil || len(status.Nodes) != len(p.agents)+2 || len(status.Laggards(1)) > 0 {
-		p.t.Fatalf("in force: %+v, %v", status, err)
-	}
+// pool is the system under test.
+type pool struct {
+	*rig.Pool
+	t    *testing.T
+	once bool // tasks may run once only
+}
+
+func newPool(t *testing.T, agents int) *pool {
+	t.Helper()
+	return &pool{Pool: rig.New(t, agents), t: t}
 }
 
 func (p *pool) submit(s job.Submission) string {
 	p.t.Helper()
 	s.Workspace, s.Class, s.Processors = "kilele", "rebrand", 2
-	accepted, err := p.operator("e1").Submit(p.ctx, s)
+	accepted, err := p.Operator("e1").Submit(p.Ctx, s)
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -44,7 +42,7 @@
 	var err error
 	for _, name := range []string{"e0", "e1"} {
 		var status job.Status
-		if status, err = p.operator(name).Job(p.ctx, id); err == nil {
+		if status, err = p.Operator(name).Job(p.Ctx, id); err == nil {
 			return status
 		}
 	}
@@ -55,7 +53,7 @@
 // promises checks what must always hold of all that the upstreams saw.
 func (p *pool) promises() {
 	p.t.Helper()
-	seen := p.witnesses()
+	seen := p.Witnesses()
 	for _, check := range []standin.Check{
 		standin.CheckCapacity(seen),
 		standin.CheckOnePlace(seen),
@@ -79,8 +77,8 @@
 // do sends a request through e0 and returns its status, outcome and body.
 func (p *pool) do(method, entry string, body io.Reader, headers ...string) (status int, outcome, text string) {
 	p.t.Helper()
-	callers, _, _ := p.entries[entry].Addresses()
-	r, err := http.NewRequestWithContext(p.ctx, method, "http://"+callers+"/deck", body)
+	callers, _, _ := p.Entries[entry].Addresses()
+	r, err := http.NewRequestWithContext(p.Ctx, method, "http://"+callers+"/deck", body)
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -89,7 +87,7 @@
 	for i := 0; i < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := p.client.Do(r)
+	response, err := p.Client.Do(r)
 	if err != nil {
 		return 0, err.Error(), ""
 	}
@@ -104,7 +102,7 @@
 func TestRequestsAndJobEndToEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 3)
-		p.ready()
+		p.Ready()
 		for _, entry := range []string{"e0", "e1"} {
 			status, outcome, text := p.do(http.MethodGet, entry, nil)
 			if status != http.StatusOK || outcome != "" || !strings.Contains(text, "GET /deck") {
@@ -130,78 +128,78 @@
 	check      func(t *testing.T, status job.Status)
 }{
 	{"agent cut off from the entries", true, func(p *pool) {
-		p.net.cut("m0", "e0", true)
-		p.net.cut("m0", "e1", true)
+		p.Net.Cut("m0", "e0", true)
+		p.Net.Cut("m0", "e1", true)
 	}, moved},
 	{"agent cut off and back, once only", false, func(p *pool) {
-		p.net.cut("m0", "e0", true)
-		p.net.cut("m0", "e1", true)
+		p.Net.Cut("m0", "e0", true)
+		p.Net.Cut("m0", "e1", true)
 		time.Sleep(20 * time.Second)
-		p.net.cut("m0", "e0", false)
-		p.net.cut("m0", "e1", false)
+		p.Net.Cut("m0", "e0", false)
+		p.Net.Cut("m0", "e1", false)
 	}, stayed},
 	{"agent killed and started again at once", false, func(p *pool) {
-		p.agents["m0"].Kill()
-		p.startAgent("m0")
+		p.Agents["m0"].Kill()
+		p.StartAgent("m0")
 	}, stayed},
-	{"agent killed for good", true, func(p *pool) { p.agents["m0"].Kill() }, moved},
+	{"agent killed for good", true, func(p *pool) { p.Agents["m0"].Kill() }, moved},
 	{"worker's machine lost and replaced, once only", false, func(p *pool) {
-		p.agents["m0"].Kill()
-		_ = p.servers["u-m0"].Close()
-		p.upstreams["m0"].Worker().Halt()
+		p.Agents["m0"].Kill()
+		_ = p.Servers["u-m0"].Close()
+		p.Upstreams["m0"].Worker().Halt()
 		time.Sleep(10 * time.Second)
-		p.startUpstream("m0")
-		p.startAgent("m0")
+		p.StartUpstream("m0")
+		p.StartAgent("m0")
 	}, func(t *testing.T, status job.Status) {
 		if n := status.Counts["unknown"]; n != 4 || status.Counts["done"] != 20 {
 			t.Errorf("4 of 24 tasks were on the machine: %v", status.Counts)
 		}
 	}},
 	{"owner killed", false, func(p *pool) {
-		for name, e := range p.entries {
-			if e.keeper.Owned() > 0 {
+		for name, e := range p.Entries {
+			if e.Shards() > 0 {
 				e.Kill()
-				delete(p.entries, name)
-				p.startEntry(name)
+				delete(p.Entries, name)
+				p.StartEntry(name)
 				return
 			}
 		}
 		p.t.Error("no entry owns the shard")
 	}, stayed},
 	{"owner drained", false, func(p *pool) {
-		for name, e := range p.entries {
-			if e.keeper.Owned() > 0 {
+		for name, e := range p.Entries {
+			if e.Shards() > 0 {
 				if err := e.Drain(); err != nil {
 					p.t.Error(err)
 				}
-				p.startEntry(name)
+				p.StartEntry(name)
 				return
 			}
 		}
 	}, stayed},
 	{"platform out for 30 s", false, func(p *pool) {
-		p.platform.Set(standin.Knobs{Outage: true})
+		p.Platform.Set(standin.Knobs{Outage: true})
 		time.Sleep(30 * time.Second)
-		p.platform.Set(standin.Knobs{})
+		p.Platform.Set(standin.Knobs{})
 	}, stayed},
 	{"platform slow, and loses answers after the write", false, func(p *pool) {
-		p.platform.Set(standin.Knobs{Delay: 300 * time.Millisecond, Lost: 0.3})
+		p.Platform.Set(standin.Knobs{Delay: 300 * time.Millisecond, Lost: 0.3})
 	}, stayed},
 	{"owner cut off from the platform but not from agents", false, func(p *pool) {
-		for name, e := range p.entries {
-			if e.keeper.Owned() > 0 {
-				p.net.cut(name, "platform", true)
+		for name, e := range p.Entries {
+			if e.Shards() > 0 {
+				p.Net.Cut(name, "platform", true)
 				time.Sleep(40 * time.Second)
-				p.net.cut(name, "platform", false)
+				p.Net.Cut(name, "platform", false)
 				return
 			}
 		}
 	}, stayed},
 	{"agent drained", false, func(p *pool) {
-		if err := p.agents["m0"].Drain(); err != nil {
+		if err := p.Agents["m0"].Drain(); err != nil {
 			p.t.Error(err)
 		}
-		delete(p.agents, "m0")
+		delete(p.Agents, "m0")
 	}, func(t *testing.T, status job.Status) {
 		moved(t, status)
 		if _, evictions := attempts(status); evictions != 4 {
@@ -231,7 +229,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := newPool(t, 3)
-				p.ready()
+				p.Ready()
 				id := p.submit(job.Submission{Tasks: 24, Runtime: 10 * time.Second, Idempotent: c.idempotent})
 				time.Sleep(5 * time.Second)
 				p.once = !c.idempotent
