--- a/cmd/apricotwind/main.go
+++ b/cmd/apricotwind/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -22,6 +23,6 @@
 		<-signals
 		cancel()
 	}()
-	streams := verb.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Drain: drain}
+	streams := verb.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Drain: drain, HTTP: http.DefaultTransport}
 	os.Exit(verb.Main(ctx, streams, os.Args[1:]))
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -106,25 +106,27 @@
 }
 
 // Submit commits a checked job and returns it as stored. The same workspace and
-// key give the same job, however often they are sent.
-func Submit(ctx context.Context, to *table.Client, shards int, checked placement.Job, key, unique string) (placement.Job, error) {
+// key give the same job, however often they are sent; fresh tells whether this call
+// stored it.
+func Submit(ctx context.Context, to *table.Client, shards int, checked placement.Job, key, unique string) (stored placement.Job, fresh bool, err error) {
 	checked.ID = "j" + unique
 	if key != "" {
 		checked.ID = fmt.Sprintf("j%016x", xxhash.Sum64String(checked.Workspace+"/"+key))
 	}
 	conditions, writes, err := rowsOf(checked, shards, unique)
 	if err != nil {
-		return placement.Job{}, err
+		return placement.Job{}, false, err
 	}
 	result, err := to.Settle(ctx, conditions, writes)
 	switch result.Outcome {
 	case table.Committed:
-		return checked, nil
+		return checked, true, nil
 	case table.Conflict:
-		return existing(ctx, to, checked.ID)
+		stored, err = existing(ctx, to, checked.ID)
+		return stored, false, err
 	case table.Unknown:
 	}
-	return checked, errors.Wrapf(err, "the platform did not say whether job %s was stored", checked.ID)
+	return checked, false, errors.Wrapf(err, "the platform did not say whether job %s was stored", checked.ID)
 }
 
 func existing(ctx context.Context, from *table.Client, id string) (placement.Job, error) {
--- a/internal/ledger/html.go
+++ b/internal/ledger/html.go
@@ -1,10 +1,101 @@
 package ledger
 
 import (
+	"bytes"
+	"fmt"
+	"html/template"
 	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
-// WriteHTML shows the report as a page that stands alone.
+// page is the report as one HTML file without outside parts.
+var page = template.Must(template.New("report").Funcs(template.FuncMap{
+	"percent": func(l *Line) string { return l.share() },
+	"tail":    func(l *Line) string { return l.tail() },
+	"when":    func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05") },
+	"fate":    func(l *Line, name string) int { return l.Fates[name] },
+}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>apricotwind report</title>
+<style>
+body { font: 15px/1.4 sans-serif; margin: 2em auto; max-width: 1000px; color: #222; }
+table { border-collapse: collapse; width: 100%; }
+th, td { text-align: left; padding: .3em .6em; border-bottom: 1px solid #ddd; vertical-align: top; }
+td.n { text-align: right; }
+.yes { color: #176b2c; } .no { color: #a3161a; font-weight: bold; }
+h2 { margin-top: 2em; }
+figure { display: inline-block; margin: .5em 1em .5em 0; }
+figcaption { font-size: 13px; color: #555; }
+</style></head><body>
+<h1>What was owed, delivered, and why</h1>
+<p>From {{when .From}} to {{when .To}} UTC, under version {{.Version}} of the contract and targets, from {{.Windows}} windows of the ledger.</p>
+<table><tr><th>workspace</th><th>class</th><th>target</th><th>owed</th><th>delivered</th><th>share</th><th>tail</th><th>met</th><th>why not</th></tr>
+{{range .Lines}}<tr><td>{{.Workspace}}</td><td>{{.Class}}</td><td>{{.Target}}</td><td class="n">{{.Owed}}</td><td class="n">{{fate . "delivered"}}</td><td class="n">{{percent .}}</td><td class="n">{{tail .}}</td><td class="{{.Met}}">{{.Met}}</td><td>{{.Why}}</td></tr>
+{{end}}</table>
+{{if .Gaps}}<h2>Missing windows</h2><ul>{{range .Gaps}}<li>node {{.Node}}, run {{.Incarnation}}, window {{.Number}}: {{.Why}}</li>{{end}}</ul>{{end}}
+{{range .Sections}}<h2>{{.Title}}</h2>{{range .Figures}}<figure>{{.SVG}}<figcaption>{{.Caption}}</figcaption></figure>{{end}}
+{{end}}</body></html>
+`))
+
+// section is the part of the page about one workspace and class.
+type section struct {
+	Title   string
+	Figures []figure
+}
+
+type figure struct {
+	SVG     template.HTML
+	Caption string
+}
+
+// WriteHTML shows the report as a page that stands alone, with plots over time.
 func (r Report) WriteHTML(w io.Writer) error {
-	return page.Execute(w, r)
+	var sections []section
+	for _, line := range r.Lines {
+		figures, err := line.figures()
+		if err != nil {
+			return errors.Wrapf(err, "plots of %s %s", line.Workspace, line.Class)
+		}
+		if len(figures) > 0 {
+			sections = append(sections, section{Title: line.Workspace + ", " + line.Class, Figures: figures})
+		}
+	}
+	var out bytes.Buffer
+	err := page.Execute(&out, struct {
+		Report
+		Sections []section
+	}{r, sections})
+	if err != nil {
+		return errors.Wrap(err, "write page")
+	}
+	_, err = out.WriteTo(w)
+	return errors.Wrap(err, "write page")
+}
+
+// figures are a line's plots: tail against target, what was delivered against what
+// was owed, and the causes of the rest.
+func (l *Line) figures() ([]figure, error) {
+	var figures []figure
+	add := func(svg []byte, err error, caption string) error {
+		if err == nil && svg != nil {
+			figures = append(figures, figure{SVG: template.HTML(svg), Caption: caption})
+		}
+		return err
+	}
+	if l.TargetTail > 0 {
+		svg, err := l.plotTail()
+		if err := add(svg, err, fmt.Sprintf("Tail latency over time, in ms; the dashed line is the target of %g ms.", l.TargetTail)); err != nil {
+			return nil, err
+		}
+	}
+	svg, err := l.plotDelivered()
+	if err := add(svg, err, "Ended over time: delivered against all that had a fate."); err != nil {
+		return nil, err
+	}
+	svg, err = l.plotCauses()
+	if err := add(svg, err, "Causes of what was not delivered, stacked over time."); err != nil {
+		return nil, err
+	}
+	return figures, nil
 }
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -14,10 +14,13 @@
 
 // Line is what one workspace and class was owed and got over the period.
 type Line struct {
-	Workspace string         `json:"workspace"`
-	Class     string         `json:"class"`
-	Kind      string         `json:"kind"`
-	Target    string         `json:"target"`
+	Workspace string `json:"workspace"`
+	Class     string `json:"class"`
+	Kind      string `json:"kind"`
+	Target    string `json:"target"`
+	// TargetTail is the latency owed, in milliseconds; 0 for classes without one.
+	TargetTail float64 `json:"targettail,omitempty"`
+
 	Owed      int            `json:"owed"`
 	Open      int            `json:"open"` // not ended yet
 	Fates     map[string]int `json:"fates"`
@@ -26,7 +29,7 @@
 	Tail      float64        `json:"tail,omitempty"` // milliseconds at the target's quantile
 	Median    float64        `json:"median,omitempty"`
 	Share     float64        `json:"share"` // delivered of what was owed and has ended
-	Met       string         `json:"met"`   // yes, no, or open
+	Met       string         `json:"met"`   // yes, no, open, or none owed
 	Points    []Point        `json:"points"`
 	histogram *hdrhistogram.Histogram
 }
@@ -38,6 +41,8 @@
 	Fates  map[string]int `json:"fates"`
 	Causes map[string]int `json:"causes"`
 	Tail   float64        `json:"tail,omitempty"` // milliseconds
+
+	histogram *hdrhistogram.Histogram
 }
 
 // Gap is a window of a node that is missing from the store.
@@ -70,6 +75,7 @@
 func Build(query Query, document contract.Document, windows []Window, index []record.Window) (Report, error) {
 	report := Report{From: query.From, To: query.To, Version: document.Version, Windows: len(windows)}
 	lines := map[cellKey]*Line{}
+	stretch := stretchOf(windows)
 	slices.SortStableFunc(windows, func(a, b Window) int { return a.From.Compare(b.From) })
 	for _, window := range windows {
 		for _, cell := range window.Cells {
@@ -85,7 +91,7 @@
 				report.Lines = append(report.Lines, lines[key])
 			}
 			class, _ := document.Class(cell.Class)
-			lines[key].add(window, cell, class)
+			lines[key].add(window.From.Truncate(stretch), cell, class)
 		}
 	}
 	for _, line := range report.Lines {
@@ -106,6 +112,9 @@
 		Fates: map[string]int{}, Causes: map[string]int{}, Moves: map[string]int{},
 		histogram: metrics.NewHistogram(),
 	}
+	if class.Kind == contract.Service {
+		line.TargetTail = float64(class.Latency.Microseconds()) / 1000
+	}
 	if !known {
 		line.Kind, line.Target = "removed", "none in force"
 	}
@@ -124,17 +133,41 @@
 	return fmt.Sprintf("progress %g", class.Progress)
 }
 
-func (l *Line) add(window Window, cell *Cell, class contract.Class) {
+// pointsMost is how many stretches the period of a report is parted into.
+const pointsMost = 60
+
+// stretchOf is the length of one point of a report over windows.
+func stretchOf(windows []Window) time.Duration {
+	var first, last time.Time
+	for _, window := range windows {
+		if first.IsZero() || window.From.Before(first) {
+			first = window.From
+		}
+		if window.To.After(last) {
+			last = window.To
+		}
+	}
+	return max(last.Sub(first)/pointsMost, time.Second)
+}
+
+// add counts a cell in the point that begins at at; cells of several nodes share one.
+func (l *Line) add(at time.Time, cell *Cell, class contract.Class) {
 	l.Owed += cell.Owed
 	sum(l.Fates, cell.Fates)
 	sum(l.Causes, cell.Causes)
 	sum(l.Moves, cell.Moves)
-	point := Point{At: window.From, Owed: cell.Owed, Fates: cell.Fates, Causes: cell.Causes}
+	if n := len(l.Points); n == 0 || !l.Points[n-1].At.Equal(at) {
+		l.Points = append(l.Points, Point{At: at, Fates: map[string]int{}, Causes: map[string]int{}, histogram: metrics.NewHistogram()})
+	}
+	point := &l.Points[len(l.Points)-1]
+	point.Owed += cell.Owed
+	sum(point.Fates, cell.Fates)
+	sum(point.Causes, cell.Causes)
 	if cell.histogram != nil {
 		l.histogram.Merge(cell.histogram)
-		point.Tail = milliseconds(cell.histogram, class.Quantile)
+		point.histogram.Merge(cell.histogram)
+		point.Tail = milliseconds(point.histogram, class.Quantile)
 	}
-	l.Points = append(l.Points, point)
 }
 
 func sum(into, from map[string]int) {
@@ -168,6 +201,8 @@
 		owedShare = class.Quantile
 	}
 	switch {
+	case counted == 0 && l.Open == 0:
+		l.Met = "none owed"
 	case counted == 0:
 		l.Met = "open"
 	case l.Share < owedShare:
--- a/internal/ledger/text.go
+++ b/internal/ledger/text.go
@@ -30,7 +30,7 @@
 }
 
 func (l *Line) share() string {
-	if l.Met == "open" && l.Share == 0 {
+	if l.Fates[Delivered.String()] == 0 && l.Met != "no" {
 		return "-"
 	}
 	return fmt.Sprintf("%.1f%%", l.Share*100)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -243,13 +243,13 @@
 		return nil, err
 	}
 	unique := s.unique()
-	accepted, err := job.Submit(c.ctx, s.table, shards, checked, submission.Key, unique)
+	accepted, fresh, err := job.Submit(c.ctx, s.table, shards, checked, submission.Key, unique)
 	if err != nil {
 		return nil, err
 	}
 	s.log.Info("job-accepted", zap.String("job", accepted.ID), zap.String("workspace", accepted.Workspace),
 		zap.String("class", accepted.Class), zap.Int("tasks", accepted.Tasks), zap.Time("deadline", accepted.Deadline))
-	if accepted.Submitted.Equal(checked.Submitted) {
+	if fresh {
 		s.node.Accepted(accepted)
 	}
 	s.node.Kick()
--- a/internal/rig/pool.go
+++ b/internal/rig/pool.go
@@ -97,8 +97,10 @@
 // StartEntry starts an entry, or one again.
 func (p *Pool) StartEntry(name string) {
 	p.t.Helper()
+	number := name[1:]
 	entry, err := process.NewEntry(p.Ctx, process.EntrySettings{
-		Name: name, Domain: "d", Platform: "http://" + platformAddress, Shards: 1, BodyMost: 1 << 20,
+		Name: name, Domain: "d", Caller: "127.0.0.1:710" + number, Operator: "127.0.0.1:720" + number,
+		Link: "127.0.0.1:730" + number, Platform: "http://" + platformAddress, Shards: 1, BodyMost: 1 << 20,
 		Window: 1e9, Sample: 1, Drain: 20e9,
 	}, p.Net.View(name), zap.NewNop())
 	if err != nil {
--- a/internal/verb/common.go
+++ b/internal/verb/common.go
@@ -58,6 +58,6 @@
 	return &operatorFlags{entry: urlVar(flags, "entry", "http://127.0.0.1:7200", "operators' `URL` of any entry")}
 }
 
-func (o *operatorFlags) client() *operator.Client {
-	return operator.NewClient(o.entry.String(), &http.Client{Timeout: callBound})
+func (o *operatorFlags) client(streams Streams) *operator.Client {
+	return operator.NewClient(o.entry.String(), &http.Client{Timeout: callBound, Transport: streams.HTTP})
 }
--- a/internal/verb/demo.go
+++ b/internal/verb/demo.go
@@ -1,6 +1,7 @@
 package verb
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
@@ -37,6 +38,7 @@
 				trace:   flags.String("trace", "", "`file` of a recorded day to play instead"),
 				seed:    flags.Uint64("seed", 1, "`seed` of the stand-ins"),
 				json:    flags.Bool("json", false, "print the result as JSON"),
+				html:    flags.String("html", "", "`file` to write the report to as a page with plots"),
 				level:   flags.String("log", "error", "log `level` of the processes: debug, info, warn, error"),
 			}
 			return c.run
@@ -45,9 +47,9 @@
 }
 
 type demoCommand struct {
-	setting, weather, trace, level *string
-	seed                           *uint64
-	json                           *bool
+	setting, weather, trace, level, html *string
+	seed                                 *uint64
+	json                                 *bool
 }
 
 // demoBound is the longest a demo may take.
@@ -90,7 +92,21 @@
 	return of, errors.Wrap(err, file)
 }
 
+// writePage writes the report as a page.
+func (c *demoCommand) writePage(result demo.Result) error {
+	var page bytes.Buffer
+	if err := result.Report.WriteHTML(&page); err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(*c.html, page.Bytes(), 0o644), "write page")
+}
+
 func (c *demoCommand) show(streams Streams, result demo.Result) error {
+	if *c.html != "" {
+		if err := c.writePage(result); err != nil {
+			return err
+		}
+	}
 	if *c.json {
 		encoder := json.NewEncoder(streams.Out)
 		encoder.SetIndent("", "  ")
--- a/internal/verb/job_cancel.go
+++ b/internal/verb/job_cancel.go
@@ -23,7 +23,7 @@
 				if len(arguments) != 1 {
 					return usagef("takes one job, not %d arguments", len(arguments))
 				}
-				if err := to.client().Cancel(ctx, arguments[0]); err != nil {
+				if err := to.client(streams).Cancel(ctx, arguments[0]); err != nil {
 					return err
 				}
 				fmt.Fprintf(streams.Out, "%s: cancellation stored\n", arguments[0])
--- a/internal/verb/job_list.go
+++ b/internal/verb/job_list.go
@@ -20,7 +20,7 @@
 		Build: func(flags *flag.FlagSet) Run {
 			to := newOperatorFlags(flags)
 			return func(ctx context.Context, streams Streams, _ []string) error {
-				jobs, err := to.client().Jobs(ctx)
+				jobs, err := to.client(streams).Jobs(ctx)
 				if err != nil {
 					return err
 				}
--- a/internal/verb/job_status.go
+++ b/internal/verb/job_status.go
@@ -43,7 +43,7 @@
 const jobPeriod = 200 * time.Millisecond
 
 func runJobStatus(ctx context.Context, streams Streams, to *operatorFlags, id string, wait time.Duration) error {
-	client := to.client()
+	client := to.client(streams)
 	until := time.Now().Add(wait)
 	for {
 		status, err := client.Job(ctx, id)
--- a/internal/verb/job_submit.go
+++ b/internal/verb/job_submit.go
@@ -65,7 +65,7 @@
 	if err := c.readFile(); err != nil {
 		return err
 	}
-	accepted, err := c.to.client().Submit(ctx, c.submission)
+	accepted, err := c.to.client(streams).Submit(ctx, c.submission)
 	if err != nil {
 		return err
 	}
--- a/internal/verb/main.go
+++ b/internal/verb/main.go
@@ -6,9 +6,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
-	"time"
 
+	"github.com/apricotwind/apricotwind/pkg/document/schema"
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
 )
@@ -24,12 +25,13 @@
 )
 
 // Streams are where a verb reads and writes, and the signals that reach it. Drain
-// is closed when the process should end gracefully.
+// is closed when the process should end gracefully. HTTP is how entries are called.
 type Streams struct {
 	In    io.Reader
 	Out   io.Writer
 	Err   io.Writer
 	Drain <-chan struct{}
+	HTTP  http.RoundTripper
 }
 
 // Run does what a verb does, with the arguments left after the flags.
@@ -119,8 +121,9 @@
 	if err == nil || errors.Is(err, flag.ErrHelp) {
 		return err
 	}
+	var problems schema.Problems
+	if errors.As(err, &problems) {
+		err = prefixLines(flags.Lookup(settingsFlag).Value.String(), problems)
+	}
 	return errors.Mark(err, errUsage)
 }
-
-// clock is the time now; a field so that golden files can fix it.
-var clock = time.Now
--- a/internal/verb/report.go
+++ b/internal/verb/report.go
@@ -46,11 +46,11 @@
 	if err != nil {
 		return err
 	}
-	until, err := parseTime("to", *c.until, clock())
+	until, err := parseTime("to", *c.until, time.Now())
 	if err != nil {
 		return err
 	}
-	report, err := c.to.client().Report(ctx, from, until, *c.workspace, *c.class)
+	report, err := c.to.client(streams).Report(ctx, from, until, *c.workspace, *c.class)
 	if err != nil {
 		return err
 	}
--- a/internal/verb/settings.go
+++ b/internal/verb/settings.go
@@ -4,6 +4,7 @@
 	"flag"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/apricotwind/apricotwind/pkg/document/schema"
 	"github.com/cockroachdb/errors"
@@ -69,14 +70,27 @@
 	}
 	for _, item := range items {
 		if err := set(f.Name, item); err != nil {
-			return schema.Problems{n.Problem("%q is not valid: %s", item, cause(err))}
+			return schema.Problems{n.Problem("%q is not valid: %s", item, cause(f, err))}
 		}
 	}
 	return nil
 }
 
-// cause is the last part of an error's text, which says what is wrong.
-func cause(err error) string {
+// cause says what is wrong with a value: what the flag takes, or the last part of
+// the error's text.
+func cause(f *flag.Flag, err error) string {
+	if getter, ok := f.Value.(flag.Getter); ok {
+		switch getter.Get().(type) {
+		case int, int64, uint64:
+			return "it takes a whole number"
+		case float64:
+			return "it takes a number"
+		case bool:
+			return "it takes true or false"
+		case time.Duration:
+			return "it takes a duration such as 30s"
+		}
+	}
 	parts := strings.Split(err.Error(), ": ")
 	return parts[len(parts)-1]
 }
--- a/internal/verb/settings_check.go
+++ b/internal/verb/settings_check.go
@@ -26,7 +26,7 @@
   slots: many
   colour: red
   $ apricotwind settings check agent agent.yaml
-  apricotwind settings check: agent.yaml: line 2: slots: "many" is not valid: parse error
+  apricotwind settings check: agent.yaml: line 2: slots: "many" is not valid: it takes a whole number
   apricotwind settings check: agent.yaml: line 3: colour: unknown key`,
 		Build: func(*flag.FlagSet) Run { return runSettingsCheck },
 	}
--- a/internal/verb/target_get.go
+++ b/internal/verb/target_get.go
@@ -20,7 +20,7 @@
 		Build: func(flags *flag.FlagSet) Run {
 			to := newOperatorFlags(flags)
 			return func(ctx context.Context, streams Streams, _ []string) error {
-				document, err := to.client().Target(ctx)
+				document, err := to.client(streams).Target(ctx)
 				if err != nil {
 					return err
 				}
--- a/internal/verb/target_history.go
+++ b/internal/verb/target_history.go
@@ -21,7 +21,7 @@
 		Build: func(flags *flag.FlagSet) Run {
 			to := newOperatorFlags(flags)
 			return func(ctx context.Context, streams Streams, _ []string) error {
-				versions, err := to.client().History(ctx)
+				versions, err := to.client(streams).History(ctx)
 				if err != nil {
 					return err
 				}
--- a/internal/verb/target_set.go
+++ b/internal/verb/target_set.go
@@ -64,7 +64,7 @@
 	if len(arguments) == 0 {
 		return usagef("takes a file, or a class and its targets")
 	}
-	client := c.to.client()
+	client := c.to.client(streams)
 	current, err := client.Target(ctx)
 	if err != nil {
 		return err
--- a/internal/verb/target_status.go
+++ b/internal/verb/target_status.go
@@ -23,7 +23,7 @@
 		Build: func(flags *flag.FlagSet) Run {
 			to := newOperatorFlags(flags)
 			return func(ctx context.Context, streams Streams, _ []string) error {
-				status, err := to.client().Status(ctx)
+				status, err := to.client(streams).Status(ctx)
 				if err != nil {
 					return err
 				}
--- a/pkg/document/contract/contract.go
+++ b/pkg/document/contract/contract.go
@@ -142,14 +142,8 @@
 		{Key: "name", Required: true, Read: schema.Text(&workspace.Name)},
 		{Key: "share", Required: true, Read: schema.Number(&workspace.Share)},
 	}, refused)
-	if len(problems) > 0 {
-		return problems
-	}
-	if text := checkName(workspace.Name); text != "" {
-		problems = append(problems, n.Problem("%s", text))
-	}
-	if workspace.Share <= 0 || workspace.Share > 100 {
-		problems = append(problems, n.Problem("share must be over 0 and at most 100 percent, not %g", workspace.Share))
+	if len(problems) == 0 {
+		problems = append(problems, workspace.check(n)...)
 	}
 	if _, twice := d.Workspace(workspace.Name); twice {
 		problems = append(problems, n.Problem("workspace %s is given twice", workspace.Name))
@@ -158,6 +152,17 @@
 	return problems
 }
 
+func (w Workspace) check(n schema.Node) schema.Problems {
+	var problems schema.Problems
+	if text := checkName(w.Name); text != "" {
+		problems = append(problems, n.Problem("%s", text))
+	}
+	if w.Share <= 0 || w.Share > 100 {
+		problems = append(problems, n.Problem("share must be over 0 and at most 100 percent, not %g", w.Share))
+	}
+	return problems
+}
+
 func (d *Document) readClass(n schema.Node) schema.Problems {
 	var class Class
 	given := map[string]bool{}
@@ -175,10 +180,9 @@
 		note("deadline", schema.Duration(&class.Deadline)),
 		note("progress", schema.Number(&class.Progress)),
 	}, refused)
-	if len(problems) > 0 {
-		return problems
+	if len(problems) == 0 {
+		problems = append(problems, checkTargets(n, class, given)...)
 	}
-	problems = append(problems, checkTargets(n, class, given)...)
 	if text := checkName(class.Name); text != "" {
 		problems = append(problems, n.Problem("%s", text))
 	}
@@ -311,7 +315,7 @@
 		case "progress":
 			_, err = fmt.Sscanf(value, "%g", &class.Progress)
 		default:
-			return errors.Newf("%q is no target: latency, quantile, deadline or progress", key)
+			return noTarget(key)
 		}
 		if err != nil {
 			return errors.Newf("%s: %q is not a number", key, value)
@@ -320,6 +324,14 @@
 	return nil
 }
 
+// noTarget says why a key cannot be revised.
+func noTarget(key string) error {
+	if instead, ok := refused[key]; ok {
+		return errors.Newf("%s", instead)
+	}
+	return errors.Newf("%q is no target: latency, quantile, deadline or progress", key)
+}
+
 // Diff lists what differs between two documents, one line each, such as
 // `class preview: latency 150ms -> 120ms`.
 func Diff(before, after Document) []string {
--- a/pkg/document/schema/schema.go
+++ b/pkg/document/schema/schema.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 )
@@ -73,9 +74,9 @@
 
 // Parse reads a document's text into its root node.
 func Parse(text []byte) (Node, error) {
-	file, err := parser.ParseBytes(text, 0)
+	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		return Node{}, errors.Wrap(err, "not YAML")
+		return Node{}, notYAML(err)
 	}
 	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
 		return Node{}, errors.New("the document is empty")
@@ -83,6 +84,15 @@
 	return Node{yaml: file.Docs[0].Body}, nil
 }
 
+// notYAML says where a text stops being YAML, in one line.
+func notYAML(err error) error {
+	var syntax *yaml.SyntaxError
+	if errors.As(err, &syntax) {
+		return errors.Newf("line %d: not YAML: %s", syntax.Token.Position.Line, syntax.Message)
+	}
+	return errors.Wrap(err, "not YAML")
+}
+
 // entry is one key of a mapping.
 type entry struct {
 	key   string
