--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -29,7 +29,7 @@
 type Node struct {
 	Announce func() link.Announce
 	Beat     func(full bool) link.Beat
-	Granted  func(sent time.Time, listed []placement.Held, reply placement.Reply)
+	Granted  func(beat link.Beat, sent time.Time, reply placement.Reply)
 	Adopt    func(link.Config)
 	Revoke   func(attempt string) link.Revoked
 	Seeds    func(context.Context) []link.Peer // on any goroutine: entries to begin with while no link is open
@@ -211,7 +211,7 @@
 	l.node.Adopt(reply.Config)
 	l.meet(reply.Peers)
 	if reply.Grant != nil {
-		l.node.Granted(sent, report.Held, *reply.Grant)
+		l.node.Granted(report, sent, *reply.Grant)
 	}
 }
 
--- /dev/null
+++ b/internal/identity/identity_test.go
@@ -0,0 +1,203 @@
+package identity_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/identity"
+	"github.com/apricotwind/apricotwind/internal/rig"
+)
+
+// authority signs certificates of processes.
+type authority struct {
+	t           *testing.T
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	raw         []byte
+}
+
+func newAuthority(t *testing.T) authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Date(1999, 1, 1, 0, 0, 0, 0, time.UTC), NotAfter: time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC),
+		KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority{t, parsed, key, raw}
+}
+
+// issue writes the files of a process into folder.
+func (a authority) issue(folder string) identity.Files {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "process"},
+		NotBefore: a.certificate.NotBefore, NotAfter: a.certificate.NotAfter,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	files := identity.Files{
+		Certificate: filepath.Join(folder, "cert.pem"), Key: filepath.Join(folder, "key.pem"), Authority: filepath.Join(folder, "ca.pem"),
+	}
+	a.write(files.Certificate, "CERTIFICATE", raw)
+	a.write(files.Key, "PRIVATE KEY", private)
+	a.write(files.Authority, "CERTIFICATE", a.raw)
+	return files
+}
+
+func (a authority) write(file, kind string, raw []byte) {
+	a.t.Helper()
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+func open(t *testing.T, files identity.Files) *identity.Identity {
+	t.Helper()
+	own, err := identity.New(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return own
+}
+
+func TestOnlyProcessesOfTheSameAuthorityTalk(t *testing.T) {
+	good, other := newAuthority(t), newAuthority(t)
+	ours, stray := open(t, good.issue(t.TempDir())), open(t, other.issue(t.TempDir()))
+	cases := []struct {
+		name     string
+		identity *identity.Identity
+		linked   bool
+	}{
+		{"certificate of the same authority", ours, true},
+		{"certificate of another authority", stray, false},
+		{"no certificate", nil, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := rig.New(t, 2, func(p *rig.Pool) { p.Identity = ours })
+				p.Ready()
+				if status := get(t, p); status != http.StatusOK {
+					t.Errorf("request through a secured gate: %d", status)
+				}
+				p.StartUpstream("m2")
+				p.Identity = c.identity
+				p.StartAgent("m2")
+				time.Sleep(10 * time.Second)
+				status, err := p.Operator("e0").Local(p.Ctx)
+				if err != nil {
+					t.Fatal(err)
+				}
+				found := false
+				for _, node := range status.Nodes {
+					found = found || node.Node == "m2"
+				}
+				if found != c.linked {
+					t.Errorf("linked: %v, want %v", found, c.linked)
+				}
+			})
+		})
+	}
+}
+
+func get(t *testing.T, p *rig.Pool) int {
+	t.Helper()
+	r, err := http.NewRequestWithContext(p.Ctx, http.MethodGet, "http://127.0.0.1:7100/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Apricotwind-Class", "preview")
+	r.Header.Set("Apricotwind-Workspace", "kilele")
+	response, err := p.Client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+func TestChangedFilesAreReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		folder := t.TempDir()
+		own := open(t, newAuthority(t).issue(folder))
+		before := current(t, own)
+		files := newAuthority(t).issue(folder)
+		later := time.Now().Add(time.Hour)
+		if err := os.Chtimes(files.Certificate, later, later); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if current(t, own) == before {
+			t.Error("the old certificate is still in use")
+		}
+	})
+}
+
+// current is the certificate in use.
+func current(t *testing.T, own *identity.Identity) string {
+	t.Helper()
+	pair, err := own.Client().GetClientCertificate(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(pair.Certificate[0])
+}
+
+func TestFilesThatAreWrong(t *testing.T) {
+	files := newAuthority(t).issue(t.TempDir())
+	empty := filepath.Join(t.TempDir(), "empty")
+	if err := os.WriteFile(empty, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name  string
+		files identity.Files
+		says  string
+	}{
+		{"one missing", identity.Files{Certificate: files.Certificate, Key: files.Key}, "needs all of"},
+		{"no such file", identity.Files{Certificate: "nowhere", Key: files.Key, Authority: files.Authority}, "tls-cert"},
+		{"no certificate in it", identity.Files{Certificate: files.Certificate, Key: files.Key, Authority: empty}, "holds no certificate"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := identity.New(c.files); err == nil || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -27,6 +27,14 @@
 // Fates lists every fate.
 func Fates() []Fate { return []Fate{Delivered, Late, Refused, Failed, Unknown, Cancelled} }
 
+// Kinds of moves of a task that is not at its end.
+const (
+	Evicted      = "evicted"
+	InstanceLost = "instance lost"
+	Returned     = "returned"
+	HeldForLost  = "held for a lost instance"
+)
+
 // Cell is the count of one workspace and class in one window.
 type Cell struct {
 	Workspace string         `json:"workspace"`
@@ -34,7 +42,7 @@
 	Owed      int            `json:"owed"`
 	Fates     map[string]int `json:"fates,omitempty"`
 	Causes    map[string]int `json:"causes,omitempty"` // of what was not delivered
-	Moves     map[string]int `json:"moves,omitempty"`  // evicted, lost
+	Moves     map[string]int `json:"moves,omitempty"`  // of tasks, by kind
 	Latency   []byte         `json:"latency,omitempty"`
 	histogram *hdrhistogram.Histogram
 }
@@ -94,7 +102,7 @@
 	}
 }
 
-// Move counts a task that left its instance before its end: evicted or lost.
+// Move counts a move of a task that is not at its end, by kind.
 func (b *Book) Move(workspace, class, kind string) { b.cell(workspace, class).Moves[kind]++ }
 
 // Time records the latency of one answer.
--- a/internal/ledger/plots.go
+++ b/internal/ledger/plots.go
@@ -19,6 +19,8 @@
 	// plotWidth and plotHeight are in points, 72 to an inch.
 	plotWidth  vg.Length = 340
 	plotHeight vg.Length = 170
+	// headroom is left above the highest value for the legend.
+	headroom = 1.4
 	// barShare is the share of its stretch of time that a bar fills.
 	barShare = 0.8
 )
@@ -38,11 +40,13 @@
 	p.Y.Label.Text = y
 	p.Y.Min = 0
 	p.Legend.Top = true
+	p.Legend.Left = true
 	return p
 }
 
 // drawSVG renders a plot as an svg element.
 func drawSVG(p *plot.Plot) ([]byte, error) {
+	p.Y.Max *= headroom
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var out bytes.Buffer
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -35,6 +35,9 @@
 	platformBound = 2 * time.Second
 	// workerBound is how long one call of the worker may take.
 	workerBound = 2 * time.Second
+	// farewellBound is how long an agent without tasks waits for the owner's answer
+	// to its leaving.
+	farewellBound = 3 * time.Second
 	// drainPoll is how often a draining process looks whether it is empty.
 	drainPoll = 20 * time.Millisecond
 )
@@ -75,6 +78,7 @@
 	config    contract.Document
 	sequence  uint64
 	leaving   bool
+	farewell  bool // the owner knows that it is leaving and holds no task
 
 	gateListener net.Listener
 	opsListener  net.Listener
@@ -158,10 +162,8 @@
 	return entry.Node{
 		Announce: a.announce,
 		Beat:     a.beat,
-		Granted: func(sent time.Time, listed []placement.Held, reply placement.Reply) {
-			a.tasks.Take(sent, listed, reply)
-		},
-		Adopt: a.adopt,
+		Granted:  a.granted,
+		Adopt:    a.adopt,
 		Revoke: func(attempt string) link.Revoked {
 			return link.Revoked{Incarnation: a.incarnation, Standing: a.gate.Revoke(attempt).String()}
 		},
@@ -221,6 +223,13 @@
 	return beat
 }
 
+// granted takes the owner's answer to a full beat. After the answer to one that
+// said leaving and listed nothing, the owner places nothing here any more.
+func (a *Agent) granted(beat link.Beat, sent time.Time, reply placement.Reply) {
+	a.tasks.Take(sent, beat.Held, reply)
+	a.farewell = a.farewell || beat.Leaving && len(beat.Held) == 0
+}
+
 func (a *Agent) news() {
 	if a.links != nil {
 		a.links.News()
@@ -291,11 +300,11 @@
 	if err != nil {
 		return err
 	}
-	deadline := time.Now().Add(a.settings.Drain)
-	for !a.empty() && time.Now().Before(deadline) {
+	begun := time.Now()
+	for !a.empty(begun) && time.Since(begun) < a.settings.Drain {
 		loop.Sleep(a.loop.Context(), drainPoll)
 	}
-	a.log.Info("drained", zap.Bool("empty", a.empty()))
+	a.log.Info("drained", zap.Bool("empty", a.empty(begun)))
 	bounded, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	for _, server := range a.servers {
@@ -306,10 +315,13 @@
 	return a.Wait()
 }
 
-func (a *Agent) empty() bool {
+// empty tells whether nothing is left here, and the owner knows, or has not been
+// heard for farewellBound since the drain began.
+func (a *Agent) empty(begun time.Time) bool {
 	empty := false
 	err := a.loop.Do(func() {
-		empty = a.admission.Busy() == 0 && a.admission.Queued() == 0 && !a.tasks.Unreported()
+		parted := a.farewell || time.Since(begun) > farewellBound
+		empty = parted && a.admission.Busy() == 0 && a.admission.Queued() == 0 && !a.tasks.Unreported()
 	})
 	return err != nil || empty
 }
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -94,7 +94,9 @@
 		zap.Int("over", d.Over), zap.Stringer("state", d.State), zap.String("why", d.Why))
 	e.metrics.Add("task-"+d.Move.String(), 1)
 	switch d.Move {
-	case placement.Place, placement.Hold:
+	case placement.Place:
+	case placement.Hold:
+		e.book.Move(d.Job.Workspace, d.Job.Class, ledger.HeldForLost)
 	case placement.Return:
 		e.countMove(d)
 	case placement.End:
@@ -105,11 +107,11 @@
 func (e *Entry) countMove(d placement.Decision) {
 	switch {
 	case d.Evicted:
-		e.book.Move(d.Job.Workspace, d.Job.Class, "evicted")
+		e.book.Move(d.Job.Workspace, d.Job.Class, ledger.Evicted)
 	case d.Lost:
-		e.book.Move(d.Job.Workspace, d.Job.Class, "instance lost")
+		e.book.Move(d.Job.Workspace, d.Job.Class, ledger.InstanceLost)
 	default:
-		e.book.Move(d.Job.Workspace, d.Job.Class, "returned")
+		e.book.Move(d.Job.Workspace, d.Job.Class, ledger.Returned)
 	}
 }
 
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -241,3 +241,21 @@
 		})
 	}
 }
+
+func TestDrainWhileTasksArePlacedLosesNone(t *testing.T) {
+	for offset := time.Duration(0); offset < 600*time.Millisecond; offset += 20 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPool(t, 2)
+			p.Ready()
+			id := p.submit(job.Submission{Tasks: 8, Runtime: time.Second})
+			time.Sleep(offset)
+			if err := p.Agents["m0"].Drain(); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(30 * time.Second)
+			if status := p.status(id); status.Counts["done"] != 8 {
+				t.Errorf("drained %s after the job came: %v", offset, status.Counts)
+			}
+		})
+	}
+}
--- a/internal/replay/tasks.go
+++ b/internal/replay/tasks.go
@@ -95,9 +95,9 @@
 	case placement.Place:
 		r.outcome.Starts++
 	case placement.Return:
-		kind := "instance lost"
+		kind := ledger.InstanceLost
 		if d.Evicted {
-			kind = "evicted"
+			kind = ledger.Evicted
 			r.outcome.Evicted++
 		}
 		r.book.Move(d.Job.Workspace, d.Job.Class, kind)
@@ -108,6 +108,7 @@
 		}
 		r.book.End(d.Job.Workspace, d.Job.Class, fate, cause)
 	case placement.Hold:
+		r.book.Move(d.Job.Workspace, d.Job.Class, ledger.HeldForLost)
 	}
 }
 
--- a/internal/rig/pool.go
+++ b/internal/rig/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/identity"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/operator"
 	"github.com/apricotwind/apricotwind/internal/process"
@@ -42,19 +43,23 @@
 	Upstreams map[string]*standin.Upstream
 	Servers   map[string]*http.Server
 	Client    *http.Client
+	Identity  *identity.Identity // of the processes started next; nil for no TLS
 }
 
 const platformAddress = "127.0.0.1:7000"
 
 // New starts a platform, two entries e0 and e1, and agents m0 to mN-1 with
-// their upstreams. It must run inside a synctest bubble.
-func New(t testing.TB, agents int) *Pool {
+// their upstreams, after the options. It must run inside a synctest bubble.
+func New(t testing.TB, agents int, options ...func(*Pool)) *Pool {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
 		t: t, Ctx: ctx, Net: NewMemory(), Platform: standin.NewPlatform(1, nil), Entries: map[string]*process.Entry{},
 		Agents: map[string]*process.Agent{}, Upstreams: map[string]*standin.Upstream{}, Servers: map[string]*http.Server{},
 	}
+	for _, option := range options {
+		option(p)
+	}
 	p.Client = &http.Client{Transport: &http.Transport{DialContext: p.Net.View("caller").Dial}}
 	p.Serve("platform", platformAddress, p.Platform.Handler())
 	for _, name := range []string{"e0", "e1"} {
@@ -101,7 +106,7 @@
 	entry, err := process.NewEntry(p.Ctx, process.EntrySettings{
 		Name: name, Domain: "d", Caller: "127.0.0.1:710" + number, Operator: "127.0.0.1:720" + number,
 		Link: "127.0.0.1:730" + number, Platform: "http://" + platformAddress, Shards: 1, BodyMost: 1 << 20,
-		Window: 1e9, Sample: 1, Drain: 20e9,
+		Window: 1e9, Sample: 1, Drain: 20e9, Identity: p.Identity,
 	}, p.Net.View(name), zap.NewNop())
 	if err != nil {
 		p.t.Fatal(err)
@@ -121,7 +126,7 @@
 	p.t.Helper()
 	agent, err := process.NewAgent(p.Ctx, process.AgentSettings{
 		Name: name, Domain: "d", Rack: "r-" + name, Upstream: "http://127.0.1.1:" + name[1:],
-		Platform: "http://" + platformAddress, Drain: 20e9,
+		Platform: "http://" + platformAddress, Drain: 20e9, Identity: p.Identity,
 		Capacity: link.Capacity{Slots: 8, Connections: 64, Processors: 8, Memory: 1000},
 	}, p.Net.View(name), zap.NewNop())
 	if err != nil {
--- a/internal/worker/report.go
+++ b/internal/worker/report.go
@@ -51,14 +51,15 @@
 	return t.clock + t.until.Sub(t.clockAt)
 }
 
-// kept lists the tasks that the grant lets run.
+// kept lists the tasks that the grant lets run. One that the worker has not said it
+// holds is not kept: after its start came late, it waits for the owner's word.
 func (t *Tasks) kept() []Reference {
 	if !t.granted() {
 		return nil
 	}
 	var keep []Reference
 	for of, h := range t.held {
-		if h.approved && !h.Run.Over() {
+		if h.approved && (h.Run == placement.Paused || h.Run == placement.Running) {
 			keep = append(keep, of)
 		}
 	}
--- a/internal/worker/tasks.go
+++ b/internal/worker/tasks.go
@@ -162,10 +162,9 @@
 	}
 	t.held[of] = h
 	h.busy = true
-	number := t.number
 	t.log.Info("task-start", zap.String("task", start.Task), zap.Int("attempt", start.Attempt), zap.String("checkpoint", start.Checkpoint))
 	t.loop.Go(func() {
-		err := t.startOnWorker(number, start)
+		err := t.startOnWorker(start)
 		t.loop.Post(func() { t.started(of, h, err) })
 	})
 }
@@ -180,7 +179,7 @@
 	return room
 }
 
-func (t *Tasks) startOnWorker(number uint64, start placement.Start) error {
+func (t *Tasks) startOnWorker(start placement.Start) error {
 	ctx, cancel := context.WithTimeout(t.loop.Context(), callBound)
 	defer cancel()
 	var checkpoint []byte
@@ -191,7 +190,7 @@
 		}
 		checkpoint = saved
 	}
-	return t.client.Start(ctx, number, start, checkpoint)
+	return t.client.Start(ctx, start, checkpoint)
 }
 
 // errNotSent marks a start that the worker never saw.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -22,8 +22,7 @@
 
 // Call is the body of every call; each uses the fields it needs. Until is a
 // moment on the worker's own clock. Number counts the leases a holder has sent: a
-// lease that comes after a later one, and a start that was sent before a lease
-// already seen, are refused, so that a late copy changes nothing.
+// lease that comes after a later one is refused, so that a late copy changes nothing.
 type Call struct {
 	Holder     string           `json:"holder"`
 	Number     uint64           `json:"number,omitempty"`
@@ -107,9 +106,9 @@
 }
 
 // Start hands a task over, with its checkpoint if there is one. It runs from the
-// next lease that keeps it.
-func (c *Client) Start(ctx context.Context, number uint64, start placement.Start, checkpoint []byte) error {
-	_, err := c.call(ctx, "/task/start", Call{Number: number, Start: &start, Checkpoint: checkpoint})
+// next lease that keeps it, so that a start which comes late runs nothing.
+func (c *Client) Start(ctx context.Context, start placement.Start, checkpoint []byte) error {
+	_, err := c.call(ctx, "/task/start", Call{Start: &start, Checkpoint: checkpoint})
 	return err
 }
 
--- a/pkg/document/schema/schema.go
+++ b/pkg/document/schema/schema.go
@@ -31,6 +31,9 @@
 
 // String shows the problem as `line 3: classes[0].latency: text`.
 func (p Problem) String() string {
+	if p.Key == "" {
+		return fmt.Sprintf("line %d: %s", p.Line, p.Text)
+	}
 	return fmt.Sprintf("line %d: %s: %s", p.Line, p.Key, p.Text)
 }
 
--- /dev/null
+++ b/pkg/platform/table/table_test.go
@@ -0,0 +1,78 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// script answers commits in turn; effect tells whether the commit took effect.
+type script struct {
+	answers []answer
+	row     Row
+	sent    int
+}
+
+type answer struct {
+	outcome Outcome
+	effect  bool
+}
+
+func (s *script) get(context.Context, string) (Row, error) { return s.row, nil }
+
+func (s *script) commit(_ context.Context, conditions []Condition, writes []Write) (Result, error) {
+	next := s.answers[s.sent]
+	s.sent++
+	if next.effect && conditions[0].Version == s.row.Version {
+		s.row = Row{Key: writes[0].Key, Version: 9, Value: writes[0].Value}
+	}
+	if next.outcome == Unknown {
+		return Result{}, errors.New("lost")
+	}
+	return Result{Outcome: next.outcome, Version: s.row.Version}, nil
+}
+
+func TestSettle(t *testing.T) {
+	cases := []struct {
+		name    string
+		answers []answer
+		row     Row
+		want    Outcome
+	}{
+		{"committed", []answer{{Committed, true}}, Row{}, Committed},
+		{"conflict", []answer{{Conflict, false}}, Row{Version: 3}, Conflict},
+		{"answer lost, had no effect", []answer{{Unknown, false}, {Committed, true}}, Row{}, Committed},
+		{"answer lost, had effect", []answer{{Unknown, true}, {Conflict, false}}, Row{}, Committed},
+		{"answer lost, another wrote", []answer{{Unknown, false}, {Conflict, false}}, Row{Version: 5, Value: []byte("theirs")}, Conflict},
+		{"lost twice, second had effect", []answer{{Unknown, false}, {Unknown, true}, {Conflict, false}}, Row{}, Committed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{answers: c.answers, row: c.row}
+				client := New(s.get, nil, s.commit)
+				result, err := client.Settle(t.Context(), []Condition{{Key: "k"}}, []Write{{Key: "k", Value: []byte("ours")}})
+				if result.Outcome != c.want || err != nil {
+					t.Errorf("got %s, %v; want %s", result.Outcome, err, c.want)
+				}
+				if s.sent != len(c.answers) {
+					t.Errorf("sent %d times, want %d", s.sent, len(c.answers))
+				}
+			})
+		})
+	}
+}
+
+func TestSettleEndsWithItsContextAsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		commit := func(context.Context, []Condition, []Write) (Result, error) { return Result{}, ErrUnavailable }
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		result, err := New(nil, nil, commit).Settle(ctx, []Condition{{Key: "k"}}, []Write{{Key: "k"}})
+		if result.Outcome != Unknown || !errors.Is(err, ErrUnavailable) {
+			t.Errorf("got %s, %v", result.Outcome, err)
+		}
+	})
+}
