--- a/internal/decision/placement/beat.go
+++ b/internal/decision/placement/beat.go
@@ -51,10 +51,12 @@
 
 // Beat is an agent's report to the owner of its shard. Boot names the worker's
 // run: after a restart of the worker it differs, and what is not listed is lost.
+// Epoch is the highest the agent has seen.
 type Beat struct {
 	Instance    string
 	Incarnation string
 	Boot        string
+	Epoch       uint64
 	Sequence    uint64
 	Busy        int
 	Leaving     bool
@@ -98,13 +100,21 @@
 	Forget []Forget      `json:"forget,omitempty"`
 }
 
-// Beat takes an agent's report and answers with a grant when mayGrant. A beat
-// that came late or twice is answered with nothing.
+// Beat takes an agent's report and answers with a grant when mayGrant. A beat that
+// came late or twice is answered with nothing.
+//
+// So is one that was written before the agent knew of this owner: an earlier owner
+// may have started tasks after it. The answer tells the agent the epoch; what the
+// agent says after it obeys no lower one.
 func (o *Owner) Beat(now time.Time, beat Beat, mayGrant bool) Reply {
 	at := o.instance(now, beat.Instance)
-	if at.incarnation == beat.Incarnation && beat.Sequence <= at.sequence {
+	late := at.incarnation == beat.Incarnation && beat.Sequence <= at.sequence || at.past[beat.Incarnation]
+	if late || beat.Epoch != o.epoch {
 		return Reply{Epoch: o.epoch}
 	}
+	if at.incarnation != beat.Incarnation && at.incarnation != "" {
+		at.past[at.incarnation] = true
+	}
 	at.incarnation = beat.Incarnation
 	at.sequence = beat.Sequence
 	at.boot = beat.Boot
@@ -112,14 +122,13 @@
 	at.leaving = beat.Leaving
 	at.heard = now
 	reply := Reply{Epoch: o.epoch}
-	listed := o.takeHeld(at, beat.Held, &reply)
-	o.takeUnlisted(at, listed, mayGrant, &reply)
-	if mayGrant {
-		reply.TTL = o.ttl
-		at.lapse = now.Add(o.lapseTime())
-	} else {
-		reply.Start = nil
+	if !mayGrant {
+		return reply
 	}
+	reply.TTL = o.ttl
+	at.lapse = now.Add(o.lapseTime())
+	listed := o.takeHeld(at, beat.Held, &reply)
+	o.takeUnlisted(at, listed, &reply)
 	return reply
 }
 
@@ -143,6 +152,12 @@
 }
 
 func (o *Owner) takeCurrent(at *instance, placed *task, held Held, reply *Reply) {
+	if placed.moving() {
+		if !held.Run.Over() {
+			reply.Stop = append(reply.Stop, Stop{Task: held.Task, Attempt: held.Attempt, Why: "being moved"})
+		}
+		return
+	}
 	placed.held = &held
 	placed.unlisted = false
 	placed.lostSince = time.Time{}
@@ -161,23 +176,23 @@
 }
 
 // takeUnlisted looks at the tasks placed here that the agent does not hold. With
-// the boot they were placed under they were never started, so they may be now.
-func (o *Owner) takeUnlisted(at *instance, listed map[string]bool, mayGrant bool, reply *Reply) {
+// the boot they were placed under they were never started, so they may be now. Once
+// a start is in the reply, the beat proves nothing about the task any more.
+func (o *Owner) takeUnlisted(at *instance, listed map[string]bool, reply *Reply) {
 	for _, name := range slices.Sorted(maps.Keys(at.tasks)) {
 		placed := at.tasks[name]
-		if listed[name] || placed.State != Placed {
+		if listed[name] || placed.State != Placed || placed.moving() {
 			continue
 		}
-		placed.held = nil
-		placed.unlisted = true
 		unwanted := placed.cancelled || placed.evict != "" || at.leaving
-		if placed.Boot != at.boot || unwanted {
-			o.mark(placed.chunk)
-			continue
-		}
-		if mayGrant {
+		start := placed.Boot == at.boot && !unwanted
+		placed.held = nil
+		placed.unlisted = !start
+		if start {
 			reply.Start = append(reply.Start, startOf(placed))
+			continue
 		}
+		o.mark(placed.chunk)
 	}
 }
 
--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -55,8 +55,7 @@
 // cannot give it twice.
 func (o *Owner) place(t *task, at *instance) {
 	o.stage(t.chunk)
-	i := slices.Index(t.chunk.tasks, t)
-	next := &t.chunk.next[i]
+	next := &t.chunk.next[t.index]
 	next.State = Placed
 	next.Attempt++
 	next.Instance = at.Name
--- a/internal/decision/placement/owner.go
+++ b/internal/decision/placement/owner.go
@@ -31,6 +31,7 @@
 type instance struct {
 	Instance
 	incarnation string
+	past        map[string]bool // earlier incarnations: what comes from them is late
 	boot        string
 	sequence    uint64
 	used        Need
@@ -47,6 +48,7 @@
 	Task
 	job       *job
 	chunk     *chunk
+	index     int // in the chunk
 	held      *Held
 	unlisted  bool // the agent's latest beat of the placement's boot did not list it
 	cancelled bool
@@ -55,6 +57,16 @@
 	over      int // instances that had room when it was placed
 }
 
+// moving tells whether a commit under way takes the task off its instance: what it
+// was decided on may be past, but the decision can land.
+func (t *task) moving() bool {
+	if t.chunk.next == nil {
+		return false
+	}
+	next := t.chunk.next[t.index]
+	return next.State != Placed || next.Attempt != t.Attempt
+}
+
 func (t *task) name() string { return TaskName(t.job.ID, t.Number) }
 
 type job struct {
@@ -164,7 +176,7 @@
 }
 
 func (o *Owner) loadTask(now time.Time, of *job, in *chunk, record Task) {
-	loaded := &task{Task: record, job: of, chunk: in, cancelled: of.cancelled}
+	loaded := &task{Task: record, job: of, chunk: in, index: len(in.tasks), cancelled: of.cancelled}
 	in.tasks = append(in.tasks, loaded)
 	switch record.State {
 	case Waiting:
@@ -188,6 +200,7 @@
 			heard:    now,
 			lapse:    o.claimed.Add(o.lapseTime()),
 			tasks:    map[string]*task{},
+			past:     map[string]bool{},
 		}
 		o.instances[name] = known
 		at, _ := slices.BinarySearch(o.names, name)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -86,6 +86,7 @@
 	Leaving     bool             `json:"leaving,omitempty"`
 	Config      Config           `json:"config"`
 	Boot        string           `json:"boot,omitempty"`
+	Epoch       uint64           `json:"epoch,omitempty"` // the highest seen
 	Held        []placement.Held `json:"held,omitempty"`
 }
 
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -218,6 +218,7 @@
 	}
 	if full {
 		beat.Boot = a.tasks.Boot()
+		beat.Epoch = a.tasks.Epoch()
 		beat.Held = a.tasks.Held()
 	}
 	return beat
@@ -227,7 +228,7 @@
 // said leaving and listed nothing, the owner places nothing here any more.
 func (a *Agent) granted(beat link.Beat, sent time.Time, reply placement.Reply) {
 	a.tasks.Take(sent, beat.Held, reply)
-	a.farewell = a.farewell || beat.Leaving && len(beat.Held) == 0
+	a.farewell = a.farewell || beat.Leaving && len(beat.Held) == 0 && beat.Epoch == reply.Epoch
 }
 
 func (a *Agent) news() {
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -39,7 +39,7 @@
 	reply := link.BeatReply{Owner: owner, Epoch: epoch, Peers: e.peers(), Config: e.configFor(beat.Config.Version)}
 	if beat.Boot != "" {
 		reply.Grant = e.keeper.Beat(instanceOf(a), placement.Beat{
-			Instance: beat.Instance, Incarnation: beat.Incarnation, Boot: beat.Boot, Sequence: beat.Sequence,
+			Instance: beat.Instance, Incarnation: beat.Incarnation, Boot: beat.Boot, Epoch: beat.Epoch, Sequence: beat.Sequence,
 			Busy: beat.Busy, Leaving: beat.Leaving, Held: beat.Held,
 		})
 	}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -119,7 +119,7 @@
 	r := &run{
 		day: of, options: options, now: epoch, begun: epoch, end: epoch.Add(of.Length() + tail),
 		document: document, hosts: map[string]*host{}, renewed: epoch,
-		owner: placement.New(epoch, options.Placer, 1, link.GrantTTL),
+		owner: placement.New(epoch, options.Placer, replayEpoch, link.GrantTTL),
 		book:  ledger.New(epoch, "replay", "replay"),
 	}
 	r.owner.SetShares(document.Shares())
--- a/internal/replay/tasks.go
+++ b/internal/replay/tasks.go
@@ -21,6 +21,9 @@
 	why      string
 }
 
+// replayEpoch is the epoch of the one owner of a replay.
+const replayEpoch = 1
+
 // submit checks a job and hands it to the owner once it is in the table.
 func (r *run) submit(number int, e day.Event) {
 	if r.now.Before(r.outage) {
@@ -118,7 +121,7 @@
 	h.settleTasks()
 	h.sequence++
 	beat := placement.Beat{
-		Instance: h.of.Name, Incarnation: h.incarnation, Boot: h.boot, Sequence: h.sequence,
+		Instance: h.of.Name, Incarnation: h.incarnation, Boot: h.boot, Epoch: replayEpoch, Sequence: h.sequence,
 		Busy: h.gate.Busy(), Leaving: h.leaving,
 	}
 	for _, name := range h.order {
--- a/internal/worker/tasks.go
+++ b/internal/worker/tasks.go
@@ -75,6 +75,9 @@
 // Boot names the worker's run; "" until it is claimed.
 func (t *Tasks) Boot() string { return t.boot }
 
+// Epoch is the highest epoch seen.
+func (t *Tasks) Epoch() uint64 { return t.epoch }
+
 // Held lists the tasks for a beat, in order.
 func (t *Tasks) Held() []placement.Held {
 	list := make([]placement.Held, 0, len(t.held))
@@ -108,7 +111,10 @@
 		t.log.Warn("grant-refused", zap.Uint64("epoch", reply.Epoch), zap.Uint64("seen", t.epoch))
 		return
 	}
-	t.epoch = reply.Epoch
+	if reply.Epoch > t.epoch {
+		t.epoch = reply.Epoch
+		t.changed()
+	}
 	for _, forget := range reply.Forget {
 		t.forget(Reference(forget))
 	}
