Placement cost no longer grows with the tasks that run

Cause: each plan added up the needs of every running task and each score counted a job's tasks on the instance one by one. Change: what is used is kept by instance and workspace as tasks come and go; a job's tasks on an instance are counted; in pools over 64 instances a choice compares 64 with room, beginning where the last one ended.

--- /dev/null
+++ b/internal/decision/placement/bench_test.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// fleet is an owner with instances that all beat, each with running tasks, and jobs
+// of waiting tasks.
+func fleet(instances, running, waiting int) (*Owner, time.Time) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	o := New(now, Spread, 1, testTTL)
+	need := Need{Processors: 1}
+	for i := range instances {
+		name := fmt.Sprintf("i%05d", i)
+		o.Announce(now, Instance{Name: name, Rack: fmt.Sprint(i / 16), Capacity: Need{Processors: 64}})
+		o.Beat(now, Beat{Instance: name, Incarnation: "1", Boot: "1", Epoch: 1, Sequence: 1}, true)
+	}
+	add := func(id string, tasks []Task) {
+		job := Job{ID: id, Workspace: fmt.Sprintf("w%d", len(id)+len(o.jobs)%200), Tasks: len(tasks), Need: need, Runtime: time.Hour, Idempotent: true}
+		for first := 0; first < len(tasks); first += ChunkSize {
+			last := min(first+ChunkSize, len(tasks))
+			o.Load(now, job, Chunk{Job: id, Index: first / ChunkSize, Tasks: tasks[first:last]}, 1)
+		}
+	}
+	for j := 0; j*100 < running; j++ {
+		tasks := make([]Task, min(100, running-j*100))
+		for n := range tasks {
+			tasks[n] = Task{Number: n, State: Placed, Attempt: 1, Instance: fmt.Sprintf("i%05d", (j*100+n)%instances), Boot: "1"}
+		}
+		add(fmt.Sprintf("r%d", j), tasks)
+	}
+	for j := 0; j*100 < waiting; j++ {
+		tasks := make([]Task, 100)
+		for n := range tasks {
+			tasks[n] = Task{Number: n}
+		}
+		add(fmt.Sprintf("w%d", j), tasks)
+	}
+	return o, now
+}
+
+// BenchmarkStarts places and commits tasks on fleets of the size of one shard and
+// of the whole pool; ns/start is processor time for one start.
+func BenchmarkStarts(b *testing.B) {
+	for _, size := range []struct{ instances, running int }{{11, 100}, {100, 2400}, {400, 9600}, {4000, 96_000}} {
+		b.Run(fmt.Sprintf("instances=%d", size.instances), func(b *testing.B) {
+			o, now := fleet(size.instances, size.running, 0)
+			starts, rows, commits := 0, 0, 0
+			for i := 0; b.Loop(); i++ {
+				if i%50 == 49 {
+					b.StopTimer()
+					o, now = fleet(size.instances, size.running, 0)
+					b.StartTimer()
+				}
+				job := Job{ID: fmt.Sprintf("n%d", i), Workspace: "w", Tasks: 48, Need: Need{Memory: 0}, Runtime: time.Hour, Idempotent: true}
+				for _, chunk := range Split(job, "") {
+					o.Load(now, job, chunk, 1)
+				}
+				rows += len(o.Plan(now))
+				commits++
+				o.Committed(now, 2)
+				for _, d := range o.Decisions() {
+					if d.Move == Place {
+						starts++
+					}
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(starts), "ns/start")
+			b.ReportMetric(float64(rows)/float64(starts), "rows/start")
+			b.ReportMetric(float64(commits)/float64(starts), "commits/start")
+		})
+	}
+}
+
+// BenchmarkBeats answers the beats of agents that hold 24 tasks each.
+func BenchmarkBeats(b *testing.B) {
+	for _, instances := range []int{11, 100, 400, 4000} {
+		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
+			o, now := fleet(instances, instances*24, 0)
+			beats := make([]Beat, instances)
+			for i := range beats {
+				name := fmt.Sprintf("i%05d", i)
+				beats[i] = Beat{Instance: name, Incarnation: "1", Boot: "1", Epoch: 1}
+				for task := range o.instances[name].tasks {
+					beats[i].Held = append(beats[i].Held, Held{Task: task, Attempt: 1, Run: Running})
+				}
+			}
+			for i := 0; b.Loop(); i++ {
+				beat := beats[i%instances]
+				beat.Sequence = uint64(i + 2)
+				if reply := o.Beat(now, beat, true); len(reply.Start)+len(reply.Stop) > 0 {
+					b.Fatalf("unexpected orders: %+v", reply)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkRecovery loads a shard's tasks, as a new owner does.
+func BenchmarkRecovery(b *testing.B) {
+	for _, tasks := range []int{2400, 24_000, 96_000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				fleet(tasks/24, tasks, 0)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(tasks), "ns/task")
+		})
+	}
+}
--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -115,34 +114,34 @@
 
 // overuse is each workspace's dominant share of the pool over its share by contract.
 func (o *Owner) overuse() map[string]float64 {
-	var whole Need
-	used := map[string]Need{}
-	for _, name := range o.names {
-		at := o.instances[name]
-		whole = whole.Plus(at.Capacity)
-		for _, task := range slices.Sorted(maps.Keys(at.tasks)) {
-			t := at.tasks[task]
-			used[t.job.Workspace] = used[t.job.Workspace].Plus(t.job.Need)
-		}
-	}
-	over := make(map[string]float64, len(used))
-	for workspace, need := range used {
+	over := make(map[string]float64, len(o.used))
+	for workspace, need := range o.used {
 		owed := o.shares[workspace]
 		if owed <= 0 {
 			owed = 1
 		}
-		over[workspace] = need.dominant(whole) / owed
+		over[workspace] = need.dominant(o.whole) / owed
 	}
 	return over
 }
 
-// choose picks the instance for a task, nil when none has room, and tells how
-// many it was chosen over, itself included.
+// compareMost is how many instances with room are compared for one task. In a
+// larger pool each choice begins where the last one ended, so that all are looked at
+// in turn.
+const compareMost = 64
+
+// choose picks the instance for a task, nil when none has room, and tells how many
+// it was chosen over, itself included.
 func (o *Owner) choose(hosts []*instance, t *task) (*instance, int) {
 	var best *instance
 	var bestScore float64
 	over := 0
-	for _, at := range hosts {
+	first := 0
+	if o.placer != FirstFit && len(hosts) > compareMost {
+		first = o.cursor
+	}
+	for i := range hosts {
+		at := hosts[(first+i)%len(hosts)]
 		if t.job.Need.Misfit(at.Capacity.Minus(at.used)) != "" {
 			continue
 		}
@@ -154,6 +153,10 @@
 		if best == nil || score < bestScore {
 			best, bestScore = at, score
 		}
+		if over == compareMost {
+			o.cursor = (first + i + 1) % len(hosts)
+			break
+		}
 	}
 	return best, over
 }
@@ -173,12 +176,7 @@
 // score is lower for a better instance.
 func (o *Owner) score(at *instance, t *task) float64 {
 	fill := at.used.Plus(t.job.Need).dominant(at.Capacity)
-	same := 0
-	for _, other := range at.tasks {
-		if other.job == t.job {
-			same++
-		}
-	}
+	same := at.ofJob[t.job]
 	left := 0.0
 	if at.Name == t.Left {
 		left = leftWeight
--- a/internal/decision/placement/owner.go
+++ b/internal/decision/placement/owner.go
@@ -40,6 +40,7 @@
 	heard       time.Time
 	lapse       time.Time // no grant given to it is in force after this
 	tasks       map[string]*task
+	ofJob       map[*job]int // how many of tasks are of a job
 	failures    int
 	sickUntil   time.Time
 }
@@ -105,6 +106,9 @@
 	instances map[string]*instance
 	names     []string // of instances, sorted: decisions must not hang on map order
 	waiting   map[*task]bool
+	used      map[string]Need // by workspace
+	whole     Need            // capacity of all instances
+	cursor    int             // where choose begins to look
 	dirty     []*chunk
 	inflight  []*chunk
 	decisions []Decision
@@ -149,6 +153,7 @@
 		jobs:      map[string]*job{},
 		instances: map[string]*instance{},
 		waiting:   map[*task]bool{},
+		used:      map[string]Need{},
 	}
 }
 
@@ -201,6 +206,7 @@
 			lapse:    o.claimed.Add(o.lapseTime()),
 			tasks:    map[string]*task{},
 			past:     map[string]bool{},
+			ofJob:    map[*job]int{},
 		}
 		o.instances[name] = known
 		at, _ := slices.BinarySearch(o.names, name)
@@ -213,19 +219,32 @@
 	return o.ttl + time.Duration(driftShare*float64(o.ttl))
 }
 
+// occupy and vacate keep what is used, by instance and by workspace, as tasks come
+// and go, so that a plan need not add up all tasks.
 func (o *Owner) occupy(at *instance, placed *task) {
+	of := placed.job
 	at.tasks[placed.name()] = placed
-	at.used = at.used.Plus(placed.job.Need)
+	at.ofJob[of]++
+	at.used = at.used.Plus(of.Need)
+	o.used[of.Workspace] = o.used[of.Workspace].Plus(of.Need)
 }
 
 func (o *Owner) vacate(at *instance, placed *task) {
+	of := placed.job
 	delete(at.tasks, placed.name())
-	at.used = at.used.Minus(placed.job.Need)
+	at.ofJob[of]--
+	if at.ofJob[of] == 0 {
+		delete(at.ofJob, of)
+	}
+	at.used = at.used.Minus(of.Need)
+	o.used[of.Workspace] = o.used[of.Workspace].Minus(of.Need)
 }
 
 // Announce takes what an agent says of its instance.
 func (o *Owner) Announce(now time.Time, announced Instance) {
-	o.instance(now, announced.Name).Instance = announced
+	at := o.instance(now, announced.Name)
+	o.whole = o.whole.Minus(at.Capacity).Plus(announced.Capacity)
+	at.Instance = announced
 }
 
 // Cancel stops a job: what waits ends, what runs is stopped first.
