Beats leave out what the entry knows already

Cause: each beat repeated instance, incarnation and every task held, and each reply all entries; at 24 tasks and 40 entries that is over 3 KB a beat. Change: a beat names an earlier one of its link whose tasks still hold; peers come only when their mark differs, the document only when it is newer. Links count their bytes.

--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -10,8 +10,10 @@
 
 	"github.com/apricotwind/apricotwind/internal/logs"
 
+	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/loop"
+	"github.com/apricotwind/apricotwind/internal/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
@@ -19,7 +21,7 @@
 // Node is what the links ask of the entry. All functions run on the loop.
 type Node struct {
 	Announced func(link.Announce) link.Welcome
-	Beat      func(link.Announce, link.Beat) link.BeatReply
+	Beat      func(link.Announce, link.Beat) link.BeatReply // with Held filled in
 	Gone      func(link.Announce)
 }
 
@@ -30,19 +32,23 @@
 	poking   bool
 	sequence uint64
 	config   uint64
+	held     []placement.Held // of the last beat that carried its tasks
+	heldAs   uint64           // its sequence; 0 for none
 }
 
 // Links are the open links of an entry. All methods but New run on the loop.
 type Links struct {
-	loop   *loop.Loop
-	node   Node
-	log    *zap.Logger
-	agents map[string]*linked // by instance
+	loop *loop.Loop
+	node Node
+	log  *zap.Logger
+
+	metrics *metrics.Set
+	agents  map[string]*linked // by instance
 }
 
 // NewLinks makes the links; Serve takes connections.
-func NewLinks(l *loop.Loop, node Node, log *zap.Logger) *Links {
-	return &Links{loop: l, node: node, log: log, agents: map[string]*linked{}}
+func NewLinks(l *loop.Loop, node Node, log *zap.Logger, set *metrics.Set) *Links {
+	return &Links{loop: l, node: node, log: log, metrics: set, agents: map[string]*linked{}}
 }
 
 // Serve takes agents' connections until the listener closes. It runs on a
@@ -67,7 +73,7 @@
 
 func (l *Links) serve(stream net.Conn) {
 	s := &session{links: l, ready: make(chan struct{})}
-	s.conn = link.New(l.loop.Context(), stream, stream.RemoteAddr().String(), s.handle)
+	s.conn = link.New(l.loop.Context(), stream, stream.RemoteAddr().String(), l.metrics, s.handle)
 	close(s.ready)
 	select {
 	case <-s.conn.Done():
@@ -124,17 +130,34 @@
 }
 
 func (l *Links) beat(s *session, beat link.Beat) (link.BeatReply, error) {
-	if s.agent == nil || s.agent.announce.Instance != beat.Instance || s.agent.announce.Incarnation != beat.Incarnation {
-		return link.BeatReply{}, errors.New("beat of an instance that was not announced on this link")
+	if s.agent == nil {
+		return link.BeatReply{}, errors.New("beat before the instance was announced on this link")
 	}
 	if beat.Sequence <= s.agent.sequence {
 		return link.BeatReply{}, errors.New("beat came late")
 	}
 	s.agent.sequence = beat.Sequence
-	s.agent.config = beat.Config.Version
+	s.agent.config = beat.Config
+	if !s.agent.fill(&beat) {
+		return link.BeatReply{Full: true}, nil
+	}
 	return l.node.Beat(s.agent.announce, beat), nil
 }
 
+// fill puts the tasks into a beat that names an earlier one for them; false when
+// that one is not known.
+func (a *linked) fill(beat *link.Beat) bool {
+	switch {
+	case beat.HeldAs != 0 && beat.HeldAs != a.heldAs:
+		return false
+	case beat.HeldAs != 0:
+		beat.Held = a.held
+	case beat.Boot != "":
+		a.held, a.heldAs = beat.Held, beat.Sequence
+	}
+	return true
+}
+
 // Poke asks an agent to beat at once; several pokes under way are one.
 func (l *Links) Poke(instance string) {
 	known, ok := l.agents[instance]
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/loop"
+	"github.com/apricotwind/apricotwind/internal/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
@@ -40,14 +42,16 @@
 
 // Links keeps a link to each entry the agent talks to.
 type Links struct {
-	loop  *loop.Loop
-	node  Node
-	dial  Dial
-	log   *zap.Logger
-	peers map[string]*peer // by link address
-	owner string           // name of the owner of this agent's shard, as last heard
-	epoch uint64           // the epoch of that owner
-	open  atomic.Int64     // links that are open
+	loop *loop.Loop
+	node Node
+	dial Dial
+	log  *zap.Logger
+
+	metrics *metrics.Set
+	peers   map[string]*peer // by link address
+	owner   string           // name of the owner of this agent's shard, as last heard
+	epoch   uint64           // the epoch of that owner
+	open    atomic.Int64     // links that are open
 }
 
 // peer is one entry.
@@ -57,11 +61,14 @@
 	beating bool
 	again   bool
 	cancel  context.CancelFunc
+	told    uint64           // mark of the peers it told last
+	held    []placement.Held // of the last beat with Held that it answered
+	heldAs  uint64           // the sequence of that beat; 0 for none
 }
 
 // NewLinks starts the links of an agent.
-func NewLinks(l *loop.Loop, node Node, dial Dial, log *zap.Logger) *Links {
-	links := &Links{loop: l, node: node, dial: dial, log: log, peers: map[string]*peer{}}
+func NewLinks(l *loop.Loop, node Node, dial Dial, log *zap.Logger, set *metrics.Set) *Links {
+	links := &Links{loop: l, node: node, dial: dial, log: log, metrics: set, peers: map[string]*peer{}}
 	l.Repeat(link.BeatPeriod, func(ctx context.Context) {
 		if links.Open() > 0 {
 			return
@@ -126,7 +133,7 @@
 	if err != nil {
 		return false, errors.Wrapf(err, "dial entry %s", p.Link)
 	}
-	conn := link.New(ctx, stream, p.Link, l.handle)
+	conn := link.New(ctx, stream, p.Link, l.metrics, l.handle)
 	defer conn.Close()
 	var announce link.Announce
 	if err := l.loop.Do(func() { announce = l.node.Announce() }); err != nil {
@@ -155,6 +162,7 @@
 	l.log.Info("link-up", zap.String("entry", welcome.Entry), zap.String("address", p.Link))
 	p.Name = welcome.Entry
 	p.conn = conn
+	p.told, p.heldAs = link.Mark(welcome.Peers), 0
 	l.node.Adopt(welcome.Config)
 	l.meet(welcome.Peers)
 	l.beat(p)
@@ -180,7 +188,9 @@
 	p.beating = true
 	p.again = false
 	full := l.owner == "" || l.owner == p.Name
-	report := l.node.Beat(full)
+	whole := l.node.Beat(full)
+	whole.Peers = p.told
+	report := p.shorten(whole)
 	sent := time.Now()
 	conn := p.conn
 	l.loop.Go(func() {
@@ -188,7 +198,7 @@
 		err := conn.Call(l.loop.Context(), link.MethodBeat, report, &reply)
 		l.loop.Post(func() {
 			p.beating = false
-			l.answered(p, conn, sent, report, reply, err)
+			l.answered(p, conn, sent, whole, reply, err)
 			if p.again {
 				l.beat(p)
 			}
@@ -196,7 +206,15 @@
 	})
 }
 
-func (l *Links) answered(p *peer, conn *link.Conn, sent time.Time, report link.Beat, reply link.BeatReply, err error) {
+// shorten leaves out of a beat what this entry has been told on this link.
+func (p *peer) shorten(whole link.Beat) link.Beat {
+	if p.heldAs != 0 && slices.Equal(p.held, whole.Held) {
+		whole.Held, whole.HeldAs = nil, p.heldAs
+	}
+	return whole
+}
+
+func (l *Links) answered(p *peer, conn *link.Conn, sent time.Time, whole link.Beat, reply link.BeatReply, err error) {
 	if err != nil {
 		l.log.Debug("beat-failed", zap.String("entry", p.Name), logs.Error(err))
 		conn.Close()
@@ -208,10 +226,28 @@
 		l.epoch = reply.Epoch
 		p.again = p.again || l.owner == p.Name
 	}
-	l.node.Adopt(reply.Config)
+	p.learn(whole, reply)
+	if reply.Config != nil {
+		l.node.Adopt(*reply.Config)
+	}
 	l.meet(reply.Peers)
 	if reply.Grant != nil {
-		l.node.Granted(report, sent, *reply.Grant)
+		l.node.Granted(whole, sent, *reply.Grant)
+	}
+}
+
+// learn notes what the entry has been told, after its answer.
+func (p *peer) learn(whole link.Beat, reply link.BeatReply) {
+	if len(reply.Peers) > 0 {
+		p.told = link.Mark(reply.Peers)
+	}
+	switch {
+	case reply.Full:
+		p.heldAs = 0
+		p.again = true
+	case whole.Boot == "":
+	case p.heldAs == 0 || !slices.Equal(p.held, whole.Held):
+		p.held, p.heldAs = whole.Held, whole.Sequence
 	}
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -76,28 +78,44 @@
 	Config Config `json:"config"`
 }
 
-// Beat is an agent's report. Held and Boot go to the owner of its shard only.
+// Beat is an agent's report on the link it announced itself on. Boot, Epoch and Held
+// go to the owner of its shard only.
+//
+// What the entry knows already is not sent again: HeldAs names an earlier beat of
+// this link, answered since, whose Held still holds, and Peers is the Mark of the
+// peers that the agent was told last.
 type Beat struct {
-	Instance    string           `json:"instance"`
-	Incarnation string           `json:"incarnation"`
-	Sequence    uint64           `json:"sequence"`
-	Busy        int              `json:"busy"`
-	Queued      int              `json:"queued"`
-	Leaving     bool             `json:"leaving,omitempty"`
-	Config      Config           `json:"config"`
-	Boot        string           `json:"boot,omitempty"`
-	Epoch       uint64           `json:"epoch,omitempty"` // the highest seen
-	Held        []placement.Held `json:"held,omitempty"`
+	Sequence uint64           `json:"n"`
+	Busy     int              `json:"busy,omitempty"`
+	Queued   int              `json:"queued,omitempty"`
+	Leaving  bool             `json:"leaving,omitempty"`
+	Config   uint64           `json:"config,omitempty"` // version in force
+	Peers    uint64           `json:"peers,omitempty"`
+	Boot     string           `json:"boot,omitempty"`
+	Epoch    uint64           `json:"epoch,omitempty"` // the highest seen
+	Held     []placement.Held `json:"held,omitempty"`
+	HeldAs   uint64           `json:"heldas,omitempty"`
 }
 
 // BeatReply answers a beat. Owner tells who owns the agent's shard and since which
 // epoch, as far as the entry knows; Grant is nil unless that is the entry itself.
+// Full asks for a beat with Held, because the one that HeldAs names is not known.
 type BeatReply struct {
 	Owner  string           `json:"owner,omitempty"`
 	Epoch  uint64           `json:"epoch,omitempty"`
 	Peers  []Peer           `json:"peers,omitempty"`
-	Config Config           `json:"config"`
+	Config *Config          `json:"config,omitempty"` // only when it is newer
 	Grant  *placement.Reply `json:"grant,omitempty"`
+	Full   bool             `json:"full,omitempty"`
+}
+
+// Mark is a number that stands for a list of peers, whatever their order.
+func Mark(peers []Peer) uint64 {
+	var mark uint64
+	for _, peer := range peers {
+		mark += xxhash.Sum64String(peer.Name + " " + peer.Link)
+	}
+	return mark
 }
 
 // Revoke asks where an attempt stands and ends it if it has not started.
@@ -120,9 +138,29 @@
 	peer string
 }
 
-// New runs the protocol over stream with the peer named. Calls that arrive go to
+// counted counts the bytes of a stream.
+type counted struct {
+	io.ReadWriteCloser
+	set *metrics.Set
+}
+
+// Read counts what comes in.
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.ReadWriteCloser.Read(p)
+	c.set.Add("link-bytes-in", int64(n))
+	return n, err
+}
+
+// Write counts what goes out.
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.ReadWriteCloser.Write(p)
+	c.set.Add("link-bytes-out", int64(n))
+	return n, err
+}
+
+// New runs the protocol over stream with the peer named and counts its bytes. Calls that arrive go to
 // handler, each on a goroutine of its own. The link closes with ctx.
-func New(ctx context.Context, stream io.ReadWriteCloser, peer string, handler Handler) *Conn {
+func New(ctx context.Context, stream io.ReadWriteCloser, peer string, set *metrics.Set, handler Handler) *Conn {
 	serve := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		var params json.RawMessage
 		if r.Params != nil {
@@ -132,7 +170,7 @@
 	}
 	async := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(serve))
 	quiet := jsonrpc2.SetLogger(discard{})
-	return &Conn{rpc: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(stream), async, quiet), peer: peer}
+	return &Conn{rpc: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(counted{stream, set}), async, quiet), peer: peer}
 }
 
 // discard drops the library's own log; errors reach the callers.
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -121,7 +121,7 @@
 	// An error means that the loop has ended already: there is nothing to assemble.
 	_ = a.loop.Do(func() {
 		a.tasks = worker.NewTasks(a.loop, client, store, a.log, a.settings.Capacity.Need(), a.news, a.superseded)
-		a.links = entry.NewLinks(a.loop, a.node(), a.dial, a.log)
+		a.links = entry.NewLinks(a.loop, a.node(), a.dial, a.log, a.metrics)
 	})
 	a.loop.Every(throttlePeriod, a.tick)
 	a.serve(a.gateListener, a.gate)
@@ -208,13 +208,11 @@
 func (a *Agent) beat(full bool) link.Beat {
 	a.sequence++
 	beat := link.Beat{
-		Instance:    a.settings.Name,
-		Incarnation: a.incarnation,
-		Sequence:    a.sequence,
-		Busy:        a.admission.Busy(),
-		Queued:      a.admission.Queued(),
-		Leaving:     a.leaving,
-		Config:      link.Config{Version: a.config.Version},
+		Sequence: a.sequence,
+		Busy:     a.admission.Busy(),
+		Queued:   a.admission.Queued(),
+		Leaving:  a.leaving,
+		Config:   a.config.Version,
 	}
 	if full {
 		beat.Boot = a.tasks.Boot()
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -167,7 +167,7 @@
 	_ = e.loop.Do(func() {
 		e.routing = routing.New(e.settings.Domain, routing.LeastWait, seed)
 		e.book = ledger.New(time.Now(), e.settings.Name, e.incarnation)
-		e.links = agent.NewLinks(e.loop, agent.Node{Announced: e.announced, Beat: e.beat, Gone: e.gone}, e.log)
+		e.links = agent.NewLinks(e.loop, agent.Node{Announced: e.announced, Beat: e.beat, Gone: e.gone}, e.log, e.metrics)
 		e.keeper = shard.New(e.settings.Name, e.incarnation, e.loop, e.table, e.log, shard.Seams{
 			Live:    e.live,
 			Shares:  func() map[string]float64 { return e.document.Load().Shares() },
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -31,15 +31,21 @@
 }
 
 func (e *Entry) beat(a link.Announce, beat link.Beat) link.BeatReply {
-	e.routing.Observe(time.Now(), beat.Instance, routing.Load{Busy: beat.Busy, Queued: beat.Queued})
+	e.routing.Observe(time.Now(), a.Instance, routing.Load{Busy: beat.Busy, Queued: beat.Queued})
 	if beat.Leaving {
-		e.routing.Leave(beat.Instance)
+		e.routing.Leave(a.Instance)
+	}
+	owner, epoch := e.keeper.Owner(a.Instance)
+	reply := link.BeatReply{Owner: owner, Epoch: epoch}
+	if peers := e.peers(); link.Mark(peers) != beat.Peers {
+		reply.Peers = peers
+	}
+	if config := e.configFor(beat.Config); config.Text != "" {
+		reply.Config = &config
 	}
-	owner, epoch := e.keeper.Owner(beat.Instance)
-	reply := link.BeatReply{Owner: owner, Epoch: epoch, Peers: e.peers(), Config: e.configFor(beat.Config.Version)}
 	if beat.Boot != "" {
 		reply.Grant = e.keeper.Beat(instanceOf(a), placement.Beat{
-			Instance: beat.Instance, Incarnation: beat.Incarnation, Boot: beat.Boot, Epoch: beat.Epoch, Sequence: beat.Sequence,
+			Instance: a.Instance, Incarnation: a.Incarnation, Boot: beat.Boot, Epoch: beat.Epoch, Sequence: beat.Sequence,
 			Busy: beat.Busy, Leaving: beat.Leaving, Held: beat.Held,
 		})
 	}
