Owners commit at most seven times a second

Cause: with starts coming all the time an owner committed every 30 ms; forty owners would make 1,300 commits a second, over the platform's several hundred. Change: one group commit in 150 ms. A start waits 75 ms more on average against the 5.5 s owed. Forty owners now make at most 267 commits a second.

--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -23,7 +23,7 @@
 	// commitTime is how long the platform takes for a commit.
 	commitTime = 10 * time.Millisecond
 	// planPeriod is the time between two plans of the owner.
-	planPeriod = 30 * time.Millisecond
+	planPeriod = 150 * time.Millisecond
 	// ownerLease is how long the owner may grant while the platform is out.
 	ownerLease = 8 * time.Second
 	// tail is how long a run goes on after the last event of the day.
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -24,8 +24,9 @@
 	lease = 8 * time.Second
 	// leaseDrift is added by those who wait for a lease to lapse.
 	leaseDrift = 200 * time.Millisecond
-	// planPeriod is the time between two group commits of an owner.
-	planPeriod = 30 * time.Millisecond
+	// planPeriod is the time between two group commits of an owner. It bounds the
+	// commits of one owner to seven a second, however many tasks start.
+	planPeriod = 150 * time.Millisecond
 	// workGap is the time without a plan after which this process counts as having
 	// been paused; it then gives its agents workGrace to be heard again before it
 	// calls any of them lost.
--- a/internal/verb/standin_upstream.go
+++ b/internal/verb/standin_upstream.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"net/netip"
 
+	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/standin"
+	"github.com/sourcegraph/conc/pool"
 )
 
 func standinUpstreamVerb() Verb {
@@ -27,13 +31,28 @@
 			name := flags.String("name", "", "`name` of the instance")
 			listen := addressVar(flags, "listen", "127.0.0.1:9001", "`address` to listen on")
 			capacity := newCapacityFlags(flags)
+			count := flags.Int("count", 1, "`number` of instances, on ports that follow each other")
 			return func(_ context.Context, streams Streams, _ []string) error {
 				if err := requireValues(flags); err != nil {
 					return err
 				}
-				offered := capacity.capacity()
-				return serveStandin(streams, listen.String(), standin.NewUpstream(*name, offered.Slots, offered.Need()).Handler())
+				return runStandinUpstreams(streams, *name, netip.MustParseAddrPort(listen.String()), *count, capacity.capacity())
 			}
 		},
 	}
 }
+
+// runStandinUpstreams serves count instances; several are named with their number.
+func runStandinUpstreams(streams Streams, name string, first netip.AddrPort, count int, offered link.Capacity) error {
+	group := pool.New().WithErrors()
+	for i := range count {
+		own := name
+		if count > 1 {
+			own = fmt.Sprintf("%s%d", name, i)
+		}
+		address := netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i))
+		handler := standin.NewUpstream(own, offered.Slots, offered.Need()).Handler()
+		group.Go(func() error { return serveStandin(streams, address.String(), handler) })
+	}
+	return group.Wait()
+}
