Configuration: quotas, tasks an hour, documents through agents, races and old rows

An entry cut off from the table learned a new document only from an agent that linked anew. Change: an entry asks an agent whose document is newer for its text; what is read back is checked by a commit without writes on the version read; workspaces have quotas, and batch classes may be owed tasks an hour.

--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -39,6 +39,10 @@
 		if full[need] {
 			continue
 		}
+		if o.overQuota(next.task) {
+			next.task.quota = true
+			continue
+		}
 		at, over := o.choose(hosts, next.task)
 		if at == nil {
 			full[need] = true
--- a/internal/decision/placement/owner.go
+++ b/internal/decision/placement/owner.go
@@ -55,7 +55,8 @@
 	cancelled bool
 	evict     string // reason, when it is to leave its instance
 	lostSince time.Time
-	over      int // instances that had room when it was placed
+	over      int  // instances that had room when it was placed
+	quota     bool // it waited because of its workspace's quota
 }
 
 // moving tells whether a commit under way takes the task off its instance: what it
@@ -102,6 +103,7 @@
 	ttl       time.Duration
 	claimed   time.Time
 	shares    map[string]float64
+	quotas    map[string]Need
 	jobs      map[string]*job
 	instances map[string]*instance
 	names     []string // of instances, sorted: decisions must not hang on map order
@@ -139,6 +141,7 @@
 	Late     bool // it ended after its deadline
 	Evicted  bool // it left its instance by the owner's or the agent's wish
 	Lost     bool // its instance was lost
+	Quota    bool // it waited because of its workspace's quota
 	Why      string
 }
 
@@ -150,6 +153,7 @@
 		ttl:       ttl,
 		claimed:   now,
 		shares:    map[string]float64{},
+		quotas:    map[string]Need{},
 		jobs:      map[string]*job{},
 		instances: map[string]*instance{},
 		waiting:   map[*task]bool{},
@@ -163,6 +167,22 @@
 // SetShares sets what the contract owes each workspace, in percent.
 func (o *Owner) SetShares(shares map[string]float64) { o.shares = maps.Clone(shares) }
 
+// SetQuotas sets the most that each workspace's tasks may use of the instances of
+// this shard; zero in a dimension means no bound there.
+func (o *Owner) SetQuotas(quotas map[string]Need) { o.quotas = maps.Clone(quotas) }
+
+// overQuota tells whether a task more takes its workspace over its quota.
+func (o *Owner) overQuota(t *task) bool {
+	quota, bound := o.quotas[t.job.Workspace]
+	if !bound {
+		return false
+	}
+	with := o.used[t.job.Workspace].Plus(t.job.Need)
+	return quota.Processors > 0 && with.Processors > quota.Processors+roundingSlack ||
+		quota.Memory > 0 && with.Memory > quota.Memory ||
+		quota.Accelerators > 0 && with.Accelerators > quota.Accelerators
+}
+
 // Load adds a chunk as read from the table, with its row's version.
 func (o *Owner) Load(now time.Time, of Job, read Chunk, version uint64) {
 	owned, ok := o.jobs[of.ID]
--- a/internal/decision/placement/plan.go
+++ b/internal/decision/placement/plan.go
@@ -85,6 +85,7 @@
 	default:
 		decision.Move = End
 		decision.Late = !t.job.Deadline.IsZero() && now.After(t.job.Deadline)
+		decision.Quota = t.quota
 	}
 	t.held, t.unlisted, t.evict, t.lostSince = nil, false, "", time.Time{}
 	o.decisions = append(o.decisions, decision)
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -64,6 +64,7 @@
 	told    uint64           // mark of the peers it told last
 	held    []placement.Held // of the last beat with Held that it answered
 	heldAs  uint64           // the sequence of that beat; 0 for none
+	wants   bool             // it asked for the text of the document
 }
 
 // NewLinks starts the links of an agent.
@@ -190,6 +191,9 @@
 	full := l.owner == "" || l.owner == p.Name
 	whole := l.node.Beat(full)
 	whole.Peers = p.told
+	if p.wants {
+		whole.Text = l.node.Announce().Config.Text
+	}
 	report := p.shorten(whole)
 	sent := time.Now()
 	conn := p.conn
@@ -238,6 +242,8 @@
 
 // learn notes what the entry has been told, after its answer.
 func (p *peer) learn(whole link.Beat, reply link.BeatReply) {
+	p.wants = reply.Want
+	p.again = p.again || reply.Want
 	if len(reply.Peers) > 0 {
 		p.told = link.Mark(reply.Peers)
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -89,6 +89,9 @@
 	case class.Kind == contract.Sync:
 		return now.Add(time.Duration(float64(s.Runtime) / class.Progress))
 	}
+	if class.Hourly > 0 {
+		return now.Add(time.Duration(float64(s.Tasks)/class.Hourly*float64(time.Hour)) + s.Runtime)
+	}
 	return now.Add(class.Deadline)
 }
 
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -127,6 +127,9 @@
 	case contract.Service:
 		return fmt.Sprintf("%g%% within %s", class.Quantile*100, class.Latency)
 	case contract.Batch:
+		if class.Hourly > 0 {
+			return fmt.Sprintf("%g tasks an hour", class.Hourly)
+		}
 		return fmt.Sprintf("done within %s", class.Deadline)
 	case contract.Sync:
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -90,6 +90,7 @@
 	Queued   int              `json:"queued,omitempty"`
 	Leaving  bool             `json:"leaving,omitempty"`
 	Config   uint64           `json:"config,omitempty"` // version in force
+	Text     string           `json:"text,omitempty"`   // of that document, when the entry wanted it
 	Peers    uint64           `json:"peers,omitempty"`
 	Boot     string           `json:"boot,omitempty"`
 	Epoch    uint64           `json:"epoch,omitempty"` // the highest seen
@@ -107,6 +108,7 @@
 	Config *Config          `json:"config,omitempty"` // only when it is newer
 	Grant  *placement.Reply `json:"grant,omitempty"`
 	Full   bool             `json:"full,omitempty"`
+	Want   bool             `json:"want,omitempty"` // the agent's document is newer: send its text
 }
 
 // Mark is a number that stands for a list of peers, whatever their order.
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -169,10 +169,10 @@
 		e.book = ledger.New(time.Now(), e.settings.Name, e.incarnation)
 		e.links = agent.NewLinks(e.loop, agent.Node{Announced: e.announced, Beat: e.beat, Gone: e.gone}, e.log, e.metrics)
 		e.keeper = shard.New(e.settings.Name, e.incarnation, e.loop, e.table, e.log, shard.Seams{
-			Live:    e.live,
-			Shares:  func() map[string]float64 { return e.document.Load().Shares() },
-			Decided: e.decided,
-			Poke:    e.links.Poke,
+			Live:     e.live,
+			Document: func() contract.Document { return *e.document.Load() },
+			Decided:  e.decided,
+			Poke:     e.links.Poke,
 		})
 		e.keeper.Begin(e.settings.Shards)
 	})
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -36,7 +36,10 @@
 		e.routing.Leave(a.Instance)
 	}
 	owner, epoch := e.keeper.Owner(a.Instance)
-	reply := link.BeatReply{Owner: owner, Epoch: epoch}
+	if beat.Text != "" {
+		e.adoptText(link.Config{Version: beat.Config, Text: beat.Text})
+	}
+	reply := link.BeatReply{Owner: owner, Epoch: epoch, Want: beat.Config > e.document.Load().Version}
 	if peers := e.peers(); link.Mark(peers) != beat.Peers {
 		reply.Peers = peers
 	}
@@ -86,7 +89,7 @@
 		return
 	}
 	e.document.Store(&document)
-	e.keeper.SetShares(document.Shares())
+	e.keeper.SetContract(document)
 	e.log.Info("config-in-force", zap.Uint64("version", document.Version))
 	for _, a := range e.links.Announcements() {
 		e.links.Poke(a.Instance)
@@ -132,7 +135,15 @@
 func (e *Entry) countEnd(d placement.Decision) {
 	fate, cause := fates[d.State], d.Why
 	if fate == ledger.Delivered && d.Late {
-		fate, cause = ledger.Late, "after the deadline"
+		fate, cause = ledger.Late, lateCause(d)
 	}
 	e.book.End(d.Job.Workspace, d.Job.Class, fate, cause)
 }
+
+// lateCause says why a task ended after its deadline.
+func lateCause(d placement.Decision) string {
+	if d.Quota {
+		return "after the deadline: waited for the quota"
+	}
+	return "after the deadline"
+}
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/record"
+	"github.com/apricotwind/apricotwind/pkg/document/contract"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
 	"go.uber.org/zap"
 )
@@ -38,10 +39,10 @@
 
 // Seams are what a keeper asks of its process. All run on the loop.
 type Seams struct {
-	Live    func() []string // names of the live entries, this one included
-	Shares  func() map[string]float64
-	Decided func(placement.Decision)
-	Poke    func(instance string)
+	Live     func() []string // names of the live entries, this one included
+	Document func() contract.Document
+	Decided  func(placement.Decision)
+	Poke     func(instance string)
 }
 
 // Keeper holds the shards of one entry. All methods but New run on the loop.
@@ -152,13 +153,29 @@
 	return waiting, placed
 }
 
-// SetShares hands the contract's shares to the owners.
-func (k *Keeper) SetShares(shares map[string]float64) {
+// SetContract hands the contract's shares and quotas to the owners.
+func (k *Keeper) SetContract(document contract.Document) {
 	for _, held := range k.owned {
-		held.owner.SetShares(shares)
+		k.apply(held, document)
 	}
 }
 
+// apply gives one owner the contract. Jobs spread over the shards by hash, so each
+// owner holds a workspace to its part of the quota, rounded up.
+func (k *Keeper) apply(held *owned, document contract.Document) {
+	held.owner.SetShares(document.Shares())
+	part := func(n int) int { return (n + k.count - 1) / k.count }
+	quotas := map[string]placement.Need{}
+	for _, workspace := range document.Workspaces {
+		if quota := workspace.Quota; quota != (contract.Quota{}) {
+			quotas[workspace.Name] = placement.Need{
+				Processors: quota.Processors / float64(k.count), Memory: part(quota.Memory), Accelerators: part(quota.Accelerators),
+			}
+		}
+	}
+	held.owner.SetQuotas(quotas)
+}
+
 // Announce hands an instance's announcement to the owner of its shard.
 func (k *Keeper) Announce(announced placement.Instance) {
 	if held, ok := k.owned[record.ShardOf(announced.Name, k.count)]; ok {
--- a/internal/shard/owned.go
+++ b/internal/shard/owned.go
@@ -107,7 +107,7 @@
 		epochVersion: with.epochVersion,
 		until:        sent.Add(lease),
 	}
-	held.owner.SetShares(k.seams.Shares())
+	k.apply(held, k.seams.Document())
 	for _, each := range with.chunks {
 		held.owner.Load(now, each.job, each.chunk, each.version)
 	}
--- a/pkg/document/contract/contract.go
+++ b/pkg/document/contract/contract.go
@@ -41,6 +41,15 @@
 type Workspace struct {
 	Name  string
 	Share float64 // percent of the instances that the contract owes it
+	Quota Quota
+}
+
+// Quota is the most that the batch tasks of a workspace may use at a time; zero in a
+// dimension means that it has no bound there.
+type Quota struct {
+	Processors   float64
+	Memory       int // MB
+	Accelerators int
 }
 
 // Class is a class of work with its target.
@@ -50,6 +59,7 @@
 	Quantile float64       // service: the quantile of the latency target
 	Latency  time.Duration // service: the latency owed at Quantile
 	Deadline time.Duration // batch: from submission to the end of each task
+	Hourly   float64       // batch, instead of Deadline: tasks of a job owed an hour
 	Progress float64       // sync: share of a processor's time owed while it runs
 }
 
@@ -94,9 +104,9 @@
 
 // refused are keys that do not exist on purpose.
 var refused = map[string]string{
-	"weight":    "weights do not exist: state a target (latency, deadline or progress) instead",
-	"weights":   "weights do not exist: state a target (latency, deadline or progress) instead",
-	"priority":  "priorities do not exist: state a target (latency, deadline or progress) instead",
+	"weight":    "weights do not exist: state a target (latency, deadline, hourly or progress) instead",
+	"weights":   "weights do not exist: state a target (latency, deadline, hourly or progress) instead",
+	"priority":  "priorities do not exist: state a target (latency, deadline, hourly or progress) instead",
 	"address":   "addresses do not exist here: instances announce themselves",
 	"addresses": "addresses do not exist here: instances announce themselves",
 	"instance":  "instances are not named here: state a target and the system chooses them",
@@ -141,6 +151,7 @@
 	problems := n.Mapping([]schema.Field{
 		{Key: "name", Required: true, Read: schema.Text(&workspace.Name)},
 		{Key: "share", Required: true, Read: schema.Number(&workspace.Share)},
+		{Key: "quota", Read: workspace.Quota.read},
 	}, refused)
 	if len(problems) == 0 {
 		problems = append(problems, workspace.check(n)...)
@@ -152,6 +163,18 @@
 	return problems
 }
 
+func (q *Quota) read(n schema.Node) schema.Problems {
+	problems := n.Mapping([]schema.Field{
+		{Key: "cpu", Read: schema.Number(&q.Processors)},
+		{Key: "memory", Read: schema.Whole(&q.Memory)},
+		{Key: "accelerators", Read: schema.Whole(&q.Accelerators)},
+	}, refused)
+	if q.Processors < 0 || q.Memory < 0 || q.Accelerators < 0 {
+		problems = append(problems, n.Problem("a quota must not be negative"))
+	}
+	return problems
+}
+
 func (w Workspace) check(n schema.Node) schema.Problems {
 	var problems schema.Problems
 	if text := checkName(w.Name); text != "" {
@@ -178,6 +201,7 @@
 		note("quantile", schema.Number(&class.Quantile)),
 		note("latency", schema.Duration(&class.Latency)),
 		note("deadline", schema.Duration(&class.Deadline)),
+		note("hourly", schema.Number(&class.Hourly)),
 		note("progress", schema.Number(&class.Progress)),
 	}, refused)
 	if len(problems) == 0 {
@@ -199,8 +223,11 @@
 		{"quantile", "over 0 and below 1", func(c Class) bool { return c.Quantile > 0 && c.Quantile < 1 }},
 		{"latency", "over 0", func(c Class) bool { return c.Latency > 0 }},
 	},
-	Batch: {{"deadline", "over 0", func(c Class) bool { return c.Deadline > 0 }}},
-	Sync:  {{"progress", "over 0 and at most 1", func(c Class) bool { return c.Progress > 0 && c.Progress <= 1 }}},
+	Batch: {
+		{"deadline", "over 0", func(c Class) bool { return c.Deadline > 0 }},
+		{"hourly", "over 0", func(c Class) bool { return c.Hourly > 0 }},
+	},
+	Sync: {{"progress", "over 0 and at most 1", func(c Class) bool { return c.Progress > 0 && c.Progress <= 1 }}},
 }
 
 type target struct {
@@ -209,19 +236,29 @@
 	holds  func(Class) bool
 }
 
+// either lists the kinds that have one of their targets, not all.
+var either = map[Kind]bool{Batch: true}
+
 func checkTargets(n schema.Node, class Class, given map[string]bool) schema.Problems {
 	var problems schema.Problems
 	var allowed []string
+	stated := 0
 	for _, t := range targets[class.Kind] {
 		allowed = append(allowed, t.key)
 		switch {
-		case !given[t.key]:
-			problems = append(problems, n.Problem("class %s: a %s class needs %s", class.Name, class.Kind, t.key))
-		case !t.holds(class):
+		case given[t.key] && !t.holds(class):
 			problems = append(problems, n.Problem("class %s: %s must be %s", class.Name, t.key, t.bounds))
+		case !given[t.key] && !either[class.Kind]:
+			problems = append(problems, n.Problem("class %s: a %s class needs %s", class.Name, class.Kind, t.key))
+		}
+		if given[t.key] {
+			stated++
 		}
 	}
-	for _, key := range []string{"quantile", "latency", "deadline", "progress"} {
+	if either[class.Kind] && stated != 1 {
+		problems = append(problems, n.Problem("class %s: a %s class needs one of %s, not %d", class.Name, class.Kind, strings.Join(allowed, ", "), stated))
+	}
+	for _, key := range targetKeys {
 		if given[key] && !slices.Contains(allowed, key) {
 			problems = append(problems, n.Problem("class %s: %s is no target of a %s class (it has %s)",
 				class.Name, key, class.Kind, strings.Join(allowed, ", ")))
@@ -230,6 +267,9 @@
 	return problems
 }
 
+// targetKeys are the targets of all kinds.
+var targetKeys = []string{"quantile", "latency", "deadline", "hourly", "progress"}
+
 func readKind(into *Kind) func(schema.Node) schema.Problems {
 	return func(n schema.Node) schema.Problems {
 		text, _ := n.Scalar()
@@ -265,12 +305,20 @@
 	Quantile float64 `yaml:"quantile,omitempty"`
 	Latency  string  `yaml:"latency,omitempty"`
 	Deadline string  `yaml:"deadline,omitempty"`
+	Hourly   float64 `yaml:"hourly,omitempty"`
 	Progress float64 `yaml:"progress,omitempty"`
 }
 
 type yamlWorkspace struct {
-	Name  string  `yaml:"name"`
-	Share float64 `yaml:"share"`
+	Name  string     `yaml:"name"`
+	Share float64    `yaml:"share"`
+	Quota *yamlQuota `yaml:"quota,omitempty"`
+}
+
+type yamlQuota struct {
+	Processors   float64 `yaml:"cpu,omitempty"`
+	Memory       int     `yaml:"memory,omitempty"`
+	Accelerators int     `yaml:"accelerators,omitempty"`
 }
 
 type yamlDocument struct {
@@ -309,7 +357,10 @@
 		case "latency":
 			class.Latency = value
 		case "deadline":
-			class.Deadline = value
+			class.Deadline, class.Hourly = value, 0
+		case "hourly":
+			class.Deadline = ""
+			_, err = fmt.Sscanf(value, "%g", &class.Hourly)
 		case "quantile":
 			_, err = fmt.Sscanf(value, "%g", &class.Quantile)
 		case "progress":
@@ -329,7 +380,7 @@
 	if instead, ok := refused[key]; ok {
 		return errors.Newf("%s", instead)
 	}
-	return errors.Newf("%q is no target: latency, quantile, deadline or progress", key)
+	return errors.Newf("%q is no target: %s", key, strings.Join(targetKeys, ", "))
 }
 
 // Diff lists what differs between two documents, one line each, such as
@@ -361,7 +412,12 @@
 type field struct{ key, value string }
 
 func (w Workspace) fields() []field {
-	return []field{{"share", fmt.Sprint(w.Share)}}
+	return []field{
+		{"share", fmt.Sprint(w.Share)},
+		{"quota cpu", fmt.Sprint(w.Quota.Processors)},
+		{"quota memory", fmt.Sprint(w.Quota.Memory)},
+		{"quota accelerators", fmt.Sprint(w.Quota.Accelerators)},
+	}
 }
 
 func (c Class) fields() []field {
@@ -370,6 +426,7 @@
 		{"quantile", fmt.Sprint(c.Quantile)},
 		{"latency", c.Latency.String()},
 		{"deadline", c.Deadline.String()},
+		{"hourly", fmt.Sprint(c.Hourly)},
 		{"progress", fmt.Sprint(c.Progress)},
 	}
 }
--- a/pkg/document/contract/contract_test.go
+++ b/pkg/document/contract/contract_test.go
@@ -27,8 +27,8 @@
 	}{
 		{"good", good, nil},
 		{"weights and priorities", strings.Replace(good, "    share: 60", "    weight: 3\n    priority: high", 1), []string{
-			"line 3: workspaces[0].weight: weights do not exist: state a target (latency, deadline or progress) instead",
-			"line 4: workspaces[0].priority: priorities do not exist: state a target (latency, deadline or progress) instead",
+			"line 3: workspaces[0].weight: weights do not exist: state a target (latency, deadline, hourly or progress) instead",
+			"line 4: workspaces[0].priority: priorities do not exist: state a target (latency, deadline, hourly or progress) instead",
 			"line 2: workspaces[0]: share is missing",
 		}},
 		{"out of range", strings.NewReplacer("0.99", "99", "0.5", "2", "60", "101").Replace(good), []string{
@@ -41,6 +41,13 @@
 			"line 9: classes[1]: class sync: a sync class needs progress",
 			"line 9: classes[1]: class sync: latency is no target of a sync class (it has progress)",
 		}},
+		{"two targets where one is needed", strings.Replace(good, "kind: sync\n    progress: 0.5", "kind: batch\n    deadline: 1h\n    hourly: 30", 1), []string{
+			"line 9: classes[1]: class sync: a batch class needs one of deadline, hourly, not 2",
+		}},
+		{"quota", strings.Replace(good, "share: 60", "share: 60\n    quota:\n      cpu: -1\n      disks: 3", 1), []string{
+			"line 6: workspaces[0].quota.disks: unknown key",
+			"line 5: workspaces[0].quota: a quota must not be negative",
+		}},
 		{"not a mapping", "- a\n", []string{"line 1: must hold keys and values"}},
 	}
 	for _, c := range cases {
--- a/pkg/platform/table/table.go
+++ b/pkg/platform/table/table.go
@@ -133,7 +133,9 @@
 	}
 }
 
-// readBack tells whether the first write of an earlier copy took effect.
+// readBack tells whether the first write of an earlier copy took effect. A read may
+// be old; that it is not is checked by a commit without writes, conditional on the
+// version that was read.
 func (c *Client) readBack(ctx context.Context, writes []Write) (Result, error) {
 	row, err := c.Get(ctx, writes[0].Key)
 	if err != nil {
@@ -141,7 +143,14 @@
 	}
 	removed := writes[0].Remove && row.Version == Absent
 	written := !writes[0].Remove && row.Version != Absent && bytes.Equal(row.Value, writes[0].Value)
-	if removed || written {
+	if written {
+		return Result{Outcome: Committed, Version: row.Version}, nil
+	}
+	current, err := c.Commit(ctx, []Condition{{Key: writes[0].Key, Version: row.Version}}, nil)
+	switch {
+	case current.Outcome != Committed:
+		return Result{}, errors.CombineErrors(err, errors.Newf("the row %s that was read is old", writes[0].Key))
+	case removed:
 		return Result{Outcome: Committed, Version: row.Version}, nil
 	}
 	return Result{Outcome: Conflict}, nil
--- a/pkg/platform/table/table_test.go
+++ b/pkg/platform/table/table_test.go
@@ -13,6 +13,7 @@
 	answers []answer
 	row     Row
 	sent    int
+	old     int // reads that answer with an old row
 }
 
 type answer struct {
@@ -20,9 +21,22 @@
 	effect  bool
 }
 
-func (s *script) get(context.Context, string) (Row, error) { return s.row, nil }
+// get answers old rows first.
+func (s *script) get(context.Context, string) (Row, error) {
+	if s.old > 0 {
+		s.old--
+		return Row{}, nil
+	}
+	return s.row, nil
+}
 
 func (s *script) commit(_ context.Context, conditions []Condition, writes []Write) (Result, error) {
+	if len(writes) == 0 {
+		if conditions[0].Version != s.row.Version {
+			return Result{Outcome: Conflict}, nil
+		}
+		return Result{Outcome: Committed}, nil
+	}
 	next := s.answers[s.sent]
 	s.sent++
 	if next.effect && conditions[0].Version == s.row.Version {
@@ -65,6 +79,16 @@
 	}
 }
 
+func TestSettleDoesNotBelieveAnOldRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []answer{{Unknown, true}, {Conflict, false}, {Conflict, false}, {Conflict, false}}, old: 2}
+		result, err := New(s.get, nil, s.commit).Settle(t.Context(), []Condition{{Key: "k"}}, []Write{{Key: "k", Value: []byte("ours")}})
+		if result.Outcome != Committed || err != nil {
+			t.Errorf("got %s, %v", result.Outcome, err)
+		}
+	})
+}
+
 func TestSettleEndsWithItsContextAsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		commit := func(context.Context, []Condition, []Write) (Result, error) { return Result{}, ErrUnavailable }
