--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SETTINGS := mkutano lechtal
 WEATHERS := calm bad
 
-.PHONY: build check race fmt lint docs generate traces tools demo clean kills
+.PHONY: build check race fmt lint docs generate traces tools demo clean kills capacity
 
 build:
 	go build -o bin/apricotwind ./cmd/apricotwind
@@ -48,6 +48,11 @@
 kills: build
 	test/kills/run
 
+# Measured slopes and what they come to at the size aimed at; takes two minutes.
+capacity: build
+	test/capacity/measure > bin/measured.txt
+	go run ./test/capacity < bin/measured.txt > docs/CAPACITY-measured.md
+
 demo: build
 	bin/apricotwind demo
 
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -2,17 +2,19 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/job"
 	"github.com/apricotwind/apricotwind/internal/ledger"
 	"github.com/apricotwind/apricotwind/internal/standin"
+	"github.com/apricotwind/apricotwind/pkg/document/contract"
 )
 
 // check compares what the callers and operators were told with what the upstreams
 // saw.
-func (p *player) check(ctx context.Context) ([]standin.Check, error) {
+func (p *player) check(ctx context.Context, report ledger.Report) ([]standin.Check, error) {
 	statuses := make([]job.Status, 0, len(p.jobs))
 	once := map[string]bool{}
 	for _, id := range p.jobs {
@@ -35,9 +37,37 @@
 		standin.CheckOnePlace(seen),
 		standin.CheckResumed(seen, func(task string) bool { return once[task] }),
 		checkEnds(statuses),
+		p.checkReport(report, statuses),
 	}, nil
 }
 
+// checkReport holds when the report adds up to what this program sent and was told.
+func (p *player) checkReport(report ledger.Report, statuses []job.Status) standin.Check {
+	want, got := map[string]int{}, map[string]int{}
+	for _, each := range p.sent {
+		want["requests"]++
+		if each.Said == standin.Answered {
+			want["answered"]++
+		}
+	}
+	for _, status := range statuses {
+		want["tasks"] += len(status.Tasks)
+		want["done"] += status.Counts[placement.Done.String()]
+	}
+	for _, line := range report.Lines {
+		owed, ended := "tasks", "done"
+		if line.Kind == contract.Service.String() {
+			owed, ended = "requests", "answered"
+		}
+		got[owed] += line.Owed
+		got[ended] += line.Fates[ledger.Delivered.String()] + line.Fates[ledger.Late.String()]
+	}
+	return standin.Check{
+		Text: "the report adds up to what was sent and told", Held: maps.Equal(want, got),
+		Detail: strings.Join(ledger.Ranked(got), ", "),
+	}
+}
+
 // checkEnds holds when every task of every job has a final state, or waits for the
 // word of a lost instance that may have run it and must not be run again.
 func checkEnds(statuses []job.Status) standin.Check {
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -268,7 +268,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	checks, err := p.check(ctx)
+	checks, err := p.check(ctx, report)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -63,6 +63,7 @@
 	settings    EntrySettings
 	incarnation string
 	log         *zap.Logger
+	sampler     *logs.Sampler // of answers
 	loop        *loop.Loop
 	metrics     *metrics.Set
 	table       *table.Client
@@ -109,7 +110,7 @@
 	}
 	platform := network.client(platformBound)
 	e := &Entry{
-		settings: settings, incarnation: newIncarnation(), log: log, loop: loop.New(ctx), metrics: metrics.New(),
+		settings: settings, incarnation: newIncarnation(), log: log, sampler: logs.NewSampler(settings.Sample), loop: loop.New(ctx), metrics: metrics.New(),
 		table: table.NewOverHTTP(settings.Platform, platform), platform: platform, listeners: opened,
 		entries: map[string]*otherEntry{}, storing: make(chan struct{}, 1),
 		troubles: troubles{
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -96,32 +96,48 @@
 	}
 }
 
-// decided logs and counts one decision of an owner about a task.
+// decided logs and counts one decision of an owner about a task. The line has all
+// that is counted.
 func (e *Entry) decided(d placement.Decision) {
-	e.log.Info("task-"+d.Move.String(), zap.String("job", d.Job.ID), zap.Int("task", d.Task), zap.Int("attempt", d.Attempt),
+	tally := tallyOf(d)
+	e.log.Info(ledger.EventTask+d.Move.String(), zap.String("job", d.Job.ID), zap.Int("task", d.Task), zap.Int("attempt", d.Attempt),
 		zap.String("workspace", d.Job.Workspace), zap.String("class", d.Job.Class), zap.String("instance", d.Instance),
-		zap.Int("over", d.Over), zap.Stringer("state", d.State), zap.String("why", d.Why))
+		zap.Int("over", d.Over), zap.Stringer("state", d.State), zap.String("why", d.Why),
+		zap.String("fate", tally.fate), zap.String("cause", tally.cause), zap.String("move", tally.move))
 	e.metrics.Add("task-"+d.Move.String(), 1)
+	if tally.move != "" {
+		e.book.Move(d.Job.Workspace, d.Job.Class, tally.move)
+	}
+	if d.Move == placement.End {
+		e.book.End(d.Job.Workspace, d.Job.Class, fateOf(d), tally.cause)
+	}
+}
+
+// tally is what the ledger counts of a decision; empty texts count nothing.
+type tally struct{ fate, cause, move string }
+
+func tallyOf(d placement.Decision) tally {
 	switch d.Move {
 	case placement.Place:
 	case placement.Hold:
-		e.book.Move(d.Job.Workspace, d.Job.Class, ledger.HeldForLost)
+		return tally{move: ledger.HeldForLost}
 	case placement.Return:
-		e.countMove(d)
+		return tally{move: moveOf(d)}
 	case placement.End:
-		e.countEnd(d)
+		fate := fateOf(d)
+		return tally{fate: fate.String(), cause: causeOf(d, fate)}
 	}
+	return tally{}
 }
 
-func (e *Entry) countMove(d placement.Decision) {
+func moveOf(d placement.Decision) string {
 	switch {
 	case d.Evicted:
-		e.book.Move(d.Job.Workspace, d.Job.Class, ledger.Evicted)
+		return ledger.Evicted
 	case d.Lost:
-		e.book.Move(d.Job.Workspace, d.Job.Class, ledger.InstanceLost)
-	default:
-		e.book.Move(d.Job.Workspace, d.Job.Class, ledger.Returned)
+		return ledger.InstanceLost
 	}
+	return ledger.Returned
 }
 
 // fates maps the final state of a task to its fate in the ledger.
@@ -132,12 +148,18 @@
 	placement.Doubtful:  ledger.Unknown,
 }
 
-func (e *Entry) countEnd(d placement.Decision) {
-	fate, cause := fates[d.State], d.Why
-	if fate == ledger.Delivered && d.Late {
-		fate, cause = ledger.Late, lateCause(d)
+func fateOf(d placement.Decision) ledger.Fate {
+	if d.State == placement.Done && d.Late {
+		return ledger.Late
+	}
+	return fates[d.State]
+}
+
+func causeOf(d placement.Decision, fate ledger.Fate) string {
+	if fate == ledger.Late {
+		return lateCause(d)
 	}
-	e.book.End(d.Job.Workspace, d.Job.Class, fate, cause)
+	return d.Why
 }
 
 // lateCause says why a task ended after its deadline.
--- a/internal/process/entry_requests.go
+++ b/internal/process/entry_requests.go
@@ -54,12 +54,20 @@
 	return choice, found && err == nil
 }
 
+// countRequest counts what became of a request, and logs it so that the ledger can
+// be computed again from the log.
 func (e *Entry) countRequest(c caller.Count) {
 	e.book.Owe(c.Workspace, c.Class, 1)
 	e.book.End(c.Workspace, c.Class, c.Fate, c.Cause)
-	if c.Fate == ledger.Delivered || c.Fate == ledger.Late {
+	timed := c.Fate == ledger.Delivered || c.Fate == ledger.Late
+	if timed {
 		e.book.Time(c.Workspace, c.Class, c.Took)
 	}
+	if pass, left := e.sampler.Pass(); pass {
+		e.log.Info(ledger.EventAnswer, zap.String("workspace", c.Workspace), zap.String("class", c.Class),
+			zap.Stringer("fate", c.Fate), zap.String("cause", c.Cause), zap.Int64("us", c.Took.Microseconds()),
+			zap.Bool("timed", timed), zap.Int("unlogged", left))
+	}
 }
 
 func keyOf(workspace, key string) string { return record.KeyPrefix + workspace + "/" + key }
--- a/internal/rig/pool.go
+++ b/internal/rig/pool.go
@@ -44,6 +44,7 @@
 	Servers   map[string]*http.Server
 	Client    *http.Client
 	Identity  *identity.Identity // of the processes started next; nil for no TLS
+	Log       *zap.Logger        // of the processes started next
 }
 
 const platformAddress = "127.0.0.1:7000"
@@ -55,7 +56,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
 		t: t, Ctx: ctx, Net: NewMemory(), Platform: standin.NewPlatform(1, nil), Entries: map[string]*process.Entry{},
-		Agents: map[string]*process.Agent{}, Upstreams: map[string]*standin.Upstream{}, Servers: map[string]*http.Server{},
+		Agents: map[string]*process.Agent{}, Upstreams: map[string]*standin.Upstream{}, Servers: map[string]*http.Server{}, Log: zap.NewNop(),
 	}
 	for _, option := range options {
 		option(p)
@@ -107,7 +108,7 @@
 		Name: name, Domain: "d", Caller: "127.0.0.1:710" + number, Operator: "127.0.0.1:720" + number,
 		Link: "127.0.0.1:730" + number, Platform: "http://" + platformAddress, Shards: 1, BodyMost: 1 << 20,
 		Window: 1e9, Sample: 1, Drain: 20e9, Identity: p.Identity,
-	}, p.Net.View(name), zap.NewNop())
+	}, p.Net.View(name), p.Log)
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -128,7 +129,7 @@
 		Name: name, Domain: "d", Rack: "r-" + name, Upstream: "http://127.0.1.1:" + name[1:],
 		Platform: "http://" + platformAddress, Drain: 20e9, Identity: p.Identity,
 		Capacity: link.Capacity{Slots: 8, Connections: 64, Processors: 8, Memory: 1000},
-	}, p.Net.View(name), zap.NewNop())
+	}, p.Net.View(name), p.Log)
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/verb/report.go
+++ b/internal/verb/report.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"os"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/ledger"
+	"github.com/apricotwind/apricotwind/pkg/document/contract"
+	"github.com/cockroachdb/errors"
 )
 
 func reportVerb() Verb {
@@ -21,7 +24,12 @@
 Examples:
   apricotwind report
   apricotwind report --from 2026-12-04T08:00:00Z --workspace kilele
-  apricotwind report --format html > report.html`,
+  apricotwind report --format html > report.html
+  cat e0.log e1.log | apricotwind report --log - --targets targets.yaml
+
+With --log the report is computed from the decision lines of all entries' logs,
+under the document of --targets, without asking an entry: it must agree with the
+one from the ledger.`,
 		Build: func(flags *flag.FlagSet) Run {
 			c := &reportCommand{
 				to:        newOperatorFlags(flags),
@@ -29,6 +37,8 @@
 				until:     flags.String("to", "", "end of the period, RFC 3339 `time` (default now)"),
 				workspace: flags.String("workspace", "", "only this `workspace`"),
 				class:     flags.String("class", "", "only this `class`"),
+				log:       flags.String("log", "", "`file` of all entries' logs to compute the report from, - for standard input"),
+				targets:   flags.String("targets", "", "`file` of the document, with --log"),
 				format:    flags.String("format", "text", "text, json or html"),
 			}
 			return c.run
@@ -39,9 +49,13 @@
 type reportCommand struct {
 	to                                    *operatorFlags
 	from, until, workspace, class, format *string
+	log, targets                          *string
 }
 
 func (c *reportCommand) run(ctx context.Context, streams Streams, _ []string) error {
+	if *c.log != "" {
+		return c.runFromLog(streams)
+	}
 	from, err := parseTime("from", *c.from, time.Time{})
 	if err != nil {
 		return err
@@ -57,6 +71,32 @@
 	return writeReport(streams, *c.format, report)
 }
 
+// runFromLog computes the report from the log.
+func (c *reportCommand) runFromLog(streams Streams) error {
+	text, err := os.ReadFile(*c.targets)
+	if err != nil {
+		return errors.Wrap(err, "--targets")
+	}
+	document, err := contract.Parse(text)
+	if err != nil {
+		return prefixLines(*c.targets, err)
+	}
+	from := streams.In
+	if *c.log != "-" {
+		file, err := os.Open(*c.log)
+		if err != nil {
+			return errors.Wrap(err, "--log")
+		}
+		defer func() { _ = file.Close() }()
+		from = file
+	}
+	report, err := ledger.FromLog(from, document)
+	if err != nil {
+		return errors.Wrap(err, *c.log)
+	}
+	return writeReport(streams, *c.format, report)
+}
+
 func writeReport(streams Streams, format string, report ledger.Report) error {
 	switch format {
 	case "text":
