Entries look at each other's rows every second

Cause: one demo in four was not ready in 5 s: an agent that linked to the first entry learned of the second when that one scanned the rows again, up to 4 s later.

--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -32,6 +32,8 @@
 	configPeriod = time.Second
 	// rowPeriod is the time between two writes of an entry's own row.
 	rowPeriod = 4 * time.Second
+	// entriesPeriod is the time between two looks at the rows of all entries.
+	entriesPeriod = time.Second
 	// rowLife is how long another entry's row may stay unchanged before the entry
 	// counts as gone; goneLife is when its row is removed.
 	rowLife  = 12 * time.Second
@@ -91,7 +93,7 @@
 }
 
 // troubles are what may fail for as long as the platform is out.
-type troubles struct{ config, entries, ledger *logs.Trouble }
+type troubles struct{ config, row, entries, ledger *logs.Trouble }
 
 type listeners struct{ caller, operator, link net.Listener }
 
@@ -115,6 +117,7 @@
 		entries: map[string]*otherEntry{}, storing: make(chan struct{}, 1),
 		troubles: troubles{
 			config:  logs.NewTrouble(log, "config-unread"),
+			row:     logs.NewTrouble(log, "row-unwritten"),
 			entries: logs.NewTrouble(log, "entries-unread"),
 			ledger:  logs.NewTrouble(log, "ledger-unstored"),
 		},
@@ -181,6 +184,7 @@
 	e.metrics.Gauge("config", func() any { return e.document.Load().Version })
 	e.loop.Repeat(configPeriod, e.watchConfig)
 	e.loop.Repeat(rowPeriod, e.writeRow)
+	e.loop.Repeat(entriesPeriod, e.watchEntries)
 	e.loop.Every(e.settings.Window, func() { e.closeWindow(false) })
 	e.serveAll()
 	e.log.Info("entry-up", zap.String("incarnation", e.incarnation), zap.Stringer("caller", e.listeners.caller.Addr()),
--- a/internal/process/entry_platform.go
+++ b/internal/process/entry_platform.go
@@ -10,7 +10,6 @@
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/record"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -24,27 +23,29 @@
 	e.loop.Post(func() { e.adopt(document) })
 }
 
-// writeRow renews this entry's row and looks at those of the others.
+// writeRow renews this entry's row.
 func (e *Entry) writeRow(ctx context.Context) {
 	if e.draining.Load() {
 		return
 	}
 	_, operators, links := e.Addresses()
-	key := record.EntryPrefix + e.settings.Name
-	row, err := e.table.Get(ctx, key)
+	row, err := e.table.Get(ctx, record.EntryPrefix+e.settings.Name)
 	if err == nil {
 		err = e.putRow(ctx, row.Version, record.Entry{
 			Name: e.settings.Name, Incarnation: e.incarnation, Link: links, Operator: operators,
 			Domain: e.settings.Domain, Beat: e.attempts.Add(1),
 		})
 	}
-	rows, scanErr := e.table.Scan(ctx, record.EntryPrefix)
-	err = errors.CombineErrors(err, scanErr)
+	e.troubles.row.Note(err)
+}
+
+// watchEntries looks at the rows of all entries.
+func (e *Entry) watchEntries(ctx context.Context) {
+	rows, err := e.table.Scan(ctx, record.EntryPrefix)
 	e.troubles.entries.Note(err)
-	if err != nil {
-		return
+	if err == nil {
+		e.loop.Post(func() { e.seeEntries(rows) })
 	}
-	e.loop.Post(func() { e.seeEntries(rows) })
 }
 
 func (e *Entry) putRow(ctx context.Context, version uint64, row record.Entry) error {
