--- a/internal/day/generate.go
+++ b/internal/day/generate.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -109,24 +111,43 @@
 		"slow 2.000 %s05 400", "fail 3.000 %s01", "fail 3.050 %s02", "outage 4.000 2s",
 		"return 8.500 %s01", "leave 6.500 %s08", "fail 8.000 %s09",
 	},
+	"quiet":  {},
+	"slow":   {"slow 2.000 %s05 400"},
+	"domain": {"fail 5.000 %s04", "fail 5.000 %s05", "fail 5.000 %s06"},
+	"noisy":  {},
 }
 
-// Generate writes a day of a setting, calm or bad, from a seed.
-func Generate(w io.Writer, name, weather string, seed uint64) error {
+// noise is the wave of batch work of a noisy day: enough for a third of the
+// instances, and more than any class declared.
+var noise = map[string]string{
+	"mkutano": "job 3.000 rebrand pwani tasks=16 cpu=7 memory=2000 runtime=4s",
+	"lechtal": "job 3.000 separation chain tasks=16 cpu=15 memory=4000 runtime=4s",
+}
+
+// Generate writes a day of a setting from a seed: its weather is calm, bad, quiet,
+// slow, domain or noisy, its load so many times the assumed one.
+func Generate(w io.Writer, name, weather string, load float64, seed uint64) error {
 	site, ok := settings[name]
 	if !ok {
 		return errors.Newf("there is no setting %q: mkutano or lechtal", name)
 	}
 	events, ok := faults[weather]
 	if !ok {
-		return errors.Newf("a day is calm or bad, not %q", weather)
+		return errors.Newf("there is no weather %q: %s", weather, strings.Join(slices.Sorted(maps.Keys(faults)), ", "))
+	}
+	if load <= 0 {
+		return errors.Newf("load must be over 0, not %g", load)
 	}
+	site.rate, site.peak = site.rate*load, site.peak*load
 	var text strings.Builder
-	site.head(&text, name, weather, seed)
+	site.head(&text, name, weather, load, seed)
 	site.load(&text, rand.New(rand.NewPCG(seed, uint64(len(name)))))
 	for _, line := range site.jobs {
 		fmt.Fprintln(&text, line)
 	}
+	if weather == "noisy" {
+		fmt.Fprintln(&text, noise[name])
+	}
 	for _, line := range events {
 		fmt.Fprintln(&text, strings.ReplaceAll(line, "%s", site.prefix))
 	}
@@ -139,9 +160,13 @@
 	return errors.Wrap(err, "write day")
 }
 
-func (s setting) head(text *strings.Builder, name, weather string, seed uint64) {
+func (s setting) head(text *strings.Builder, name, weather string, load float64, seed uint64) {
 	fmt.Fprintf(text, "setting %s\n", name)
-	fmt.Fprintf(text, "note made by 'apricotwind trace --setting %s --weather %s --seed %d'; one second stands for two hours\n", name, weather, seed)
+	flags := fmt.Sprintf("--setting %s --weather %s --seed %d", name, weather, seed)
+	if load != 1 {
+		flags += fmt.Sprintf(" --load %g", load)
+	}
+	fmt.Fprintf(text, "note made by 'apricotwind trace %s'; one second stands for two hours\n", flags)
 	fmt.Fprintf(text, "note sizes are the site's own; load (%g to %g requests/s) and service times (median %g ms, lognormal) are assumed\n",
 		s.rate, s.rate+s.peak, s.median)
 	fmt.Fprintf(text, "contract\n")
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -7,11 +7,13 @@
 	"io"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/apricotwind/apricotwind/internal/day"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/decision/routing"
 	"github.com/apricotwind/apricotwind/internal/ledger"
 	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/metrics"
 	"github.com/apricotwind/apricotwind/pkg/document/contract"
 	"github.com/cockroachdb/errors"
 )
@@ -47,9 +49,16 @@
 	Starts  int // tasks placed
 	Evicted int
 	Retried int
+	Service Service  // of all requests
 	Unmet   []string // expectations of the day that were not met
 }
 
+// Service is what requests got over a whole run.
+type Service struct {
+	Sent, InTime, Late, Refused int
+	P50, P99, P999              time.Duration
+}
+
 // event is something that happens at a time.
 type event struct {
 	at    time.Time
@@ -97,6 +106,7 @@
 	outage   time.Time // the platform is out until then
 	renewed  time.Time // the owner's lease was renewed last
 	outcome  Outcome
+	times    *hdrhistogram.Histogram
 	failure  error
 }
 
@@ -118,7 +128,7 @@
 	document.Version = 1
 	r := &run{
 		day: of, options: options, now: epoch, begun: epoch, end: epoch.Add(of.Length() + tail),
-		document: document, hosts: map[string]*host{}, renewed: epoch,
+		document: document, hosts: map[string]*host{}, renewed: epoch, times: metrics.NewHistogram(),
 		owner: placement.New(epoch, options.Placer, replayEpoch, link.GrantTTL),
 		book:  ledger.New(epoch, "replay", "replay"),
 	}
@@ -242,6 +252,8 @@
 		return Outcome{}, err
 	}
 	r.outcome.Report = report
+	quantile := func(q float64) time.Duration { return time.Duration(r.times.ValueAtQuantile(q)) * time.Microsecond }
+	r.outcome.Service.P50, r.outcome.Service.P99, r.outcome.Service.P999 = quantile(50), quantile(99), quantile(99.9)
 	for _, expected := range r.day.Expected {
 		delivered, ended := 0, 0
 		for _, line := range report.Lines {
--- a/internal/replay/requests.go
+++ b/internal/replay/requests.go
@@ -10,6 +10,7 @@
 	"github.com/apricotwind/apricotwind/internal/decision/admission"
 	"github.com/apricotwind/apricotwind/internal/decision/routing"
 	"github.com/apricotwind/apricotwind/internal/ledger"
+	"github.com/apricotwind/apricotwind/internal/metrics"
 )
 
 const (
@@ -55,6 +56,7 @@
 func (r *run) arrive(number int, e day.Event) {
 	q := &request{number: number, event: e, entry: r.entries[number%len(r.entries)], begun: r.now, last: "no capacity"}
 	r.book.Owe(e.Workspace, e.Class, 1)
+	r.outcome.Service.Sent++
 	r.try(q)
 }
 
@@ -86,6 +88,7 @@
 func (r *run) refuse(q *request) {
 	r.say("refuse request=%d why=%q", q.number, q.last)
 	r.book.End(q.event.Workspace, q.event.Class, ledger.Refused, q.last)
+	r.outcome.Service.Refused++
 }
 
 // reach brings an attempt to the gate of its instance.
@@ -142,7 +145,11 @@
 	fate, cause := ledger.Delivered, ""
 	if took > class.Latency {
 		fate, cause = ledger.Late, "over the latency target"
+		r.outcome.Service.Late++
+	} else {
+		r.outcome.Service.InTime++
 	}
+	metrics.Record(r.times, took)
 	r.book.End(at.event.Workspace, at.event.Class, fate, cause)
 	r.book.Time(at.event.Workspace, at.event.Class, took)
 }
--- /dev/null
+++ b/internal/verb/experiment.go
@@ -0,0 +1,76 @@
+package verb
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/day"
+	"github.com/apricotwind/apricotwind/internal/decision/routing"
+	"github.com/apricotwind/apricotwind/internal/replay"
+)
+
+func experimentVerb() Verb {
+	return Verb{
+		Name:  "experiment",
+		Short: "compare routing policies on the same days in one run",
+		Long: `
+Replays made days of a setting under each routing policy, in one run: a quiet day,
+overloads, one slow instance, a lost failure domain, a noisy wave of batch work.
+For each it prints the latency of answers in ms, how many requests were answered
+within their target, late, or refused, and how often they were tried again.
+
+Load 1 is what the setting's generator assumes; --load scales it, so that overload
+means something on instances that hold far more.
+
+Example:
+  apricotwind experiment --setting mkutano --load 20`,
+		Build: func(flags *flag.FlagSet) Run {
+			setting := flags.String("setting", "mkutano", "mkutano or lechtal")
+			load := flags.Float64("load", 20, "`times` the assumed load that counts as 1x")
+			seed := flags.Uint64("seed", 1, "`seed` of the days and of the policies")
+			return func(_ context.Context, streams Streams, _ []string) error {
+				return runExperiment(streams, *setting, *load, *seed)
+			}
+		},
+	}
+}
+
+// trials are the days of an experiment and their load, in multiples of 1x.
+var trials = []struct {
+	weather string
+	load    float64
+}{
+	{"quiet", 1}, {"quiet", 1.5}, {"quiet", 2}, {"slow", 1}, {"domain", 1}, {"noisy", 1},
+}
+
+func runExperiment(streams Streams, setting string, load float64, seed uint64) error {
+	columns := tabwriter.NewWriter(streams.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(columns, strings.Join([]string{"day", "load", "policy", "p50", "p99", "p99.9", "sent", "in time", "late", "refused", "retried", ""}, "\t"))
+	for _, trial := range trials {
+		var text bytes.Buffer
+		if err := day.Generate(&text, setting, trial.weather, load*trial.load, seed); err != nil {
+			return err
+		}
+		of, err := day.Read(&text)
+		if err != nil {
+			return err
+		}
+		for _, chooser := range routing.Choosers() {
+			outcome, err := replay.Run(of, replay.Options{Seed: seed, Chooser: chooser, Throttle: true})
+			if err != nil {
+				return err
+			}
+			s := outcome.Service
+			fmt.Fprintf(columns, "%s\t%gx\t%s\t%.0f\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t%d\t\n", trial.weather, trial.load, chooser,
+				ms(s.P50), ms(s.P99), ms(s.P999), s.Sent, s.InTime, s.Late, s.Refused, outcome.Retried)
+		}
+	}
+	return columns.Flush()
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -26,6 +26,7 @@
 		jobCancelVerb(),
 		reportVerb(),
 		replayVerb(),
+		experimentVerb(),
 		traceVerb(),
 		loadVerb(),
 		settingsCheckVerb(),
