Load and service time come back with each answer

Cause: the entry's view of an instance was up to a second old and its service time counted the queue, which the expected wait counted again; under load all entries ran after the same stale view. Change: every answer of a gate carries what runs, what waits and how long it worked; a report is taken as own requests plus those of others.

--- a/internal/caller/attempts.go
+++ b/internal/caller/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/apricotwind/apricotwind/internal/agent"
 	"github.com/apricotwind/apricotwind/internal/decision/admission"
 	"github.com/apricotwind/apricotwind/internal/decision/routing"
+	"github.com/apricotwind/apricotwind/internal/entry"
 	"github.com/apricotwind/apricotwind/internal/forward"
 	"github.com/apricotwind/apricotwind/internal/ledger"
 	"github.com/apricotwind/apricotwind/internal/problem"
@@ -152,11 +153,11 @@
 		return result{}, false
 	}
 	status := sent.Response.StatusCode
+	ended := endOf(sent.Response.Header)
 	q.body.CloseUnlessEnded(w)
 	err := forward.Answer(w, sent.Response)
-	took := time.Since(q.begun)
 	if err != nil {
-		h.node.Finish(choice, routing.Gone, took)
+		h.node.Finish(choice, ended.as(routing.Gone))
 		h.count(q, ledger.Unknown, "answer cut short")
 		h.log.Warn("answer-broken", zap.String("instance", choice.Instance), logs.Error(err))
 		panic(http.ErrAbortHandler)
@@ -165,7 +166,7 @@
 	if status >= http.StatusInternalServerError {
 		ending = routing.Failed
 	}
-	h.node.Finish(choice, ending, took)
+	h.node.Finish(choice, ended.as(ending))
 	if status >= http.StatusInternalServerError {
 		h.count(q, ledger.Failed, "upstream answered "+strconv.Itoa(status))
 	} else {
@@ -174,22 +175,36 @@
 	return result{whole: true, status: status}, true
 }
 
+// endOf reads the load that came with an answer.
+func endOf(header http.Header) End {
+	load, served, ok := entry.ReadLoad(header)
+	if !ok {
+		return End{}
+	}
+	return End{Load: &load, Served: served}
+}
+
+// as gives the end its ending.
+func (e End) as(ending routing.Ending) End {
+	e.Ending = ending
+	return e
+}
+
 // failed finds out what became of an attempt without an answer, and whether the
 // request may be tried again.
 func (h *Handler) failed(ctx context.Context, q *request, choice Choice, attempt string, sent forward.Sent) (end, bool) {
-	took := time.Since(q.begun)
 	if sent.Err == nil {
-		return h.refusedByGate(choice, sent.Response, q, took)
+		return h.refusedByGate(choice, sent.Response, q)
 	}
 	h.log.Warn("attempt-failed", zap.String("attempt", attempt), zap.String("instance", choice.Instance), logs.Error(sent.Err))
 	if ctx.Err() != nil {
-		return h.gaveUp(ctx, choice, took)
+		return h.gaveUp(ctx, choice)
 	}
 	if q.body.Broken() {
-		h.node.Finish(choice, routing.Gone, took)
+		h.node.Finish(choice, End{Ending: routing.Gone})
 		return end{problem.New(http.StatusBadRequest, problem.Unknown, "body", "the body was cut short or is over the limit").At(h.name), "caller's body broken"}, false
 	}
-	h.node.Finish(choice, routing.Failed, took)
+	h.node.Finish(choice, End{Ending: routing.Failed})
 	unknown := problem.New(http.StatusBadGateway, problem.Unknown, "exchange", "the link to the instance broke: "+sent.Err.Error()).At(choice.Instance)
 	refused := problem.New(http.StatusServiceUnavailable, problem.Refused, "exchange", "the instance was lost before it ran the request").At(choice.Instance).After(retryAfter)
 	if !sent.Connected {
@@ -211,8 +226,8 @@
 }
 
 // gaveUp ends an attempt whose caller is gone or whose time is over.
-func (h *Handler) gaveUp(ctx context.Context, choice Choice, took time.Duration) (end, bool) {
-	h.node.Finish(choice, routing.Gone, took)
+func (h *Handler) gaveUp(ctx context.Context, choice Choice) (end, bool) {
+	h.node.Finish(choice, End{Ending: routing.Gone})
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return end{problem.New(http.StatusGatewayTimeout, problem.Unknown, "await", "no answer in time").At(choice.Instance), "no answer in time"}, false
 	}
@@ -221,17 +236,18 @@
 
 // refusedByGate takes a gate's own answer. What was refused was not run and may be
 // tried elsewhere; what is unknown may be, if it is idempotent.
-func (h *Handler) refusedByGate(choice Choice, response *http.Response, q *request, took time.Duration) (end, bool) {
+func (h *Handler) refusedByGate(choice Choice, response *http.Response, q *request) (end, bool) {
 	defer func() { _ = response.Body.Close() }()
+	ended := endOf(response.Header)
 	said := problem.Read(response, choice.Instance)
 	var p problem.Problem
 	if !errors.As(said, &p) {
 		p = problem.New(http.StatusBadGateway, problem.Unknown, "exchange", "the gate answered "+response.Status).At(choice.Instance)
 	}
 	if p.Outcome == problem.Refused.String() && p.Step == "admit" {
-		h.node.Finish(choice, routing.Refused, took)
+		h.node.Finish(choice, ended.as(routing.Refused))
 		return end{p, "no capacity"}, true
 	}
-	h.node.Finish(choice, routing.Failed, took)
+	h.node.Finish(choice, ended.as(routing.Failed))
 	return end{p, "instance failed"}, p.Outcome == problem.Refused.String() || q.idempotent
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -53,12 +53,19 @@
 type Node struct {
 	Document func() contract.Document
 	Pick     func(tried []string) (Choice, bool)
-	Finish   func(choice Choice, ending routing.Ending, took time.Duration)
+	Finish   func(choice Choice, end End)
 	Count    func(Count)
 	Revoke   func(ctx context.Context, choice Choice, attempt string) (string, error)
 	Key      Keys
 }
 
+// End is how an attempt ended, and the load that the instance reported with it.
+type End struct {
+	Ending routing.Ending
+	Load   *routing.Load // nil when nothing was reported
+	Served time.Duration
+}
+
 // Count is what the ledger learns of one request.
 type Count struct {
 	Workspace string
--- a/internal/decision/routing/routing.go
+++ b/internal/decision/routing/routing.go
@@ -26,6 +26,8 @@
 	ejectLongest = 30 * time.Second
 	// ejectShare is the largest share of the instances that may be set aside.
 	ejectShare = 0.3
+	// tieWeight makes the less busy of two instances with free slots the better.
+	tieWeight = 0.02
 	// slowStart is how long a new instance's load is counted higher than it is.
 	slowStart = 2 * time.Second
 	// sample is how many instances LeastWait compares, so that entries with
@@ -87,7 +89,7 @@
 
 type instance struct {
 	Instance
-	load        Load
+	others      int // requests there that are not of this entry, when it last reported
 	outstanding int
 	service     time.Duration
 	heard       time.Time
@@ -132,10 +134,11 @@
 	}
 }
 
-// Observe takes a report of load.
+// Observe takes a report of load: a beat's, or one that came with an answer. What is
+// there beyond this entry's own requests is of others.
 func (s *State) Observe(now time.Time, name string, load Load) {
 	if known, ok := s.instances[name]; ok {
-		known.load = load
+		known.others = max(load.Busy+load.Queued-known.outstanding, 0)
 		known.heard = now
 	}
 }
@@ -190,8 +193,9 @@
 	}, true
 }
 
-// Finish takes the end of an attempt that Pick started.
-func (s *State) Finish(now time.Time, name, incarnation string, ending Ending, elapsed time.Duration) {
+// Finish takes the end of an attempt that Pick started. Served is how long the
+// instance worked on it, without its queue; 0 when that is not known.
+func (s *State) Finish(now time.Time, name, incarnation string, ending Ending, served time.Duration) {
 	known, ok := s.instances[name]
 	if !ok || known.Incarnation != incarnation {
 		return
@@ -201,7 +205,9 @@
 	case Answered:
 		known.failures = 0
 		known.ejections = 0
-		known.service += time.Duration(smoothing * float64(elapsed-known.service))
+		if served > 0 {
+			known.service += time.Duration(smoothing * float64(served-known.service))
+		}
 	case Failed:
 		s.fail(now, known)
 	case Refused, Gone:
@@ -269,14 +275,14 @@
 	})
 }
 
-// wait is the expected time to an answer: own outstanding requests and what the
-// instance last reported, whichever is more, against its slots.
+// wait is the expected time to an answer: own requests there and those of others as
+// last reported, against its slots.
 func (s *State) wait(now time.Time, known *instance) time.Duration {
-	ahead := max(known.outstanding, known.load.Busy+known.load.Queued)
+	ahead := known.outstanding + known.others
 	if now.Sub(known.since) < slowStart {
 		ahead += known.Slots / 2
 	}
-	rounds := 1 + float64(ahead)/float64(max(known.Slots, 1))
+	rounds := 1 + max(float64(ahead-known.Slots+1), 0)/float64(max(known.Slots, 1)) + tieWeight*float64(ahead)
 	wait := time.Duration(rounds * float64(known.service))
 	if known.Domain != s.domain {
 		wait += crossDomainCost
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -4,13 +4,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/logs"
 
 	"github.com/apricotwind/apricotwind/internal/decision/admission"
+	"github.com/apricotwind/apricotwind/internal/decision/routing"
 	"github.com/apricotwind/apricotwind/internal/forward"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/metrics"
@@ -29,6 +32,10 @@
 	HeaderClass       = "Apricotwind-Class"
 )
 
+// HeaderLoad carries the load of the instance with every answer: requests that run,
+// requests that wait, and the microseconds this one was worked on (0: not at all).
+const HeaderLoad = "Apricotwind-Load"
+
 // retryAfter is what a refused entry is told to wait before it comes back.
 const retryAfter = time.Second
 
@@ -43,6 +50,8 @@
 	log      *zap.Logger
 	metrics  *metrics.Set
 	observe  func(class string, took time.Duration)
+	busy     atomic.Int64 // copies of the gate's counts, for any goroutine
+	queued   atomic.Int64
 }
 
 // NewGate makes the handler of the instance named. Observe is called on the loop
@@ -98,6 +107,7 @@
 	ready := make(chan struct{})
 	err := g.loop.Do(func() {
 		verdict = g.gate.Arrive(time.Now(), attempt)
+		g.copyCounts()
 		if verdict == admission.Queue {
 			g.waiting[attempt.ID] = ready
 		}
@@ -141,7 +151,27 @@
 	}
 }
 
+// copyCounts publishes the gate's counts. It runs on the loop.
+func (g *Gate) copyCounts() {
+	g.busy.Store(int64(g.gate.Busy()))
+	g.queued.Store(int64(g.gate.Queued()))
+}
+
+// stamp puts the load into an answer's header.
+func (g *Gate) stamp(w http.ResponseWriter, served time.Duration) {
+	w.Header().Set(HeaderLoad, fmt.Sprintf("%d %d %d", g.busy.Load(), g.queued.Load(), served.Microseconds()))
+}
+
+// ReadLoad reads and removes the load from an answer's header.
+func ReadLoad(header http.Header) (load routing.Load, served time.Duration, ok bool) {
+	var us int64
+	_, err := fmt.Sscanf(header.Get(HeaderLoad), "%d %d %d", &load.Busy, &load.Queued, &us)
+	header.Del(HeaderLoad)
+	return load, time.Duration(us) * time.Microsecond, err == nil
+}
+
 func (g *Gate) finish(attempt admission.Attempt) {
+	defer g.copyCounts()
 	for _, id := range g.gate.Finish(time.Now(), attempt) {
 		if ready, ok := g.waiting[id]; ok {
 			close(ready)
@@ -164,7 +194,7 @@
 	}
 	w.Header().Set(problem.HeaderPeer, g.name)
 	started := time.Now()
-	failed, broken := g.upstream.Forward(ctx, w, r, body)
+	failed, broken := g.upstream.Forward(ctx, w, r, body, func() { g.stamp(w, time.Since(started)) })
 	took := time.Since(started)
 	g.metrics.Time("upstream", took)
 	switch {
@@ -193,5 +223,6 @@
 }
 
 func (g *Gate) refuse(w http.ResponseWriter, status int, step, why string) {
+	g.stamp(w, 0)
 	problem.New(status, problem.Refused, step, why).At(g.name).After(retryAfter).Write(w)
 }
--- a/internal/process/entry_requests.go
+++ b/internal/process/entry_requests.go
@@ -8,7 +8,6 @@
 
 	"github.com/apricotwind/apricotwind/internal/caller"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
-	"github.com/apricotwind/apricotwind/internal/decision/routing"
 	"github.com/apricotwind/apricotwind/internal/ledger"
 	"github.com/apricotwind/apricotwind/internal/operator"
 	"github.com/apricotwind/apricotwind/internal/record"
@@ -24,10 +23,8 @@
 	return caller.Node{
 		Document: func() contract.Document { return *e.document.Load() },
 		Pick:     e.pick,
-		Finish: func(choice caller.Choice, ending routing.Ending, took time.Duration) {
-			e.loop.Post(func() {
-				e.routing.Finish(time.Now(), choice.Instance, choice.Incarnation, ending, took)
-			})
+		Finish: func(choice caller.Choice, end caller.End) {
+			e.loop.Post(func() { e.finish(choice, end) })
 		},
 		Count: func(c caller.Count) {
 			e.loop.Post(func() { e.countRequest(c) })
@@ -54,6 +51,15 @@
 	return choice, found && err == nil
 }
 
+// finish takes the end of an attempt and the load reported with it.
+func (e *Entry) finish(choice caller.Choice, end caller.End) {
+	now := time.Now()
+	e.routing.Finish(now, choice.Instance, choice.Incarnation, end.Ending, end.Served)
+	if end.Load != nil {
+		e.routing.Observe(now, choice.Instance, *end.Load)
+	}
+}
+
 // countRequest counts what became of a request, and logs it so that the ledger can
 // be computed again from the log.
 func (e *Entry) countRequest(c caller.Count) {
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -118,9 +118,14 @@
 	return used / max(h.of.Capacity.Processors, 1)
 }
 
+// reported is the load that goes with beats and answers.
+func (h *host) reported() routing.Load {
+	return routing.Load{Busy: h.gate.Busy(), Queued: h.gate.Queued()}
+}
+
 // beat reports to every entry, and to the owner, which is the first.
 func (h *host) beat() {
-	load := routing.Load{Busy: h.gate.Busy(), Queued: h.gate.Queued()}
+	load := h.reported()
 	for _, each := range h.run.entries {
 		h.run.after(delay(h.of.Domain, each.of.Domain), func() {
 			each.routing.Observe(h.run.now, h.of.Name, load)
--- a/internal/replay/requests.go
+++ b/internal/replay/requests.go
@@ -36,7 +36,6 @@
 	id     string
 	choice routing.Choice
 	host   *host
-	sent   time.Time
 	began  time.Time
 	ended  bool
 }
@@ -75,7 +74,7 @@
 	}
 	at := &attempt{
 		request: q, id: fmt.Sprintf("%05d.%d", q.number, len(q.tried)+1),
-		choice: choice, host: r.hosts[choice.Instance], sent: r.now,
+		choice: choice, host: r.hosts[choice.Instance],
 	}
 	q.tried = append(q.tried, choice.Instance)
 	r.say("route request=%d entry=%s class=%s instance=%s over=%d wait=%s why=%s", q.number, q.entry.of.Name, q.event.Class,
@@ -107,8 +106,10 @@
 	case admission.Queue:
 		h.waiting[at.id] = at
 	case admission.Full, admission.Leaving, admission.Late, admission.Incarnation, admission.Duplicate, admission.Revoked:
+		load := h.reported()
 		r.after(at.delay(), func() {
 			at.entry.routing.Finish(r.now, h.of.Name, at.choice.Incarnation, routing.Refused, 0)
+			at.entry.routing.Observe(r.now, h.of.Name, load)
 			at.last = "no capacity"
 			r.try(at.request)
 		})
@@ -135,11 +136,16 @@
 		delete(h.waiting, id)
 		h.serve(next)
 	}
-	r.after(at.delay(), func() { r.answered(at) })
+	load := h.reported()
+	served := r.now.Sub(at.began)
+	r.after(at.delay(), func() {
+		at.entry.routing.Finish(r.now, h.of.Name, at.choice.Incarnation, routing.Answered, served)
+		at.entry.routing.Observe(r.now, h.of.Name, load)
+		r.answered(at)
+	})
 }
 
 func (r *run) answered(at *attempt) {
-	at.entry.routing.Finish(r.now, at.host.of.Name, at.choice.Incarnation, routing.Answered, r.now.Sub(at.sent))
 	took := r.now.Sub(at.begun)
 	class, _ := r.document.Class(at.event.Class)
 	fate, cause := ledger.Delivered, ""
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,6 +21,9 @@
 	dialBound = time.Second
 )
 
+// headerLoad is package entry's HeaderLoad, which only the gate may set.
+const headerLoad = "Apricotwind-Load"
+
 // Dial opens connections to the upstream.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -53,8 +56,9 @@
 
 // Forward sends the request and writes the whole answer to w. A problem is
 // returned when nothing was written yet; with broken the answer was cut short
-// and the connection to the entry must be broken too.
-func (c *Client) Forward(ctx context.Context, w http.ResponseWriter, in *http.Request, body *forward.Body) (failed *problem.Problem, broken error) {
+// and the connection to the entry must be broken too. Answering is called before the
+// first byte of an answer is written.
+func (c *Client) Forward(ctx context.Context, w http.ResponseWriter, in *http.Request, body *forward.Body, answering func()) (failed *problem.Problem, broken error) {
 	out := forward.Request(ctx, in, c.base, body)
 	sent := forward.Send(out, c.transport)
 	if sent.Err != nil {
@@ -62,8 +66,10 @@
 		return &p, nil
 	}
 	body.CloseUnlessEnded(w)
+	answering()
 	// Only the gate itself may speak of outcomes.
 	sent.Response.Header.Del(problem.HeaderOutcome)
+	sent.Response.Header.Del(headerLoad)
 	return nil, errors.Wrapf(forward.Answer(w, sent.Response), "peer %s", c.base.Host)
 }
 
