The gate prefers what can still meet its target; routing compares more instances

Cause: under overload slots went to requests that were late already; the queue was in order of a deadline far beyond the target.

--- a/internal/agent/gates.go
+++ b/internal/agent/gates.go
@@ -33,6 +33,7 @@
 	Workspace   string
 	Class       string
 	Left        time.Duration // until the deadline
+	Target      time.Duration // until it is late; negative when it is
 }
 
 // Gates sends attempts to the gates of agents.
@@ -66,6 +67,7 @@
 	out.Header.Set(entry.HeaderWorkspace, attempt.Workspace)
 	out.Header.Set(entry.HeaderClass, attempt.Class)
 	out.Header.Set(entry.HeaderTimeout, strconv.FormatInt(attempt.Left.Milliseconds(), 10))
+	out.Header.Set(entry.HeaderTarget, strconv.FormatInt(attempt.Target.Milliseconds(), 10))
 	if late {
 		out.Header.Set("Expect", "100-continue")
 	}
--- a/internal/caller/attempts.go
+++ b/internal/caller/attempts.go
@@ -135,7 +135,7 @@
 	id := h.unique()
 	sent := h.gates.Send(ctx, q.r, q.body.reader(), !q.body.whole, agent.Attempt{
 		ID: id, Instance: choice.Instance, Incarnation: choice.Incarnation, Gate: choice.Gate,
-		Workspace: q.workspace, Class: q.class.Name, Left: time.Until(q.deadline),
+		Workspace: q.workspace, Class: q.class.Name, Left: time.Until(q.deadline), Target: time.Until(q.begun.Add(q.class.Latency)),
 	})
 	return sent, id
 }
--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -13,6 +13,8 @@
 	// recordLife is how long an ended attempt is remembered. It is longer than
 	// any copy of the request may be under way.
 	recordLife = 2 * time.Minute
+	// smoothing is the weight of the newest service time in the moving average.
+	smoothing = 0.1
 	// recordsMost bounds the attempts remembered; beyond it the gate refuses.
 	recordsMost = 200_000
 )
@@ -53,7 +55,8 @@
 	ID          string
 	Workspace   string
 	Incarnation string
-	Deadline    time.Time
+	Deadline    time.Time // its caller has no use for an answer after it
+	Target      time.Time // an answer after it is late; zero for none
 }
 
 // Limits of the instance, counted in requests.
@@ -73,6 +76,8 @@
 	limits      Limits
 	busy        int
 	waiting     []Attempt
+	service     time.Duration  // recent time a request takes, as a moving average
+	displaced   []string       // attempts that lost their place to another
 	running     map[string]int // by workspace
 	records     map[string]record
 	swept       time.Time
@@ -107,7 +112,8 @@
 	case Admit:
 		g.start(now, attempt)
 	case Queue:
-		g.enqueue(attempt)
+		g.makeRoom(now)
+		g.waiting = append(g.waiting, attempt)
 		g.records[attempt.ID] = record{standing: Waiting, at: now}
 	case Full, Leaving, Late, Incarnation:
 		g.records[attempt.ID] = record{standing: Refuse, at: now}
@@ -134,28 +140,58 @@
 		return Full
 	case g.busy < g.limits.Slots:
 		return Admit
-	case g.busy+len(g.waiting) < g.limits.Connections:
+	case g.busy+len(g.waiting) < g.limits.Connections, g.oldestLate(now) >= 0:
 		return Queue
 	}
 	return Full
 }
 
+// late tells whether an attempt that starts now is not expected to meet its target.
+func (g *Gate) late(now time.Time, attempt Attempt) bool {
+	return !attempt.Target.IsZero() && now.Add(g.service).After(attempt.Target)
+}
+
+// oldestLate finds the waiting attempt that is late the longest; -1 if none is.
+func (g *Gate) oldestLate(now time.Time) int {
+	oldest := -1
+	for i, attempt := range g.waiting {
+		if g.late(now, attempt) && (oldest < 0 || attempt.Target.Before(g.waiting[oldest].Target)) {
+			oldest = i
+		}
+	}
+	return oldest
+}
+
+// makeRoom takes the place of the oldest late attempt when the queue is full: what
+// can still meet its target goes before what cannot.
+func (g *Gate) makeRoom(now time.Time) {
+	if g.busy+len(g.waiting) < g.limits.Connections {
+		return
+	}
+	at := g.oldestLate(now)
+	g.displaced = append(g.displaced, g.waiting[at].ID)
+	g.records[g.waiting[at].ID] = record{standing: Refuse, at: now}
+	g.waiting = slices.Delete(g.waiting, at, at+1)
+}
+
+// Displaced returns and clears the attempts that lost their place in the queue.
+func (g *Gate) Displaced() []string {
+	ids := g.displaced
+	g.displaced = nil
+	return ids
+}
+
 func (g *Gate) start(now time.Time, attempt Attempt) {
 	g.busy++
 	g.running[attempt.Workspace]++
 	g.records[attempt.ID] = record{standing: Started, at: now}
 }
 
-// enqueue keeps the queue in order of deadline.
-func (g *Gate) enqueue(attempt Attempt) {
-	at, _ := slices.BinarySearchFunc(g.waiting, attempt, func(a, b Attempt) int {
-		return a.Deadline.Compare(b.Deadline)
-	})
-	g.waiting = slices.Insert(g.waiting, at, attempt)
-}
-
 // Finish ends a running attempt and names those that may run now.
 func (g *Gate) Finish(now time.Time, attempt Attempt) []string {
+	if begun := g.records[attempt.ID]; begun.standing == Started {
+		g.service += time.Duration(smoothing * float64(now.Sub(begun.at)-g.service))
+	}
 	g.records[attempt.ID] = record{standing: Ended, at: now}
 	g.busy--
 	g.running[attempt.Workspace]--
@@ -192,14 +228,13 @@
 	return known.standing
 }
 
-// admitWaiting starts waiting attempts while slots are free: first those of the
-// workspace with the fewest running, among them the earliest deadline.
+// admitWaiting starts waiting attempts while slots are free.
 func (g *Gate) admitWaiting(now time.Time) []string {
 	var started []string
 	for g.busy < g.limits.Slots && len(g.waiting) > 0 {
 		best := 0
-		for i, attempt := range g.waiting {
-			if g.running[attempt.Workspace] < g.running[g.waiting[best].Workspace] {
+		for i := range g.waiting {
+			if g.before(now, g.waiting[i], g.waiting[best]) {
 				best = i
 			}
 		}
@@ -211,6 +246,18 @@
 	return started
 }
 
+// before tells whether a goes before b: one that can still meet its target, then one
+// of the workspace with fewer running, then the earlier target.
+func (g *Gate) before(now time.Time, a, b Attempt) bool {
+	if late := g.late(now, a); late != g.late(now, b) {
+		return !late
+	}
+	if x, y := g.running[a.Workspace], g.running[b.Workspace]; x != y {
+		return x < y
+	}
+	return a.Target.Before(b.Target)
+}
+
 // sweep forgets ended attempts after recordLife, once a second at most.
 func (g *Gate) sweep(now time.Time) {
 	if now.Sub(g.swept) < time.Second {
--- a/internal/decision/admission/admission_test.go
+++ b/internal/decision/admission/admission_test.go
@@ -59,6 +59,37 @@
 	}
 }
 
+func TestLateRequestsGiveWayToThoseThatCanStillMeetTheirTarget(t *testing.T) {
+	g := New("i", Limits{Slots: 1, Connections: 3})
+	queue := func(id string, target time.Duration) Verdict {
+		attempt := try(id)
+		attempt.Target = start.Add(target)
+		return g.Arrive(start, attempt)
+	}
+	queue("running", time.Second)
+	queue("late", -2*time.Second)
+	queue("later", -time.Second)
+	if got := queue("in time", time.Second); got != Queue {
+		t.Fatalf("with late ones in a full queue: %s", got)
+	}
+	if got := g.Displaced(); len(got) != 1 || got[0] != "late" {
+		t.Fatalf("displaced %v, want the one that is late the longest", got)
+	}
+	if got := g.Revoke(start, "late"); got != Refuse {
+		t.Errorf("the displaced attempt is %s", got)
+	}
+	if next := g.Finish(start, try("running")); len(next) != 1 || next[0] != "in time" {
+		t.Errorf("next is %v", next)
+	}
+	queue("second", time.Second)
+	if got := queue("third", 2*time.Second); got != Queue {
+		t.Errorf("the other late one did not give way: %s", got)
+	}
+	if got := queue("fourth", 2*time.Second); got != Full {
+		t.Errorf("a queue of requests in time gave way: %s", got)
+	}
+}
+
 // TestSeededInterleavings drives the gate by chance and compares it with what must
 // always hold: never over the slots, and nothing that was refused or revoked runs.
 func TestSeededInterleavings(t *testing.T) {
@@ -90,9 +121,14 @@
 		id := fmt.Sprint(random.IntN(40))
 		attempt := try(id)
 		attempt.Workspace = fmt.Sprint(random.IntN(3))
+		attempt.Target = now.Add(time.Duration(random.IntN(400)-200) * time.Millisecond)
 		switch random.IntN(4) {
 		case 0, 1:
-			switch g.Arrive(now, attempt) {
+			verdict := g.Arrive(now, attempt)
+			for _, displaced := range g.Displaced() {
+				dead[displaced] = true
+			}
+			switch verdict {
 			case Admit:
 				if err := begin(id); err != nil {
 					return err
--- a/internal/decision/routing/routing.go
+++ b/internal/decision/routing/routing.go
@@ -27,12 +27,12 @@
 	// ejectShare is the largest share of the instances that may be set aside.
 	ejectShare = 0.3
 	// tieWeight makes the less busy of two instances with free slots the better.
-	tieWeight = 0.02
+	tieWeight = 0.1
 	// slowStart is how long a new instance's load is counted higher than it is.
 	slowStart = 2 * time.Second
 	// sample is how many instances LeastWait compares, so that entries with
 	// the same stale view do not all choose the same instance.
-	sample = 4
+	sample = 16
 )
 
 //go:generate stringer -type=Chooser -linecomment
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -28,6 +28,7 @@
 	HeaderAttempt     = "Apricotwind-Attempt"
 	HeaderIncarnation = "Apricotwind-Incarnation"
 	HeaderTimeout     = "Apricotwind-Timeout" // milliseconds left
+	HeaderTarget      = "Apricotwind-Target"  // milliseconds left until it is late
 	HeaderWorkspace   = "Apricotwind-Workspace"
 	HeaderClass       = "Apricotwind-Class"
 )
@@ -45,7 +46,7 @@
 	name     string
 	loop     *loop.Loop
 	gate     *admission.Gate // owned by the loop
-	waiting  map[string]chan struct{}
+	waiting  map[string]chan admission.Verdict
 	upstream *upstream.Client
 	log      *zap.Logger
 	metrics  *metrics.Set
@@ -58,7 +59,7 @@
 // with the service time of each request.
 func NewGate(name string, l *loop.Loop, gate *admission.Gate, to *upstream.Client, log *zap.Logger, set *metrics.Set, observe func(class string, took time.Duration)) *Gate {
 	return &Gate{
-		name: name, loop: l, gate: gate, waiting: map[string]chan struct{}{},
+		name: name, loop: l, gate: gate, waiting: map[string]chan admission.Verdict{},
 		upstream: to, log: log, metrics: set, observe: observe,
 	}
 }
@@ -98,15 +99,21 @@
 		Incarnation: r.Header.Get(HeaderIncarnation),
 		Deadline:    now.Add(time.Duration(left) * time.Millisecond),
 	}
+	if ms, targetErr := strconv.Atoi(r.Header.Get(HeaderTarget)); targetErr == nil {
+		attempt.Target = now.Add(time.Duration(ms) * time.Millisecond)
+	}
 	return attempt, err == nil && attempt.ID != "" && attempt.Incarnation != ""
 }
 
 // admit asks the gate, and waits in its queue if it says so.
 func (g *Gate) admit(ctx context.Context, attempt admission.Attempt) admission.Verdict {
 	var verdict admission.Verdict
-	ready := make(chan struct{})
+	ready := make(chan admission.Verdict, 1)
 	err := g.loop.Do(func() {
 		verdict = g.gate.Arrive(time.Now(), attempt)
+		for _, id := range g.gate.Displaced() {
+			g.tell(id, admission.Full)
+		}
 		g.copyCounts()
 		if verdict == admission.Queue {
 			g.waiting[attempt.ID] = ready
@@ -119,15 +126,23 @@
 		return verdict
 	}
 	select {
-	case <-ready:
-		return admission.Admit
+	case verdict = <-ready:
+		return verdict
 	case <-ctx.Done():
 	}
 	return g.leaveQueue(ready, attempt)
 }
 
+// tell lets a waiting attempt know its verdict. It runs on the loop.
+func (g *Gate) tell(id string, verdict admission.Verdict) {
+	if ready, ok := g.waiting[id]; ok {
+		ready <- verdict
+		delete(g.waiting, id)
+	}
+}
+
 // leaveQueue takes an attempt out of the queue, unless it was admitted just now.
-func (g *Gate) leaveQueue(ready chan struct{}, attempt admission.Attempt) admission.Verdict {
+func (g *Gate) leaveQueue(ready chan admission.Verdict, attempt admission.Attempt) admission.Verdict {
 	verdict := admission.Late
 	err := g.loop.Do(func() {
 		if !g.gate.Drop(time.Now(), attempt.ID) {
@@ -142,10 +157,10 @@
 }
 
 // afterQueue tells why an attempt is not in the queue any more.
-func (g *Gate) afterQueue(ready chan struct{}) admission.Verdict {
+func (g *Gate) afterQueue(ready chan admission.Verdict) admission.Verdict {
 	select {
-	case <-ready:
-		return admission.Admit
+	case verdict := <-ready:
+		return verdict
 	default:
 		return admission.Revoked
 	}
@@ -173,10 +188,7 @@
 func (g *Gate) finish(attempt admission.Attempt) {
 	defer g.copyCounts()
 	for _, id := range g.gate.Finish(time.Now(), attempt) {
-		if ready, ok := g.waiting[id]; ok {
-			close(ready)
-			delete(g.waiting, id)
-		}
+		g.tell(id, admission.Admit)
 	}
 }
 
@@ -189,7 +201,7 @@
 
 func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, body *forward.Body, attempt admission.Attempt) {
 	class := r.Header.Get(HeaderClass)
-	for _, name := range []string{HeaderAttempt, HeaderIncarnation, HeaderTimeout} {
+	for _, name := range []string{HeaderAttempt, HeaderIncarnation, HeaderTimeout, HeaderTarget} {
 		r.Header.Del(name)
 	}
 	w.Header().Set(problem.HeaderPeer, g.name)
--- a/internal/replay/requests.go
+++ b/internal/replay/requests.go
@@ -97,25 +97,37 @@
 		r.after(at.delay(), func() { r.broken(at) })
 		return
 	}
+	class, _ := r.document.Class(at.event.Class)
 	verdict := h.gate.Arrive(r.now, admission.Attempt{
 		ID: at.id, Workspace: at.event.Workspace, Incarnation: at.choice.Incarnation, Deadline: at.begun.Add(patience),
+		Target: at.begun.Add(class.Latency),
 	})
+	for _, id := range h.gate.Displaced() {
+		displaced := h.waiting[id]
+		delete(h.waiting, id)
+		r.refused(displaced)
+	}
 	switch verdict {
 	case admission.Admit:
 		h.serve(at)
 	case admission.Queue:
 		h.waiting[at.id] = at
 	case admission.Full, admission.Leaving, admission.Late, admission.Incarnation, admission.Duplicate, admission.Revoked:
-		load := h.reported()
-		r.after(at.delay(), func() {
-			at.entry.routing.Finish(r.now, h.of.Name, at.choice.Incarnation, routing.Refused, 0)
-			at.entry.routing.Observe(r.now, h.of.Name, load)
-			at.last = "no capacity"
-			r.try(at.request)
-		})
+		r.refused(at)
 	}
 }
 
+// refused takes a gate's refusal back to the entry, which tries elsewhere.
+func (r *run) refused(at *attempt) {
+	load := at.host.reported()
+	r.after(at.delay(), func() {
+		at.entry.routing.Finish(r.now, at.host.of.Name, at.choice.Incarnation, routing.Refused, 0)
+		at.entry.routing.Observe(r.now, at.host.of.Name, load)
+		at.last = "no capacity"
+		r.try(at.request)
+	})
+}
+
 // serve runs an admitted attempt for its recorded time, longer beside busy tasks.
 func (h *host) serve(at *attempt) {
 	at.began = h.run.now
