Ledger keeps the decisions that explain; warnings; an entry that starts checks its read

The arbitrator found causes but not the moment and the decision; targets beyond the pool were accepted in silence; an entry that started while the table answered with old rows would have served by a version its peers had left behind. Measured: with every read old, an entry restarted without links stays at no version for 10 s and has version 2 within 9 s after; before it adopted version 1.

--- a/internal/caller/attempts.go
+++ b/internal/caller/attempts.go
@@ -99,7 +99,7 @@
 			break
 		}
 	}
-	h.count(q, last.fate(), last.cause)
+	h.count(q, last.fate(), last.cause, last.problem.Error())
 	h.log.Info("request-ended", zap.String("workspace", q.workspace), zap.String("class", q.class.Name),
 		zap.String("outcome", last.problem.Outcome), zap.String("why", last.problem.Detail), zap.Int("attempts", len(tried)))
 	q.body.CloseUnlessEnded(w)
@@ -158,7 +158,7 @@
 	err := forward.Answer(w, sent.Response)
 	if err != nil {
 		h.node.Finish(choice, ended.as(routing.Gone))
-		h.count(q, ledger.Unknown, "answer cut short")
+		h.count(q, ledger.Unknown, "answer cut short", "peer "+choice.Instance+": "+err.Error())
 		h.log.Warn("answer-broken", zap.String("instance", choice.Instance), logs.Error(err))
 		panic(http.ErrAbortHandler)
 	}
@@ -168,9 +168,9 @@
 	}
 	h.node.Finish(choice, ended.as(ending))
 	if status >= http.StatusInternalServerError {
-		h.count(q, ledger.Failed, "upstream answered "+strconv.Itoa(status))
+		h.count(q, ledger.Failed, "upstream answered "+strconv.Itoa(status), "peer "+choice.Instance)
 	} else {
-		h.count(q, ledger.Delivered, "")
+		h.count(q, ledger.Delivered, "", "peer "+choice.Instance)
 	}
 	return result{whole: true, status: status}, true
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -72,6 +72,7 @@
 	Class     string
 	Fate      ledger.Fate
 	Cause     string
+	Detail    string // what happened, for whoever asks why
 	Took      time.Duration
 }
 
@@ -247,12 +248,12 @@
 }
 
 // count tells the ledger what became of a request.
-func (h *Handler) count(q *request, fate ledger.Fate, cause string) {
+func (h *Handler) count(q *request, fate ledger.Fate, cause, detail string) {
 	took := time.Since(q.begun)
 	if fate == ledger.Delivered && took > q.class.Latency {
 		fate, cause = ledger.Late, "over the latency target"
 	}
 	h.metrics.Time("request", took)
 	h.metrics.Add("request-"+fate.String(), 1)
-	h.node.Count(Count{Workspace: q.workspace, Class: q.class.Name, Fate: fate, Cause: cause, Took: took})
+	h.node.Count(Count{Workspace: q.workspace, Class: q.class.Name, Fate: fate, Cause: cause, Detail: detail, Took: took})
 }
--- a/internal/caller/keyed.go
+++ b/internal/caller/keyed.go
@@ -27,7 +27,7 @@
 	begun, before, err := h.node.Key.Begin(ctx, q.workspace, q.key)
 	switch {
 	case err != nil:
-		h.count(q, ledger.Refused, "platform out")
+		h.count(q, ledger.Refused, "platform out", err.Error())
 		q.body.CloseUnlessEnded(w)
 		h.log.Warn("key-unknown", zap.String("workspace", q.workspace), logs.Error(err))
 		problem.New(http.StatusServiceUnavailable, problem.Refused, "key", "the platform cannot say whether the key was used: "+err.Error()).
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,21 @@
 	return parse(row)
 }
 
+// ReadNewer reads the document in force if its version is above known, and makes sure
+// that it is in force still: a read may be old, and a node that starts must not serve
+// by a document that its peers have left behind. Version 0 stands for nothing newer.
+func ReadNewer(ctx context.Context, from *table.Client, known uint64) (contract.Document, error) {
+	row, version, err := record.Get[record.Config](ctx, from, record.ConfigKey)
+	if err != nil || version == table.Absent || row.Version <= known {
+		return contract.Document{}, err
+	}
+	current, err := from.Commit(ctx, []table.Condition{{Key: record.ConfigKey, Version: version}}, nil)
+	if current.Outcome != table.Committed {
+		return contract.Document{}, err
+	}
+	return parse(row)
+}
+
 func parse(row record.Config) (contract.Document, error) {
 	document, err := contract.Parse([]byte(row.Text))
 	document.Version = row.Version
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -263,3 +263,18 @@
 		}
 	}
 }
+
+func TestQuotaHoldsTasksBackUntilOthersEnd(t *testing.T) {
+	job := oneTask(true)
+	job.Tasks = 2
+	r := newRig(t, job)
+	r.owner.SetQuotas(map[string]Need{"w": {Processors: 4}})
+	r.beat("a", "a1")
+	r.beat("b", "b1")
+	r.want("place 0.1 a placed")
+	r.want()
+	r.beat("a", "a1", Held{Task: "j.0", Attempt: 1, Run: Finished})
+	r.want("end 0.1 a done")
+	r.beat("a", "a1")
+	r.want("place 1.1 a placed")
+}
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -43,10 +43,21 @@
 	Fates     map[string]int `json:"fates,omitempty"`
 	Causes    map[string]int `json:"causes,omitempty"` // of what was not delivered
 	Moves     map[string]int `json:"moves,omitempty"`  // of tasks, by kind
+	Notes     []Note         `json:"notes,omitempty"`  // decisions that explain
 	Latency   []byte         `json:"latency,omitempty"`
 	histogram *hdrhistogram.Histogram
 }
 
+// Note is one decision that explains a shortfall or a move.
+type Note struct {
+	At   time.Time `json:"at"`
+	Node string    `json:"node"`
+	Text string    `json:"text"`
+}
+
+// notesMost bounds the notes of one cell in one window; causes count the rest.
+const notesMost = 10
+
 // Window is one node's count over a stretch of time.
 type Window struct {
 	Node        string    `json:"node"`
@@ -105,6 +116,14 @@
 // Move counts a move of a task that is not at its end, by kind.
 func (b *Book) Move(workspace, class, kind string) { b.cell(workspace, class).Moves[kind]++ }
 
+// Note keeps a decision that explains.
+func (b *Book) Note(now time.Time, workspace, class, text string) {
+	cell := b.cell(workspace, class)
+	if len(cell.Notes) < notesMost {
+		cell.Notes = append(cell.Notes, Note{At: now.UTC(), Node: b.node, Text: text})
+	}
+}
+
 // Time records the latency of one answer.
 func (b *Book) Time(workspace, class string, took time.Duration) {
 	cell := b.cell(workspace, class)
--- a/internal/ledger/html.go
+++ b/internal/ledger/html.go
@@ -15,6 +15,7 @@
 	"percent": func(l *Line) string { return l.share() },
 	"tail":    func(l *Line) string { return l.tail() },
 	"when":    func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05") },
+	"moment":  func(t time.Time) string { return t.UTC().Format("15:04:05.000") },
 	"fate":    func(l *Line, name string) int { return l.Fates[name] },
 }).Parse(`<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>apricotwind report</title>
@@ -35,6 +36,7 @@
 {{end}}</table>
 {{if .Gaps}}<h2>Missing windows</h2><ul>{{range .Gaps}}<li>node {{.Node}}, run {{.Incarnation}}, window {{.Number}}: {{.Why}}</li>{{end}}</ul>{{end}}
 {{range .Sections}}<h2>{{.Title}}</h2>{{range .Figures}}<figure>{{.SVG}}<figcaption>{{.Caption}}</figcaption></figure>{{end}}
+{{if .Notes}}<details><summary>{{len .Notes}} decisions that explain</summary><ul>{{range .Notes}}<li>{{moment .At}} {{.Node}}: {{.Text}}</li>{{end}}</ul></details>{{end}}
 {{end}}</body></html>
 `))
 
@@ -42,6 +44,7 @@
 type section struct {
 	Title   string
 	Figures []figure
+	Notes   []Note
 }
 
 type figure struct {
@@ -58,7 +61,7 @@
 			return errors.Wrapf(err, "plots of %s %s", line.Workspace, line.Class)
 		}
 		if len(figures) > 0 {
-			sections = append(sections, section{Title: line.Workspace + ", " + line.Class, Figures: figures})
+			sections = append(sections, section{Title: line.Workspace + ", " + line.Class, Figures: figures, Notes: line.Notes})
 		}
 	}
 	var out bytes.Buffer
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -31,6 +31,7 @@
 	Share     float64        `json:"share"` // delivered of what was owed and has ended
 	Met       string         `json:"met"`   // yes, no, open, or none owed
 	Points    []Point        `json:"points"`
+	Notes     []Note         `json:"notes,omitempty"`
 	histogram *hdrhistogram.Histogram
 }
 
@@ -159,6 +160,7 @@
 	sum(l.Fates, cell.Fates)
 	sum(l.Causes, cell.Causes)
 	sum(l.Moves, cell.Moves)
+	l.Notes = append(l.Notes, cell.Notes...)
 	if n := len(l.Points); n == 0 || !l.Points[n-1].At.Equal(at) {
 		l.Points = append(l.Points, Point{At: at, Fates: map[string]int{}, Causes: map[string]int{}, histogram: metrics.NewHistogram()})
 	}
--- a/internal/ledger/text.go
+++ b/internal/ledger/text.go
@@ -29,6 +29,17 @@
 	return p.err
 }
 
+// WriteNotes lists the decisions that explain each line's shortfalls and moves.
+func (r Report) WriteNotes(w io.Writer) error {
+	p := printer{w: w}
+	for _, line := range r.Lines {
+		for _, note := range line.Notes {
+			p.printf("%s %s %s %s: %s\n", note.At.Format("2006-01-02T15:04:05.000Z"), note.Node, line.Workspace, line.Class, note.Text)
+		}
+	}
+	return p.err
+}
+
 func (l *Line) share() string {
 	if l.Fates[Delivered.String()] == 0 && l.Met != "no" {
 		return "-"
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -15,7 +15,8 @@
 
 // Accepted tells the version a document was accepted as.
 type Accepted struct {
-	Version uint64 `json:"version"`
+	Version  uint64   `json:"version"`
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 // Document is the document in force.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -151,7 +151,7 @@
 	document.Version = version
 	s.log.Info("target-accepted", zap.Uint64("version", version), zap.String("by", proposal.By))
 	s.node.Learned(document)
-	return Accepted{Version: version}, nil
+	return Accepted{Version: version, Warnings: warnings(document, s.node.Rooms())}, nil
 }
 
 // withDiff tells the loser of a race what changed since the version it saw.
--- a/internal/process/config_test.go
+++ b/internal/process/config_test.go
@@ -115,6 +115,31 @@
 	})
 }
 
+// TestEntryThatStartsDoesNotBelieveAnOldRow starts an entry that no agent reaches
+// while the table answers with the row before the last.
+func TestEntryThatStartsDoesNotBelieveAnOldRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(t, 1)
+		p.Ready()
+		p.setLatency(100)
+		time.Sleep(bound)
+		p.Entries["e1"].Kill()
+		p.Net.Cut("m0", "e1", true)
+		p.Platform.Set(standin.Knobs{Stale: 1})
+		p.StartEntry("e1")
+		time.Sleep(10 * time.Second)
+		status, err := p.Operator("e1").Local(p.Ctx)
+		if err != nil || status.Version != 0 {
+			t.Errorf("it serves by version %d, %v; version 2 is in force", status.Version, err)
+		}
+		p.Platform.Set(standin.Knobs{})
+		time.Sleep(bound)
+		if status, err := p.Operator("e1").Local(p.Ctx); err != nil || status.Version != 2 {
+			t.Errorf("after the table is right again: version %d, %v", status.Version, err)
+		}
+	})
+}
+
 // TestRacingOperators lets operators revise at the same moment, with slow commits,
 // old rows and lost answers: each accepted revision is one version of one history,
 // and a loser is told so.
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/logs"
@@ -108,6 +109,10 @@
 	if tally.move != "" {
 		e.book.Move(d.Job.Workspace, d.Job.Class, tally.move)
 	}
+	if d.Move != placement.Place && d.State != placement.Done || tally.fate == ledger.Late.String() {
+		e.book.Note(time.Now(), d.Job.Workspace, d.Job.Class, fmt.Sprintf("task %s attempt %d on %s: %s, %s",
+			placement.TaskName(d.Job.ID, d.Task), d.Attempt, d.Instance, d.State, d.Why))
+	}
 	if d.Move == placement.End {
 		e.book.End(d.Job.Workspace, d.Job.Class, fateOf(d), tally.cause)
 	}
--- a/internal/process/entry_platform.go
+++ b/internal/process/entry_platform.go
@@ -15,7 +15,7 @@
 
 // watchConfig looks for a higher version of the document in the table.
 func (e *Entry) watchConfig(ctx context.Context) {
-	document, err := config.Read(ctx, e.table)
+	document, err := config.ReadNewer(ctx, e.table, e.document.Load().Version)
 	e.troubles.config.Note(err)
 	if err != nil {
 		return
--- a/internal/process/entry_requests.go
+++ b/internal/process/entry_requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/logs"
@@ -65,6 +66,9 @@
 func (e *Entry) countRequest(c caller.Count) {
 	e.book.Owe(c.Workspace, c.Class, 1)
 	e.book.End(c.Workspace, c.Class, c.Fate, c.Cause)
+	if c.Fate != ledger.Delivered {
+		e.book.Note(time.Now(), c.Workspace, c.Class, fmt.Sprintf("%s after %s, %s: %s", c.Fate, c.Took.Round(time.Millisecond), c.Cause, c.Detail))
+	}
 	timed := c.Fate == ledger.Delivered || c.Fate == ledger.Late
 	if timed {
 		e.book.Time(c.Workspace, c.Class, c.Took)
--- a/internal/verb/report.go
+++ b/internal/verb/report.go
@@ -24,6 +24,7 @@
 Examples:
   apricotwind report
   apricotwind report --from 2026-12-04T08:00:00Z --workspace kilele
+  apricotwind report --explain --workspace kilele --class preview
   apricotwind report --format html > report.html
   cat e0.log e1.log | apricotwind report --log - --targets targets.yaml
 
@@ -39,6 +40,7 @@
 				class:     flags.String("class", "", "only this `class`"),
 				log:       flags.String("log", "", "`file` of all entries' logs to compute the report from, - for standard input"),
 				targets:   flags.String("targets", "", "`file` of the document, with --log"),
+				explain:   flags.Bool("explain", false, "list the decisions that explain each shortfall and move, with their moment"),
 				format:    flags.String("format", "text", "text, json or html"),
 			}
 			return c.run
@@ -50,6 +52,7 @@
 	to                                    *operatorFlags
 	from, until, workspace, class, format *string
 	log, targets                          *string
+	explain                               *bool
 }
 
 func (c *reportCommand) run(ctx context.Context, streams Streams, _ []string) error {
@@ -68,7 +71,10 @@
 	if err != nil {
 		return err
 	}
-	return writeReport(streams, *c.format, report)
+	if err := writeReport(streams, *c.format, report); err != nil || !*c.explain {
+		return err
+	}
+	return report.WriteNotes(streams.Out)
 }
 
 // runFromLog computes the report from the log.
--- a/internal/verb/target_set.go
+++ b/internal/verb/target_set.go
@@ -82,6 +82,9 @@
 		return err
 	}
 	fmt.Fprintf(streams.Out, "accepted as version %d\n", accepted.Version)
+	for _, warning := range accepted.Warnings {
+		fmt.Fprintf(streams.Err, "warning: %s\n", warning)
+	}
 	return c.await(ctx, streams, client, accepted.Version)
 }
 
