--- /dev/null
+++ b/internal/decision/placement/model_host_test.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"fmt"
+)
+
+// The agent and worker of the model: what a host does by itself and with a reply.
+
+func (w *world) stepHost(h *modelHost) {
+	if w.now.Before(h.asleep) || !w.chance(4) {
+		return
+	}
+	h.sequence++
+	beat := &Beat{
+		Instance: fmt.Sprintf("h%d", h.id), Incarnation: fmt.Sprint(h.incarnation), Boot: fmt.Sprint(h.boot), Epoch: h.epoch, Sequence: h.sequence,
+	}
+	for _, t := range h.tasks {
+		beat.Held = append(beat.Held, t.held)
+	}
+	if w.chance(6) {
+		h.belief = 1 - h.belief
+	}
+	h.waitsFor[h.belief], h.sent[h.belief] = h.sequence, w.now
+	w.send(message{to: h.belief, beat: beat, inc: h.incarnation})
+}
+
+// takeReply does what an agent does with the answer to its latest beat.
+func (w *world) takeReply(h *modelHost, m message) {
+	late := m.seq != h.waitsFor[m.from] || m.inc != h.incarnation || w.now.Before(h.asleep)
+	if late || m.reply.Epoch < h.epoch {
+		return
+	}
+	h.epoch = max(h.epoch, m.reply.Epoch)
+	h.waitsFor[m.from] = 0
+	for _, f := range m.reply.Forget {
+		if t, ok := h.tasks[f.Task]; ok && t.held.Attempt == f.Attempt && t.held.Run.Over() {
+			delete(h.tasks, f.Task)
+		}
+	}
+	for _, s := range m.reply.Stop {
+		if t, ok := h.tasks[s.Task]; ok && t.held.Attempt == s.Attempt && !t.held.Run.Over() {
+			t.approved = false
+			t.held.Run = Stopped
+			if s.Save {
+				t.held.Checkpoint = fmt.Sprint(int64(t.progress))
+			}
+		}
+	}
+	if m.reply.TTL <= 0 {
+		return
+	}
+	h.until = h.sent[m.from].Add(m.reply.TTL)
+	h.workerUntil = h.until
+	for _, s := range m.reply.Start {
+		if known, ok := h.tasks[s.Task]; ok && known.held.Attempt >= s.Attempt {
+			continue
+		}
+		t := &modelTask{held: Held{Task: s.Task, Attempt: s.Attempt, Run: Paused}}
+		_, _ = fmt.Sscan(s.Checkpoint, (*int64)(&t.progress))
+		h.tasks[s.Task] = t
+	}
+	for _, t := range h.tasks {
+		if t.held.Run == Paused && w.now.Before(h.workerUntil) {
+			t.held.Run = Running
+		}
+	}
+	if w.broken == forgetUncommitted {
+		for name, t := range h.tasks {
+			if t.held.Run.Over() {
+				delete(h.tasks, name)
+			}
+		}
+	}
+}
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/logs"
@@ -100,77 +99,11 @@
 // decided logs and counts one decision of an owner about a task. The line has all
 // that is counted.
 func (e *Entry) decided(d placement.Decision) {
-	tally := tallyOf(d)
+	tally := ledger.TallyOf(d)
 	e.log.Info(ledger.EventTask+d.Move.String(), zap.String("job", d.Job.ID), zap.Int("task", d.Task), zap.Int("attempt", d.Attempt),
 		zap.String("workspace", d.Job.Workspace), zap.String("class", d.Job.Class), zap.String("instance", d.Instance),
 		zap.Int("over", d.Over), zap.Stringer("state", d.State), zap.String("why", d.Why),
-		zap.String("fate", tally.fate), zap.String("cause", tally.cause), zap.String("move", tally.move))
+		zap.String("fate", tally.Fate), zap.String("cause", tally.Cause), zap.String("move", tally.Move))
 	e.metrics.Add("task-"+d.Move.String(), 1)
-	if tally.move != "" {
-		e.book.Move(d.Job.Workspace, d.Job.Class, tally.move)
-	}
-	if d.Move != placement.Place && d.State != placement.Done || tally.fate == ledger.Late.String() {
-		e.book.Note(time.Now(), d.Job.Workspace, d.Job.Class, fmt.Sprintf("task %s attempt %d on %s: %s, %s",
-			placement.TaskName(d.Job.ID, d.Task), d.Attempt, d.Instance, d.State, d.Why))
-	}
-	if d.Move == placement.End {
-		e.book.End(d.Job.Workspace, d.Job.Class, fateOf(d), tally.cause)
-	}
-}
-
-// tally is what the ledger counts of a decision; empty texts count nothing.
-type tally struct{ fate, cause, move string }
-
-func tallyOf(d placement.Decision) tally {
-	switch d.Move {
-	case placement.Place:
-	case placement.Hold:
-		return tally{move: ledger.HeldForLost}
-	case placement.Return:
-		return tally{move: moveOf(d)}
-	case placement.End:
-		fate := fateOf(d)
-		return tally{fate: fate.String(), cause: causeOf(d, fate)}
-	}
-	return tally{}
-}
-
-func moveOf(d placement.Decision) string {
-	switch {
-	case d.Evicted:
-		return ledger.Evicted
-	case d.Lost:
-		return ledger.InstanceLost
-	}
-	return ledger.Returned
-}
-
-// fates maps the final state of a task to its fate in the ledger.
-var fates = map[placement.State]ledger.Fate{
-	placement.Done:      ledger.Delivered,
-	placement.Failed:    ledger.Failed,
-	placement.Cancelled: ledger.Cancelled,
-	placement.Doubtful:  ledger.Unknown,
-}
-
-func fateOf(d placement.Decision) ledger.Fate {
-	if d.State == placement.Done && d.Late {
-		return ledger.Late
-	}
-	return fates[d.State]
-}
-
-func causeOf(d placement.Decision, fate ledger.Fate) string {
-	if fate == ledger.Late {
-		return lateCause(d)
-	}
-	return d.Why
-}
-
-// lateCause says why a task ended after its deadline.
-func lateCause(d placement.Decision) string {
-	if d.Quota {
-		return "after the deadline: waited for the quota"
-	}
-	return "after the deadline"
+	e.book.Decide(time.Now(), d)
 }
--- a/internal/replay/tasks.go
+++ b/internal/replay/tasks.go
@@ -7,7 +7,6 @@
 	"github.com/apricotwind/apricotwind/internal/day"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/job"
-	"github.com/apricotwind/apricotwind/internal/ledger"
 )
 
 // heldTask is one task on a host.
@@ -84,34 +83,14 @@
 	}
 }
 
-// fates maps the final state of a task to its fate.
-var fates = map[placement.State]ledger.Fate{
-	placement.Done:      ledger.Delivered,
-	placement.Failed:    ledger.Failed,
-	placement.Cancelled: ledger.Cancelled,
-	placement.Doubtful:  ledger.Unknown,
-}
-
 func (r *run) decided(d placement.Decision) {
 	r.say("task-%s job=%s task=%d attempt=%d instance=%s over=%d state=%s why=%q", d.Move, d.Job.ID, d.Task, d.Attempt, d.Instance, d.Over, d.State, d.Why)
-	switch d.Move {
-	case placement.Place:
+	r.book.Decide(r.now, d)
+	if d.Move == placement.Place {
 		r.outcome.Starts++
-	case placement.Return:
-		kind := ledger.InstanceLost
-		if d.Evicted {
-			kind = ledger.Evicted
-			r.outcome.Evicted++
-		}
-		r.book.Move(d.Job.Workspace, d.Job.Class, kind)
-	case placement.End:
-		fate, cause := fates[d.State], d.Why
-		if fate == ledger.Delivered && d.Late {
-			fate, cause = ledger.Late, "after the deadline"
-		}
-		r.book.End(d.Job.Workspace, d.Job.Class, fate, cause)
-	case placement.Hold:
-		r.book.Move(d.Job.Workspace, d.Job.Class, ledger.HeldForLost)
+	}
+	if d.Evicted && d.Move == placement.Return {
+		r.outcome.Evicted++
 	}
 }
 
