After an outage a shard is claimed by what was seen before it

Cause: test/kills with the owner killed 6 s before the platform: the shard was taken over 22 s after the kill, because a failed read made the claimer forget when it had last seen the row change, and wait a whole lease again after the outage. Change: what was seen counts across an outage; the table must only answer for 1.5 s before a claim, so that an owner that lives renews first (its renewal is tried every 100 ms).

--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -40,7 +40,7 @@
 func (p *pool) status(id string) job.Status {
 	p.t.Helper()
 	var err error
-	for _, name := range []string{"e0", "e1"} {
+	for name := range p.Entries {
 		var status job.Status
 		if status, err = p.Operator(name).Job(p.Ctx, id); err == nil {
 			return status
@@ -182,6 +182,27 @@
 		time.Sleep(30 * time.Second)
 		p.Platform.Set(standin.Knobs{})
 	}, stayed},
+	{"platform out for 30 s, and the owner killed within", false, func(p *pool) {
+		p.Platform.Set(standin.Knobs{Outage: true})
+		time.Sleep(15 * time.Second)
+		for name, e := range p.Entries {
+			if e.Shards() > 0 {
+				e.Kill()
+				delete(p.Entries, name)
+				break
+			}
+		}
+		time.Sleep(15 * time.Second)
+		p.Platform.Set(standin.Knobs{})
+		// A lease, if the last renewal was not seen before the outage, a second for the
+		// rank and one for each of two looks.
+		time.Sleep(8200*time.Millisecond + 3*time.Second)
+		for _, e := range p.Entries {
+			if e.Shards() != 1 {
+				p.t.Error("the other entry does not own the shard 11.2 s after the outage")
+			}
+		}
+	}, stayed},
 	{"platform slow, and loses answers after the write", false, func(p *pool) {
 		p.Platform.Set(standin.Knobs{Delay: 300 * time.Millisecond, Lost: 0.3})
 	}, stayed},
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -25,6 +25,9 @@
 	lease = 8 * time.Second
 	// leaseDrift is added by those who wait for a lease to lapse.
 	leaseDrift = 200 * time.Millisecond
+	// returnGrace is how long the table must answer again after an outage before a
+	// shard is claimed, so that an owner that lives can renew first.
+	returnGrace = 1500 * time.Millisecond
 	// planPeriod is the time between two group commits of an owner. It bounds the
 	// commits of one owner to seven a second, however many tasks start.
 	planPeriod = 150 * time.Millisecond
@@ -61,6 +64,8 @@
 	commits  uint64
 	unique   string
 	stopping bool
+	unread   bool      // the last read of the rows failed
+	back     time.Time // the table answered again after a failure
 	worked   time.Time // of the last plan
 	grace    time.Time // no plan before
 }
@@ -196,16 +201,21 @@
 	return &reply
 }
 
-// watch reads the shard rows. A read that fails makes every row count as seen
-// anew afterwards, so that after an outage the owner has a whole lease to renew.
+// watch reads the shard rows. After a read that failed, nothing is claimed for
+// returnGrace. What was seen before the outage still counts: a row that has not
+// changed since then was not renewed.
 func (k *Keeper) watch(ctx context.Context) {
 	rows, err := k.table.Scan(ctx, record.ShardPrefix)
 	k.reading.Note(err)
 	k.loop.Post(func() {
 		if err != nil {
-			clear(k.seen)
+			k.unread = true
 			return
 		}
+		if k.unread {
+			k.unread = false
+			k.back = time.Now()
+		}
 		k.see(rows)
 	})
 }
@@ -244,7 +254,7 @@
 	if known.row.Owner == "" {
 		patience -= lease
 	}
-	if now.Sub(known.since) >= patience {
+	if now.Sub(known.since) >= patience && now.Sub(k.back) >= returnGrace {
 		k.claim(at, *known)
 	}
 }
