Do waits until its function is over, also when the loop ends

Do returned when the context ended, though its function was running. Ruled out: the links (every caller of Do reads what f writes). Change: Do returns when its function has run, or when the loop has ended and it never will.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -21,13 +21,14 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   chan func()
+	ended  chan struct{} // closed when no function runs any more
 	group  conc.WaitGroup
 }
 
 // New starts a loop that ends with ctx or with Stop.
 func New(ctx context.Context) *Loop {
 	bounded, cancel := context.WithCancel(ctx)
-	l := &Loop{ctx: bounded, cancel: cancel, work: make(chan func(), depth)}
+	l := &Loop{ctx: bounded, cancel: cancel, work: make(chan func(), depth), ended: make(chan struct{})}
 	l.Go(l.run)
 	return l
 }
@@ -36,6 +37,7 @@
 func (l *Loop) Stop() { l.cancel() }
 
 func (l *Loop) run() {
+	defer close(l.ended)
 	for {
 		select {
 		case <-l.ctx.Done():
@@ -54,7 +56,8 @@
 	}
 }
 
-// Do runs f on the loop and waits until it ran. Its error is ErrEnded.
+// Do runs f on the loop and waits until it ran. Its error is ErrEnded; then f has not
+// run and never will, so that what f would have written can be read.
 func (l *Loop) Do(f func()) error {
 	done := make(chan struct{})
 	l.Post(func() {
@@ -64,7 +67,12 @@
 	select {
 	case <-done:
 		return nil
-	case <-l.ctx.Done():
+	case <-l.ended:
+	}
+	select {
+	case <-done:
+		return nil
+	default:
 		return ErrEnded
 	}
 }
