--- a/internal/caller/attempts.go
+++ b/internal/caller/attempts.go
@@ -133,6 +133,8 @@
 
 func (h *Handler) attempt(ctx context.Context, q *request, choice Choice) (forward.Sent, string) {
 	id := h.unique()
+	begun := time.Now()
+	defer func() { h.metrics.Time("attempt", time.Since(begun)) }()
 	sent := h.gates.Send(ctx, q.r, q.body.reader(), !q.body.whole, agent.Attempt{
 		ID: id, Instance: choice.Instance, Incarnation: choice.Incarnation, Gate: choice.Gate,
 		Workspace: q.workspace, Class: q.class.Name, Left: time.Until(q.deadline), Target: time.Until(q.begun.Add(q.class.Latency)),
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,179 @@
+package ledger
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/record"
+	"github.com/apricotwind/apricotwind/pkg/document/contract"
+	"github.com/apricotwind/apricotwind/pkg/platform/object"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/google/go-cmp/cmp"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const targets = `workspaces:
+  - name: w
+    share: 100
+classes:
+  - name: preview
+    kind: service
+    quantile: 0.9
+    latency: 100ms
+`
+
+// memory is a platform of two maps.
+func memory() *Store {
+	rows, objects := map[string]table.Row{}, map[string][]byte{}
+	return NewStore(
+		table.New(nil, func(_ context.Context, prefix string) ([]table.Row, error) {
+			var found []table.Row
+			for key, row := range rows {
+				if strings.HasPrefix(key, prefix) {
+					found = append(found, row)
+				}
+			}
+			return found, nil
+		}, func(_ context.Context, conditions []table.Condition, writes []table.Write) (table.Result, error) {
+			if rows[conditions[0].Key].Version != conditions[0].Version {
+				return table.Result{Outcome: table.Conflict}, nil
+			}
+			rows[writes[0].Key] = table.Row{Key: writes[0].Key, Version: 1, Value: writes[0].Value}
+			return table.Result{Outcome: table.Committed, Version: 1}, nil
+		}),
+		object.New(func(_ context.Context, key string, value []byte) error {
+			objects[key] = value
+			return nil
+		}, func(_ context.Context, key string) ([]byte, error) { return objects[key], nil }, nil),
+	)
+}
+
+// window counts one request that took so long.
+func window(t *testing.T, book *Book, took time.Duration, last bool) Window {
+	t.Helper()
+	book.Owe("w", "preview", 1)
+	book.End("w", "preview", Delivered, "")
+	book.Time("w", "preview", took)
+	closed, err := book.Close(begin.Add(time.Minute), 1, last)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return closed
+}
+
+func build(t *testing.T, store *Store, alive ...string) Report {
+	t.Helper()
+	document, err := contract.Parse([]byte(targets))
+	if err != nil {
+		t.Fatal(err)
+	}
+	windows, index, err := store.Get(t.Context(), begin, begin.Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	living := map[string]bool{}
+	for _, incarnation := range alive {
+		living[incarnation] = true
+	}
+	report, err := Build(Query{Alive: living}, document, windows, index)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func put(t *testing.T, store *Store, windows ...Window) {
+	t.Helper()
+	for _, each := range windows {
+		if err := store.Put(t.Context(), each); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestWindowWrittenTwiceCountsOnce(t *testing.T) {
+	store := memory()
+	book := New(begin, "e0", "run")
+	first := window(t, book, 10*time.Millisecond, false)
+	put(t, store, first, first, window(t, book, 30*time.Millisecond, true))
+	report := build(t, store)
+	if len(report.Lines) != 1 || report.Lines[0].Owed != 2 || report.Windows != 2 {
+		t.Errorf("%d windows, lines %+v", report.Windows, report.Lines)
+	}
+	if tail := report.Lines[0].Tail; tail < 29 || tail > 31 {
+		t.Errorf("merged tail %g ms, want 30", tail)
+	}
+}
+
+func TestMissingWindowsAreNamed(t *testing.T) {
+	cases := []struct {
+		name  string
+		keep  []int
+		last  bool
+		alive []string
+		want  []Gap
+	}{
+		{"ended in order", []int{0, 1, 2}, true, nil, nil},
+		{"alive: its open window is not lost", []int{0, 1, 2}, false, []string{"run"}, nil},
+		{"lost with its open window", []int{0, 1, 2}, false, nil, []Gap{{"e0", "run", 3, "node was lost with its open window"}}},
+		{"one was not stored", []int{0, 2}, true, nil, []Gap{{"e0", "run", 1, "window was not stored"}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := memory()
+			book := New(begin, "e0", "run")
+			var all []Window
+			for n := range 3 {
+				all = append(all, window(t, book, time.Millisecond, c.last && n == 2))
+			}
+			for _, n := range c.keep {
+				put(t, store, all[n])
+			}
+			if diff := cmp.Diff(c.want, build(t, store, c.alive...).Gaps); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestTargetsAreJudgedByWhatHasEnded(t *testing.T) {
+	cases := []struct {
+		name                       string
+		delivered, late, cancelled int
+		open                       int
+		want                       string
+	}{
+		{"all in time", 10, 0, 0, 0, "yes"},
+		{"as much as the quantile allows is late", 9, 1, 0, 0, "yes"},
+		{"more is late", 8, 2, 0, 0, "no"},
+		{"nothing ended", 0, 0, 0, 3, "open"},
+		{"some open", 10, 0, 0, 1, "open"},
+		{"all cancelled", 0, 0, 4, 0, "none owed"},
+	}
+	document, err := contract.Parse([]byte(targets))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			book := New(begin, "e0", "run")
+			book.Owe("w", "preview", c.delivered+c.late+c.cancelled+c.open)
+			for fate, n := range map[Fate]int{Delivered: c.delivered, Late: c.late, Cancelled: c.cancelled} {
+				for range n {
+					book.End("w", "preview", fate, "")
+				}
+			}
+			closed, err := book.Close(begin.Add(time.Minute), 1, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			report, err := Build(Query{}, document, []Window{closed}, []record.Window{})
+			if err != nil || report.Lines[0].Met != c.want {
+				t.Errorf("met %q, %v; want %q", report.Lines[0].Met, err, c.want)
+			}
+		})
+	}
+}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -177,6 +177,7 @@
 			Document: func() contract.Document { return *e.document.Load() },
 			Decided:  e.decided,
 			Poke:     e.links.Poke,
+			Took:     func(took time.Duration) { e.metrics.Time("commit", took) },
 		})
 		e.keeper.Begin(e.settings.Shards)
 	})
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -46,6 +46,7 @@
 	Document func() contract.Document
 	Decided  func(placement.Decision)
 	Poke     func(instance string)
+	Took     func(time.Duration) // a commit took so long; on any goroutine
 }
 
 // Keeper holds the shards of one entry. All methods but New run on the loop.
--- a/internal/shard/owned.go
+++ b/internal/shard/owned.go
@@ -194,7 +194,9 @@
 			continue
 		}
 		k.loop.Go(func() {
+			begun := time.Now()
 			result, err := k.table.Settle(k.loop.Context(), conditions, writes)
+			k.seams.Took(time.Since(begun))
 			k.loop.Post(func() { k.committed(at, held, changes, result, err) })
 		})
 	}
