--- a/internal/decision/placement/beat.go
+++ b/internal/decision/placement/beat.go
@@ -51,12 +51,14 @@
 
 // Beat is an agent's report to the owner of its shard. Boot names the worker's
 // run: after a restart of the worker it differs, and what is not listed is lost.
-// Epoch is the highest the agent has seen.
+// Epoch is the highest the agent has seen, Session what the owner of that epoch gave
+// it last.
 type Beat struct {
 	Instance    string
 	Incarnation string
 	Boot        string
 	Epoch       uint64
+	Session     uint64
 	Sequence    uint64
 	Busy        int
 	Leaving     bool
@@ -92,36 +94,45 @@
 // Reply answers a beat. Everything the beat listed and that is not in Stop may
 // run until TTL after the beat was sent, by the agent's clock. TTL is zero when
 // the owner may not grant now.
+//
+// Session is to be sent with the next beats; 0 asks for a beat without one.
 type Reply struct {
-	Epoch  uint64        `json:"epoch"`
-	TTL    time.Duration `json:"ttl"`
-	Start  []Start       `json:"start,omitempty"`
-	Stop   []Stop        `json:"stop,omitempty"`
-	Forget []Forget      `json:"forget,omitempty"`
+	Epoch   uint64        `json:"epoch"`
+	Session uint64        `json:"session,omitempty"`
+	TTL     time.Duration `json:"ttl"`
+	Start   []Start       `json:"start,omitempty"`
+	Stop    []Stop        `json:"stop,omitempty"`
+	Forget  []Forget      `json:"forget,omitempty"`
 }
 
 // Beat takes an agent's report and answers with a grant when mayGrant. A beat that
 // came late or twice is answered with nothing.
 //
 // So is one that was written before the agent knew of this owner: an earlier owner
-// may have started tasks after it. The answer tells the agent the epoch; what the
-// agent says after it obeys no lower one.
+// may have started tasks after it. The answer gives the agent the epoch and a
+// session. Beats count only with the latest session given for the instance, so what
+// an earlier incarnation of the agent said is late, whenever it comes.
+//
+// An owner that may not grant, because its lease is over, orders nothing either: it
+// may be an owner no more, and what it knows may be old.
 func (o *Owner) Beat(now time.Time, beat Beat, mayGrant bool) Reply {
 	at := o.instance(now, beat.Instance)
-	late := at.incarnation == beat.Incarnation && beat.Sequence <= at.sequence || at.past[beat.Incarnation]
-	if late || beat.Epoch != o.epoch {
+	switch {
+	case beat.Epoch != o.epoch || beat.Session == 0:
+		o.sessions++
+		at.session, at.sequence = o.sessions, 0
+		return Reply{Epoch: o.epoch, Session: at.session}
+	case beat.Session != at.session:
 		return Reply{Epoch: o.epoch}
+	case beat.Sequence <= at.sequence:
+		return Reply{Epoch: o.epoch, Session: at.session}
 	}
-	if at.incarnation != beat.Incarnation && at.incarnation != "" {
-		at.past[at.incarnation] = true
-	}
-	at.incarnation = beat.Incarnation
 	at.sequence = beat.Sequence
 	at.boot = beat.Boot
 	at.busy = beat.Busy
 	at.leaving = beat.Leaving
 	at.heard = now
-	reply := Reply{Epoch: o.epoch}
+	reply := Reply{Epoch: o.epoch, Session: at.session}
 	if !mayGrant {
 		return reply
 	}
--- a/internal/decision/placement/bench_test.go
+++ b/internal/decision/placement/bench_test.go
@@ -15,7 +15,8 @@
 	for i := range instances {
 		name := fmt.Sprintf("i%05d", i)
 		o.Announce(now, Instance{Name: name, Rack: fmt.Sprint(i / 16), Capacity: Need{Processors: 64}})
-		o.Beat(now, Beat{Instance: name, Incarnation: "1", Boot: "1", Epoch: 1, Sequence: 1}, true)
+		given := o.Beat(now, Beat{Instance: name, Epoch: 1}, true).Session
+		o.Beat(now, Beat{Instance: name, Incarnation: "1", Boot: "1", Epoch: 1, Session: given, Sequence: 1}, true)
 	}
 	add := func(id string, tasks []Task) {
 		job := Job{ID: id, Workspace: fmt.Sprintf("w%d", len(id)+len(o.jobs)%200), Tasks: len(tasks), Need: need, Runtime: time.Hour, Idempotent: true}
@@ -82,7 +83,7 @@
 			beats := make([]Beat, instances)
 			for i := range beats {
 				name := fmt.Sprintf("i%05d", i)
-				beats[i] = Beat{Instance: name, Incarnation: "1", Boot: "1", Epoch: 1}
+				beats[i] = Beat{Instance: name, Incarnation: "1", Boot: "1", Epoch: 1, Session: o.instances[name].session}
 				for task := range o.instances[name].tasks {
 					beats[i].Held = append(beats[i].Held, Held{Task: task, Attempt: 1, Run: Running})
 				}
--- a/internal/decision/placement/model_host_test.go
+++ b/internal/decision/placement/model_host_test.go
@@ -12,7 +12,7 @@
 	}
 	h.sequence++
 	beat := &Beat{
-		Instance: fmt.Sprintf("h%d", h.id), Incarnation: fmt.Sprint(h.incarnation), Boot: fmt.Sprint(h.boot), Epoch: h.epoch, Sequence: h.sequence,
+		Instance: fmt.Sprintf("h%d", h.id), Incarnation: fmt.Sprint(h.incarnation), Boot: fmt.Sprint(h.boot), Epoch: h.epoch, Session: h.session, Sequence: h.sequence,
 	}
 	for _, t := range h.tasks {
 		beat.Held = append(beat.Held, t.held)
@@ -30,7 +30,7 @@
 	if late || m.reply.Epoch < h.epoch {
 		return
 	}
-	h.epoch = max(h.epoch, m.reply.Epoch)
+	h.epoch, h.session = m.reply.Epoch, m.reply.Session
 	h.waitsFor[m.from] = 0
 	for _, f := range m.reply.Forget {
 		if t, ok := h.tasks[f.Task]; ok && t.held.Attempt == f.Attempt && t.held.Run.Over() {
--- a/internal/decision/placement/model_test.go
+++ b/internal/decision/placement/model_test.go
@@ -80,6 +80,7 @@
 	sent        [2]time.Time
 	asleep      time.Time
 	epoch       uint64
+	session     uint64
 	until       time.Time // the grant, as the agent knows it
 	workerUntil time.Time
 	tasks       map[string]*modelTask
@@ -353,11 +354,12 @@
 		h.asleep = w.now.Add(nap)
 	case 3:
 		h.incarnation++
-		h.sequence, h.waitsFor, h.epoch, h.until = 0, [2]uint64{}, 0, time.Time{}
+		h.sequence, h.waitsFor, h.epoch, h.session, h.until = 0, [2]uint64{}, 0, 0, time.Time{}
 	case 4:
 		h.boot++
 		h.incarnation++
-		h.sequence, h.waitsFor, h.tasks, h.workerUntil = 0, [2]uint64{}, map[string]*modelTask{}, time.Time{}
+		h.sequence, h.waitsFor, h.epoch, h.session = 0, [2]uint64{}, 0, 0
+		h.tasks, h.workerUntil = map[string]*modelTask{}, time.Time{}
 	case 5, 6:
 		if e.owner != nil {
 			e.owner.Evict("j", w.random.IntN(3), "noisy")
--- a/internal/decision/placement/owner.go
+++ b/internal/decision/placement/owner.go
@@ -30,19 +30,18 @@
 
 type instance struct {
 	Instance
-	incarnation string
-	past        map[string]bool // earlier incarnations: what comes from them is late
-	boot        string
-	sequence    uint64
-	used        Need
-	busy        int // requests in its slots
-	leaving     bool
-	heard       time.Time
-	lapse       time.Time // no grant given to it is in force after this
-	tasks       map[string]*task
-	ofJob       map[*job]int // how many of tasks are of a job
-	failures    int
-	sickUntil   time.Time
+	session   uint64 // the latest given to an agent of it
+	boot      string
+	sequence  uint64
+	used      Need
+	busy      int // requests in its slots
+	leaving   bool
+	heard     time.Time
+	lapse     time.Time // no grant given to it is in force after this
+	tasks     map[string]*task
+	ofJob     map[*job]int // how many of tasks are of a job
+	failures  int
+	sickUntil time.Time
 }
 
 type task struct {
@@ -111,6 +110,7 @@
 	used      map[string]Need // by workspace
 	whole     Need            // capacity of all instances
 	cursor    int             // where choose begins to look
+	sessions  uint64          // given so far
 	dirty     []*chunk
 	inflight  []*chunk
 	decisions []Decision
@@ -225,7 +225,6 @@
 			heard:    now,
 			lapse:    o.claimed.Add(o.lapseTime()),
 			tasks:    map[string]*task{},
-			past:     map[string]bool{},
 			ofJob:    map[*job]int{},
 		}
 		o.instances[name] = known
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -16,12 +16,14 @@
 	owner *Owner
 	now   time.Time
 	beats map[string]uint64
+
+	sessions map[string]uint64 // by incarnation
 }
 
 func newRig(t *testing.T, job Job) *rig {
 	t.Helper()
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	r := &rig{t: t, owner: New(now, Spread, 1, testTTL), now: now, beats: map[string]uint64{}}
+	r := &rig{t: t, owner: New(now, Spread, 1, testTTL), now: now, beats: map[string]uint64{}, sessions: map[string]uint64{}}
 	for _, chunk := range Split(job, "first") {
 		r.owner.Load(now, job, chunk, 1)
 	}
@@ -33,7 +35,15 @@
 func (r *rig) beat(name, boot string, held ...Held) Reply {
 	r.owner.Announce(r.now, Instance{Name: name, Rack: "r-" + name, Capacity: Need{Processors: 8, Memory: 1000}})
 	r.beats[name]++
-	return r.owner.Beat(r.now, Beat{Instance: name, Incarnation: boot, Boot: boot, Epoch: 1, Sequence: r.beats[name], Held: held}, true)
+	return r.owner.Beat(r.now, Beat{Instance: name, Incarnation: boot, Boot: boot, Epoch: 1, Session: r.session(name, boot), Sequence: r.beats[name], Held: held}, true)
+}
+
+// session is the one of an agent's incarnation, which asks for it first.
+func (r *rig) session(name, incarnation string) uint64 {
+	if r.sessions[incarnation] == 0 {
+		r.sessions[incarnation] = r.owner.Beat(r.now, Beat{Instance: name, Epoch: 1}, true).Session
+	}
+	return r.sessions[incarnation]
 }
 
 // commit plans and commits, and returns what was decided.
@@ -144,7 +154,7 @@
 	r.beat("a", "a1")
 	r.want("place 0.1 a placed")
 	r.beat("a", "a1", Held{Task: "j.0", Attempt: 1, Run: Running})
-	late := Beat{Instance: "a", Incarnation: "a1", Boot: "a1", Epoch: 1, Sequence: 1}
+	late := Beat{Instance: "a", Incarnation: "a1", Boot: "a1", Epoch: 1, Session: 1, Sequence: 1}
 	if got := r.owner.Beat(r.now, late, true); got.TTL != 0 || len(got.Start) != 0 {
 		t.Fatalf("reply to a beat that came late: %+v", got)
 	}
@@ -171,7 +181,7 @@
 	r.beat("a", "a1")
 	r.beats["a"] = 0
 	r.beat("a", "a2")
-	late := Beat{Instance: "a", Incarnation: "a1", Boot: "a1", Epoch: 1, Sequence: 9}
+	late := Beat{Instance: "a", Incarnation: "a1", Boot: "a1", Epoch: 1, Session: 1, Sequence: 9}
 	if reply := r.owner.Beat(r.now, late, true); reply.TTL != 0 {
 		t.Errorf("reply: %+v", reply)
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -94,6 +94,7 @@
 	Peers    uint64           `json:"peers,omitempty"`
 	Boot     string           `json:"boot,omitempty"`
 	Epoch    uint64           `json:"epoch,omitempty"` // the highest seen
+	Session  uint64           `json:"session,omitempty"`
 	Held     []placement.Held `json:"held,omitempty"`
 	HeldAs   uint64           `json:"heldas,omitempty"`
 }
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -217,6 +217,7 @@
 	if full {
 		beat.Boot = a.tasks.Boot()
 		beat.Epoch = a.tasks.Epoch()
+		beat.Session = a.tasks.Session()
 		beat.Held = a.tasks.Held()
 	}
 	return beat
@@ -226,7 +227,7 @@
 // said leaving and listed nothing, the owner places nothing here any more.
 func (a *Agent) granted(beat link.Beat, sent time.Time, reply placement.Reply) {
 	a.tasks.Take(sent, beat.Held, reply)
-	a.farewell = a.farewell || beat.Leaving && len(beat.Held) == 0 && beat.Epoch == reply.Epoch
+	a.farewell = a.farewell || beat.Leaving && len(beat.Held) == 0 && reply.TTL > 0
 }
 
 func (a *Agent) news() {
--- a/internal/process/entry_agents.go
+++ b/internal/process/entry_agents.go
@@ -48,7 +48,7 @@
 	}
 	if beat.Boot != "" {
 		reply.Grant = e.keeper.Beat(instanceOf(a), placement.Beat{
-			Instance: a.Instance, Incarnation: a.Incarnation, Boot: beat.Boot, Epoch: beat.Epoch, Sequence: beat.Sequence,
+			Instance: a.Instance, Incarnation: a.Incarnation, Boot: beat.Boot, Epoch: beat.Epoch, Session: beat.Session, Sequence: beat.Sequence,
 			Busy: beat.Busy, Leaving: beat.Leaving, Held: beat.Held,
 		})
 	}
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -36,6 +36,7 @@
 	running     map[string]*attempt
 	throttle    *interference.State
 	sequence    uint64
+	session     uint64 // given by the owner
 	held        map[string]*heldTask
 	order       []string
 	until       time.Time // the grant ends
--- a/internal/replay/tasks.go
+++ b/internal/replay/tasks.go
@@ -100,7 +100,7 @@
 	h.settleTasks()
 	h.sequence++
 	beat := placement.Beat{
-		Instance: h.of.Name, Incarnation: h.incarnation, Boot: h.boot, Epoch: replayEpoch, Sequence: h.sequence,
+		Instance: h.of.Name, Incarnation: h.incarnation, Boot: h.boot, Epoch: replayEpoch, Session: h.session, Sequence: h.sequence,
 		Busy: h.gate.Busy(), Leaving: h.leaving,
 	}
 	for _, name := range h.order {
@@ -122,6 +122,11 @@
 
 // take does what the owner's reply says.
 func (h *host) take(sent time.Time, reply placement.Reply) {
+	if reply.Session != h.session {
+		h.session = reply.Session
+		h.report()
+		return
+	}
 	h.settleTasks()
 	for _, forget := range reply.Forget {
 		h.drop(forget.Task, forget.Attempt)
--- a/internal/worker/tasks.go
+++ b/internal/worker/tasks.go
@@ -52,6 +52,7 @@
 	clock      time.Duration // the worker's clock when clockAt was here
 	clockAt    time.Time
 	epoch      uint64
+	session    uint64    // given by the owner of that epoch
 	until      time.Time // the grant ends
 	number     uint64    // of the latest lease sent
 	leasing    bool
@@ -78,6 +79,9 @@
 // Epoch is the highest epoch seen.
 func (t *Tasks) Epoch() uint64 { return t.epoch }
 
+// Session is what the owner gave last, to be sent with beats.
+func (t *Tasks) Session() uint64 { return t.session }
+
 // Held lists the tasks for a beat, in order.
 func (t *Tasks) Held() []placement.Held {
 	list := make([]placement.Held, 0, len(t.held))
@@ -111,8 +115,8 @@
 		t.log.Warn("grant-refused", zap.Uint64("epoch", reply.Epoch), zap.Uint64("seen", t.epoch))
 		return
 	}
-	if reply.Epoch > t.epoch {
-		t.epoch = reply.Epoch
+	if reply.Epoch != t.epoch || reply.Session != t.session {
+		t.epoch, t.session = reply.Epoch, reply.Session
 		t.changed()
 	}
 	for _, forget := range reply.Forget {
