--- /dev/null
+++ b/internal/decision/dispatch/instance.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Life is one life of an instance's worker. Two lives may have the same ID; Born tells
+// them apart.
+type Life struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born"` // Unix ms
+}
+
+// Offer is what an instance says of itself.
+type Offer struct {
+	Life      Life     `json:"life"`
+	Agent     string   `json:"agent"`             // name of the process beside it
+	Process   string   `json:"process,omitempty"` // that process's incarnation
+	Service   string   `json:"service"`
+	Domain    string   `json:"domain"`
+	Rack      string   `json:"rack"`
+	Labels    []string `json:"labels,omitempty"`
+	Capacity  Need     `json:"capacity"`
+	Leaving   bool     `json:"leaving,omitempty"`
+	Remaining int64    `json:"remaining,omitempty"` // ms until a leaving instance is gone, at least
+}
+
+// Listed is one entry of an instance's list of what runs.
+type Listed struct {
+	Task  TaskName `json:"task"`
+	Run   int64    `json:"run"`
+	Saved string   `json:"saved,omitempty"`
+}
+
+//go:generate stringer -type=How -linecomment
+
+// How tells how a run ended.
+type How int
+
+// The ways in which a run ends.
+const (
+	EndDone    How = iota // done
+	EndFailed             // failed
+	EndStopped            // stopped
+	EndLapsed             // lapsed
+	EndBroken             // broken
+	EndAlone              // alone
+	EndAbsent             // absent
+)
+
+// End is the end of one run. EndAbsent says that the run never was, or will be, on
+// the instance.
+type End struct {
+	Sequence int64    `json:"n"` // in the instance's list; 0 for EndAbsent
+	Task     TaskName `json:"task"`
+	Run      int64    `json:"run"`
+	How      How      `json:"how"`
+	Saved    string   `json:"saved,omitempty"`
+}
+
+// placement is one run that may be on an instance. It holds its room until the
+// instance's lists, or its end, show that it is not there.
+type placement struct {
+	name     TaskName
+	run      int64
+	step     *Step // nil when the job is not known
+	need     Need
+	fills    bool
+	serves   bool
+	since    time.Time
+	process  string // incarnation of the agent that was given the order
+	stopping bool
+}
+
+// instance is one life of a worker as the owner knows it.
+type instance struct {
+	offer      Offer
+	registered bool // its row is in the table
+	asked      bool // that its row be written
+	synced     bool // it has listed what it runs since the owner took over
+	reachable  bool // its agent talks to the owner and the worker answers the agent
+	placements map[TaskName]*placement
+	used       Need // by tasks that do not fill
+	filled     int  // thousandths of a core that filling tasks ask for
+	fails      int  // failed ends in a row, of distinct jobs
+	failedJob  string
+	avoidUntil time.Time
+	leaveAt    time.Time // when a leaving instance may be gone
+}
+
+func newInstance(offer Offer) *instance {
+	return &instance{offer: offer, placements: map[TaskName]*placement{}}
+}
+
+func (in *instance) usable(now time.Time) bool {
+	return in.registered && in.synced && in.reachable && !in.offer.Leaving && !now.Before(in.avoidUntil)
+}
+
+// free is the room that is left for tasks that do not fill.
+func (in *instance) free() Need { return in.offer.Capacity.minus(in.used) }
+
+// fillRoom is what is left for filling tasks, in thousandths of a core.
+func (in *instance) fillRoom() int {
+	return in.offer.Capacity.Processors - in.used.Processors - in.filled
+}
+
+func (in *instance) has(label string) bool { return slices.Contains(in.offer.Labels, label) }
+
+func (in *instance) add(p *placement) {
+	in.placements[p.name] = p
+	counted := p.need
+	if p.fills {
+		counted.Processors = 0
+		in.filled += p.need.Processors
+	}
+	in.used = in.used.plus(counted)
+}
+
+func (in *instance) remove(p *placement) {
+	if in.placements[p.name] != p {
+		return
+	}
+	delete(in.placements, p.name)
+	counted := p.need
+	if p.fills {
+		counted.Processors = 0
+		in.filled -= p.need.Processors
+	}
+	in.used = in.used.minus(counted)
+}
+
+// of counts the placements of one step of one occurrence.
+func (in *instance) of(name TaskName) int {
+	count := 0
+	for other := range in.placements {
+		if other.Job == name.Job && other.Occurrence == name.Occurrence && other.Step == name.Step {
+			count++
+		}
+	}
+	return count
+}
+
+// serving counts the placements that serve users of their own.
+func (in *instance) serving() int {
+	count := 0
+	for _, p := range in.placements {
+		if p.serves {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/decision/dispatch/lists.go
@@ -0,0 +1,330 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// InstanceChange is a row of an instance to be written, or removed when Gone.
+type InstanceChange struct {
+	Offer Offer
+	Gone  bool
+}
+
+// TakeChanges returns the instances whose rows must be written or removed.
+func (b *Book) TakeChanges() []InstanceChange {
+	changes := b.changes
+	b.changes = nil
+	return changes
+}
+
+// Doubt names an instance of an earlier owner, read from its row. Tasks of earlier
+// owners wait until it is heard of or Lost.
+func (b *Book) Doubt(offer Offer) {
+	b.doubts[offer.Life.ID] = true
+	in := newInstance(offer)
+	in.registered = true
+	b.instances[offer.Life.ID] = in
+}
+
+// Doubts lists the instances of earlier owners that have not been heard of.
+func (b *Book) Doubts() []string {
+	var ids []string
+	for id := range b.doubts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Attach takes what an instance's agent says of it. A new life under a known ID ends
+// the life before. It tells whether the row of the instance must be written first.
+func (b *Book) Attach(now time.Time, offer Offer) bool {
+	id := offer.Life.ID
+	in, known := b.instances[id]
+	if known && in.offer.Life != offer.Life {
+		b.drop(now, in, EndLapsed)
+		known = false
+	}
+	if !known {
+		in = newInstance(offer)
+		b.instances[id] = in
+	}
+	in.offer = offer
+	in.reachable = true
+	b.replaced(now, offer)
+	if offer.Leaving {
+		in.leaveAt = now.Add(time.Duration(offer.Remaining) * time.Millisecond)
+	}
+	if !in.registered && !in.asked {
+		in.asked = true
+		b.changes = append(b.changes, InstanceChange{Offer: offer})
+	}
+	return !in.registered
+}
+
+// replaced ends the earlier lives beside the same agent: a younger one shows that
+// they are over.
+func (b *Book) replaced(now time.Time, offer Offer) {
+	for _, other := range b.instances {
+		life := other.offer.Life
+		if other.offer.Agent == offer.Agent && life.ID != offer.Life.ID && life.Born < offer.Life.Born {
+			b.Lost(now, life)
+		}
+	}
+}
+
+// Registered takes that the row of an instance's life is written.
+func (b *Book) Registered(life Life) {
+	if in, ok := b.instances[life.ID]; ok && in.offer.Life == life {
+		in.registered = true
+	}
+}
+
+// Reachable says whether the owner can give the instance orders.
+func (b *Book) Reachable(id string, reachable bool) {
+	if in, ok := b.instances[id]; ok {
+		in.reachable = reachable
+	}
+}
+
+// List takes the whole list of what may run on an instance, with nothing of it left
+// out that an earlier order could still start.
+func (b *Book) List(now time.Time, life Life, running []Listed) {
+	in, ok := b.instances[life.ID]
+	if !ok || in.offer.Life != life {
+		return
+	}
+	listed := map[TaskName]bool{}
+	for _, r := range running {
+		listed[r.Task] = true
+		b.seen(now, in, r)
+	}
+	for name, p := range in.placements {
+		switch {
+		case listed[name]:
+		case p.process != in.offer.Process:
+			// The agent that was given the order is gone, and the order may still be on
+			// its way to the worker: a stop settles that.
+			p.stopping = false
+			b.stop(in, p)
+		default:
+			b.end(now, in, End{Task: name, Run: p.run, How: EndAbsent})
+		}
+	}
+	in.synced = true
+	b.settleDoubt(life.ID)
+}
+
+// seen takes one run that is on an instance.
+func (b *Book) seen(now time.Time, in *instance, r Listed) {
+	if p, ok := in.placements[r.Task]; ok && p.run == r.Run {
+		p.process = in.offer.Process
+		if t := b.find(r.Task); t != nil && t.instance == in.offer.Life.ID && t.run == r.Run && r.Saved != "" {
+			t.saved = r.Saved
+		}
+		return
+	}
+	p := &placement{name: r.Task, run: r.Run, since: now, process: in.offer.Process}
+	t := b.find(r.Task)
+	if t != nil {
+		p.step, p.need, p.fills, p.serves = t.step, t.step.Need, t.step.Fills, t.step.Target > 0
+	}
+	in.add(p)
+	if t == nil || t.done || t.instance != "" || r.Run < t.lastRun && !t.doubted {
+		b.stop(in, p)
+		return
+	}
+	t.instance, t.run, t.since, t.doubted = in.offer.Life.ID, r.Run, now, false
+	t.lastRun = max(t.lastRun, r.Run)
+	t.work.started = true
+	if r.Saved != "" {
+		t.saved = r.Saved
+	}
+}
+
+// Saved takes new checkpoints of runs.
+func (b *Book) Saved(life Life, saved []Listed) {
+	for _, r := range saved {
+		t := b.find(r.Task)
+		if t != nil && t.instance == life.ID && t.run == r.Run && r.Saved != "" {
+			t.saved = r.Saved
+		}
+	}
+}
+
+// Ended takes ends that an instance lists.
+func (b *Book) Ended(now time.Time, life Life, ends []End) {
+	in, ok := b.instances[life.ID]
+	if !ok || in.offer.Life != life {
+		return
+	}
+	for _, end := range ends {
+		b.end(now, in, end)
+	}
+}
+
+func (b *Book) end(now time.Time, in *instance, end End) {
+	p, placed := in.placements[end.Task]
+	if placed && p.run == end.Run {
+		in.remove(p)
+	}
+	t := b.find(end.Task)
+	if t == nil || t.done {
+		return
+	}
+	current := t.instance == in.offer.Life.ID && t.run == end.Run
+	// An end of a run that an earlier owner started counts too.
+	unknown := t.instance == "" && end.Run > t.lastRun-runsAnEpoch
+	if end.How == EndAbsent && !current {
+		return
+	}
+	if !current && !unknown && end.How != EndFailed && end.How != EndDone {
+		return
+	}
+	t.lastRun = max(t.lastRun, end.Run)
+	if end.Saved != "" {
+		t.saved = end.Saved
+	}
+	b.judge(now, in, end, t)
+	if current || end.How == EndDone {
+		b.release(t, current)
+	}
+}
+
+// release takes a task off its instance.
+func (b *Book) release(t *task, current bool) {
+	if !current && t.instance != "" {
+		// Done elsewhere: the run that is placed now is not wanted any more.
+		if in, ok := b.instances[t.instance]; ok {
+			if p, there := in.placements[t.name]; there {
+				b.stop(in, p)
+			}
+		}
+	}
+	t.instance, t.run = "", 0
+}
+
+// judge draws the conclusions of an end for its task and job.
+func (b *Book) judge(now time.Time, in *instance, end End, t *task) {
+	w := t.work
+	t.doubted = t.doubted && end.How == EndAbsent
+	switch end.How {
+	case EndDone:
+		in.fails = 0
+		if t.step.Lasting {
+			t.notBefore = now.Add(restartPause)
+			return
+		}
+		b.taskDone(t)
+	case EndFailed:
+		b.noteFailure(now, in, t)
+		if t.step.Lasting {
+			t.notBefore = now.Add(restartPause)
+			return
+		}
+		if slices.Contains(t.failed, end.Run) {
+			return
+		}
+		t.failed = append(t.failed, end.Run)
+		b.touch(w)
+		if len(t.failed) >= max(w.job.Policy.Attempts, 1) {
+			b.finish(w, Failed)
+		}
+	case EndAbsent:
+	default:
+		if t.saved != "" && !t.step.Lasting {
+			b.touch(w)
+		}
+	}
+}
+
+func (b *Book) taskDone(t *task) {
+	w := t.work
+	o := w.occurrences[t.name.Occurrence]
+	if t.step.Gang {
+		// One end stands for all members.
+		for _, member := range o.steps[t.name.Step] {
+			if !member.done {
+				member.done = true
+				o.left--
+			}
+		}
+	} else {
+		t.done = true
+		o.left--
+	}
+	b.touch(w)
+	b.conclude(w)
+}
+
+// noteFailure counts failures in a row on an instance, of different jobs, since a
+// job that can never be done says nothing about the instance.
+func (b *Book) noteFailure(now time.Time, in *instance, t *task) {
+	if in.failedJob == t.name.Job {
+		return
+	}
+	in.failedJob = t.name.Job
+	in.fails++
+	if in.fails >= avoidAfter {
+		in.avoidUntil = now.Add(avoidFor)
+		in.fails = avoidAfter - 1
+	}
+}
+
+// drop takes everything off an instance.
+func (b *Book) drop(now time.Time, in *instance, how How) {
+	for name, p := range in.placements {
+		b.end(now, in, End{Task: name, Run: p.run, How: how})
+	}
+	delete(b.instances, in.offer.Life.ID)
+	b.settleDoubt(in.offer.Life.ID)
+}
+
+// Lost takes that nothing runs on an instance any more: its leases have lapsed for
+// certain, or it is gone. Its tasks may start elsewhere.
+func (b *Book) Lost(now time.Time, life Life) {
+	in, ok := b.instances[life.ID]
+	if !ok || in.offer.Life != life {
+		return
+	}
+	b.drop(now, in, EndLapsed)
+	b.changes = append(b.changes, InstanceChange{Offer: in.offer, Gone: true})
+}
+
+// settleDoubt takes that an instance of an earlier owner holds nothing unknown. After
+// the last one all tasks that nobody listed are free to start.
+func (b *Book) settleDoubt(id string) {
+	if !b.doubts[id] {
+		return
+	}
+	delete(b.doubts, id)
+	if len(b.doubts) > 0 {
+		return
+	}
+	for _, w := range b.jobs {
+		for _, o := range w.occurrences {
+			for _, tasks := range o.steps {
+				for _, t := range tasks {
+					t.doubted = false
+				}
+			}
+		}
+	}
+}
+
+// LostByID is Lost for whatever life the ID has now. The row is removed already.
+func (b *Book) LostByID(now time.Time, id string) {
+	if in, ok := b.instances[id]; ok {
+		b.drop(now, in, EndLapsed)
+	}
+}
+
+// Unregister takes that the row of an instance was removed: it must be written before
+// anything starts there.
+func (b *Book) Unregister(id string) {
+	if in, ok := b.instances[id]; ok {
+		in.registered, in.asked = false, true
+		b.changes = append(b.changes, InstanceChange{Offer: in.offer})
+	}
+}
--- /dev/null
+++ b/internal/link/dispatch.go
@@ -0,0 +1,98 @@
+package link
+
+import (
+	"context"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/cockroachdb/errors"
+)
+
+// Method names of the dispatch of jobs with steps.
+const (
+	MethodAttach    = "attach"    // agent to owner
+	MethodReport    = "report"    // agent to owner
+	MethodOrders    = "orders"    // owner to agent
+	MethodAccepted  = "accepted"  // entry to owner
+	MethodCancelled = "cancelled" // entry to owner
+	MethodWaiting   = "waiting"   // entry to owner
+	MethodWhoOwns   = "whoowns"   // anybody to an entry
+)
+
+// Attach begins a session of an agent with the owner. Until the agent has reported a
+// full list it gets no orders.
+type Attach struct {
+	Offer   dispatch.Offer `json:"offer"`
+	Session uint64         `json:"session"` // grows with each attach of this agent
+}
+
+// Attached answers an Attach. Epoch is the fencing token of the owner's orders.
+type Attached struct {
+	Epoch uint64 `json:"epoch"`
+}
+
+// Report is the news of an agent. Full reports have in Running all that may run on the
+// instance, also what an order could still start; others have checkpoints only.
+type Report struct {
+	Offer   dispatch.Offer    `json:"offer"`
+	Full    bool              `json:"full,omitempty"`
+	Running []dispatch.Listed `json:"running,omitempty"`
+	Ends    []dispatch.End    `json:"ends,omitempty"`
+	Silent  bool              `json:"silent,omitempty"` // the worker does not answer its agent
+	Lapsed  bool              `json:"lapsed,omitempty"` // and all its leases are over
+}
+
+// Reported answers a Report.
+type Reported struct {
+	Grant int64 `json:"grant,omitempty"` // ms of lease, from when the report was sent
+	Kept  int64 `json:"kept,omitempty"`  // ends up to this number are in the table
+}
+
+// Orders are what an agent is to do. Kept is as in Reported.
+type Orders struct {
+	Session uint64       `json:"session"`
+	Starts  []StartOrder `json:"starts,omitempty"`
+	Stops   []StopOrder  `json:"stops,omitempty"`
+	Kept    int64        `json:"kept,omitempty"`
+}
+
+// StartOrder starts one run of a task.
+type StartOrder struct {
+	Task    dispatch.TaskName `json:"task"`
+	Run     int64             `json:"run"`
+	Payload string            `json:"payload,omitempty"`
+	Saved   string            `json:"saved,omitempty"`
+	Fills   bool              `json:"fills,omitempty"`
+	Target  int64             `json:"target,omitempty"` // ms of tail latency
+}
+
+// StopOrder ends one run of a task.
+type StopOrder struct {
+	Task dispatch.TaskName `json:"task"`
+	Run  int64             `json:"run"`
+}
+
+// Accepted tells the owner of a job that is in the table.
+type Accepted struct {
+	Job dispatch.Job `json:"job"`
+}
+
+// Cancelled tells the owner of a cancellation that is in the table.
+type Cancelled struct {
+	ID string `json:"id"`
+}
+
+// Waiting answers with the number of jobs of each queue of which nothing has started.
+type Waiting struct {
+	Counts map[string]int `json:"counts"`
+}
+
+// Owns answers who owns the shard, as far as the entry knows.
+type Owns struct {
+	Address string `json:"address"` // of its link; "" when nobody is known
+	Under   uint64 `json:"under"`   // version of the owner's row
+}
+
+// Tell sends a message with parameters and without an answer.
+func (c *Conn) Tell(ctx context.Context, method string, params any) error {
+	return errors.Wrapf(c.rpc.Notify(ctx, method, params), "tell %s to peer %s", method, c.peer)
+}
--- /dev/null
+++ b/internal/owner/commit.go
@@ -0,0 +1,323 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/logs"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// jobsACommit and instancesACommit keep a commit below the 100 entries that the
+	// table takes: each row stands in it as a condition and as a write.
+	jobsACommit      = 35
+	instancesACommit = 10
+	removalsACommit  = 4 // jobs, with three rows each
+)
+
+// batch is one commit under way.
+type batch struct {
+	change    table.Change
+	jobs      []dispatch.Change
+	instances []dispatch.InstanceChange
+	removed   []string
+	acks      map[*session]int64 // ends that are kept once it is committed
+	began     time.Time
+}
+
+// scheduleCommit commits at once if somebody waits for it, else soon.
+func (t *term) scheduleCommit() {
+	if t.committing || time.Now().Before(t.pausedTill) {
+		return
+	}
+	dirty, final := t.book.HasDirty()
+	if final || len(t.changes) > 0 || t.handedOver != nil {
+		t.commit()
+		return
+	}
+	if dirty && !t.commitDue {
+		t.commitDue = true
+		time.AfterFunc(commitPause, func() {
+			t.post(func() {
+				t.commitDue = false
+				if !t.committing {
+					t.commit()
+				}
+			})
+		})
+	}
+	if !dirty {
+		t.acknowledge(t.allSeen())
+		t.removeOld()
+	}
+}
+
+// allSeen is what may be acknowledged when nothing is left to keep.
+func (t *term) allSeen() map[*session]int64 {
+	acks := map[*session]int64{}
+	for _, s := range t.sessions {
+		if s.seen > s.kept {
+			acks[s] = s.seen
+		}
+	}
+	return acks
+}
+
+// acknowledge lets agents forget ends that are in the table.
+func (t *term) acknowledge(acks map[*session]int64) {
+	for s, kept := range acks {
+		if kept <= s.kept || t.sessions[s.life.ID] != s {
+			continue
+		}
+		s.kept = kept
+		t.send(s.life.ID, &link.Orders{})
+	}
+}
+
+// commit writes the progress that is not kept yet.
+func (t *term) commit() {
+	b := &batch{began: time.Now(), change: table.Change{Expected: []table.Expected{t.guard()}}}
+	b.jobs = t.book.Dirty(jobsACommit + 1)
+	if len(b.jobs) > jobsACommit {
+		b.jobs = b.jobs[:jobsACommit]
+	} else {
+		b.acks = t.allSeen()
+	}
+	for _, change := range b.jobs {
+		if err := t.put(b, jobPlace(change.Job, suffixProgress), change.Progress); err != nil {
+			t.log.Error("commit-left-out", zap.String("job", change.Job), logs.Error(err))
+		}
+	}
+	b.instances = t.changes[:min(len(t.changes), instancesACommit)]
+	t.changes = t.changes[len(b.instances):]
+	for _, change := range b.instances {
+		t.putInstance(b, change)
+	}
+	t.apply(b)
+}
+
+func (t *term) put(b *batch, place table.Place, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "write row %s", place.Key)
+	}
+	b.change.Expected = append(b.change.Expected, table.Expected{Place: place, Version: t.versions[place]})
+	b.change.Sets = append(b.change.Sets, table.Set{Place: place, Value: text})
+	return nil
+}
+
+func (t *term) putInstance(b *batch, change dispatch.InstanceChange) {
+	place := instancePlace(change.Offer.Life.ID)
+	for _, set := range b.change.Sets {
+		if set.Place == place {
+			t.changes = append(t.changes, change) // one change of a row a commit
+			return
+		}
+	}
+	if change.Gone {
+		b.change.Removes = append(b.change.Removes, place)
+		return
+	}
+	if err := t.put(b, place, change.Offer); err != nil {
+		t.log.Error("commit-left-out", zap.String("instance", place.Key), logs.Error(err))
+	}
+}
+
+func (t *term) apply(b *batch) {
+	t.committing = true
+	t.seat.loop.Go(func() {
+		applied, err := t.seat.apply(b.change)
+		t.post(func() {
+			t.committing = false
+			t.applied(b, applied, err)
+		})
+	})
+}
+
+// applied takes the outcome of a commit.
+func (t *term) applied(b *batch, applied table.Applied, err error) {
+	t.seat.set.Time("commit", time.Since(b.began))
+	switch {
+	case applied.Outcome == table.Committed:
+		t.committed(b, applied.Version)
+	case applied.Outcome == table.Conflict:
+		t.changes = append(b.instances, t.changes...)
+		if !t.relearn(b.change.Expected, applied.Rows) {
+			t.seat.depose("a commit found another owner")
+			return
+		}
+	default:
+		// Nothing was done, or it is not known: the same is sent again under the same
+		// conditions, so that it takes effect once.
+		t.changes = append(b.instances, t.changes...)
+		t.log.Warn("commit-unanswered", logs.Error(err), zap.Duration("took", time.Since(b.began)))
+		t.pausedTill = time.Now().Add(refusedPause)
+		return
+	}
+	t.wake()
+}
+
+func (t *term) committed(b *batch, version uint64) {
+	t.confirmed = maxTime(t.confirmed, b.began)
+	for _, set := range b.change.Sets {
+		t.versions[set.Place] = version
+	}
+	for _, place := range b.change.Removes {
+		delete(t.versions, place)
+	}
+	for _, change := range b.jobs {
+		t.book.Kept(change)
+		if change.Progress.State.Final() {
+			t.log.Info("finished", zap.String("job", change.Job), zap.Stringer("state", change.Progress.State))
+			t.finished = append(t.finished, finishedJob{change.Job, time.Now().Add(t.seat.settings.Keep)})
+		}
+	}
+	for _, change := range b.instances {
+		if !change.Gone {
+			t.book.Registered(change.Offer.Life)
+		}
+	}
+	for _, id := range b.removed {
+		t.book.Forget(id)
+	}
+	t.acknowledge(b.acks)
+	if t.handedOver != nil {
+		t.tryHandOver()
+	}
+}
+
+// relearn takes the versions of rows whose conditions failed: an earlier copy of a
+// commit may have taken effect. It tells whether this is still the owner.
+func (t *term) relearn(expected []table.Expected, rows []table.Cell) bool {
+	found := map[table.Place]uint64{}
+	for _, row := range rows {
+		found[row.Place] = row.Version
+	}
+	if found[ownerPlace()] != t.under {
+		return false
+	}
+	for _, condition := range expected {
+		if condition.Place != ownerPlace() {
+			t.versions[condition.Place] = found[condition.Place]
+		}
+	}
+	return true
+}
+
+// removeOld removes the rows of jobs that finished long ago.
+func (t *term) removeOld() {
+	b := &batch{began: time.Now(), change: table.Change{Expected: []table.Expected{t.guard()}}}
+	for len(t.finished) > 0 && len(b.removed) < removalsACommit && time.Now().After(t.finished[0].remove) {
+		id := t.finished[0].id
+		t.finished = t.finished[1:]
+		b.removed = append(b.removed, id)
+		for _, suffix := range []string{suffixJob, suffixProgress, suffixCancel} {
+			b.change.Removes = append(b.change.Removes, jobPlace(id, suffix))
+		}
+	}
+	if len(b.removed) > 0 {
+		t.apply(b)
+	}
+}
+
+// keepAlive writes the alive row, which confirms the epoch too.
+func (t *term) keepAlive() {
+	t.beat++
+	holder := Holder{Epoch: t.epoch, Name: t.seat.settings.Name, Address: t.seat.settings.Address, Under: t.under, Beat: t.beat}
+	value, err := json.Marshal(holder)
+	if err != nil {
+		t.log.Error("alive-row", logs.Error(err))
+		return
+	}
+	change := table.Change{
+		Expected: []table.Expected{t.guard()},
+		Sets:     []table.Set{{Place: alivePlace(), Value: value}},
+	}
+	began := time.Now()
+	t.seat.loop.Go(func() {
+		applied, err := t.seat.apply(change)
+		t.post(func() {
+			switch applied.Outcome {
+			case table.Committed:
+				t.confirmed = maxTime(t.confirmed, began)
+			case table.Conflict:
+				t.seat.depose("the alive row found another owner")
+			default:
+				t.log.Debug("alive-unanswered", logs.Error(err))
+			}
+		})
+	})
+}
+
+// catchUp takes jobs and cancellations that no entry has told of.
+func (t *term) catchUp() {
+	after := t.feed
+	t.seat.loop.Go(func() {
+		bounded, cancel := context.WithTimeout(t.ctx, callBound)
+		defer cancel()
+		feed, err := t.seat.store.Follow(bounded, tableJobs, after, 0)
+		if errors.Is(err, table.ErrHistory) {
+			var rows []table.Cell
+			rows, feed.Version, err = t.seat.store.Read(bounded, table.Range{Table: tableJobs, Part: shardPart})
+			feed.Rows = rows
+		}
+		t.post(func() {
+			if err != nil {
+				t.log.Debug("catch-up-failed", logs.Error(err))
+				return
+			}
+			if after == t.feed {
+				t.feed = feed.Version
+				t.takeRows(feed.Rows)
+			}
+		})
+	})
+}
+
+// handOver commits what is to be kept and gives the ownership up.
+func (t *term) handOver(done func()) {
+	called := false
+	t.handedOver = func() {
+		if !called {
+			called = true
+			done()
+		}
+	}
+	t.tryHandOver()
+}
+
+func (t *term) tryHandOver() {
+	if t.committing {
+		return
+	}
+	if dirty, _ := t.book.HasDirty(); dirty {
+		t.commit()
+		return
+	}
+	change, err := handChange(t.under, Holder{Epoch: t.epoch})
+	if err != nil {
+		t.log.Error("hand-over", logs.Error(err))
+		return
+	}
+	t.committing = true
+	t.seat.loop.Go(func() {
+		applied, err := t.seat.apply(change)
+		t.post(func() {
+			t.log.Info("handed-over", zap.Stringer("outcome", applied.Outcome), logs.Error(err))
+			t.seat.depose("handed over")
+		})
+	})
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/owner/seat.go
@@ -0,0 +1,257 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/logs"
+	"github.com/apricotwind/apricotwind/internal/loop"
+	"github.com/apricotwind/apricotwind/internal/metrics"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// alivePeriod is the time between two writes of the owner's alive row.
+	alivePeriod = 300 * time.Millisecond
+	// watchPeriod is the time between two reads of it by the other entries.
+	watchPeriod = 300 * time.Millisecond
+	// silentAfter is how long the alive row stays unchanged before the owner counts as
+	// gone, beyond the time that reading it takes.
+	silentAfter = 1100 * time.Millisecond
+	// slownessFactor adds so many times a read's duration to silentAfter.
+	slownessFactor = 4
+	// callBound is how long a call to the table may take.
+	callBound = 1500 * time.Millisecond
+)
+
+// Settings of a seat.
+type Settings struct {
+	Name    string        // of the process, unique among those that run
+	Address string        // of its link, host:port
+	Keep    time.Duration // how long a finished job's state is kept
+	Domain  string        // failure domain of the process
+}
+
+// Seat follows who owns the shard and owns it when that is its turn.
+type Seat struct {
+	settings Settings
+	store    *table.Store
+	loop     *loop.Loop
+	log      *zap.Logger
+	set      *metrics.Set
+	unix     func() int64
+	onHolder func(Holder)
+
+	holder    Holder // as last read
+	version   uint64 // of the alive row
+	changedAt time.Time
+	reads     int // since the row changed
+	claiming  bool
+	leaving   bool
+	term      *term
+	trouble   *logs.Trouble
+}
+
+// New makes a seat. unix is the time of day in ms; onHolder is told on the loop of each
+// change of the owner.
+func New(settings Settings, store *table.Store, l *loop.Loop, log *zap.Logger, set *metrics.Set, unix func() int64, onHolder func(Holder)) *Seat {
+	return &Seat{
+		settings: settings, store: store, loop: l, log: log, set: set, unix: unix, onHolder: onHolder,
+		changedAt: time.Now(), trouble: logs.NewTrouble(log, "watch-owner-failed"),
+	}
+}
+
+// Run follows the owner until the loop ends.
+func (s *Seat) Run() {
+	s.loop.Repeat(watchPeriod, s.watch)
+}
+
+// watch reads the alive row once.
+func (s *Seat) watch(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	began := time.Now()
+	rows, _, err := s.store.Read(bounded, table.Range{Table: tableAlive, Part: shardPart})
+	took := time.Since(began)
+	s.loop.Post(func() {
+		s.trouble.Note(err)
+		if err == nil {
+			s.watched(rows, took)
+		}
+	})
+}
+
+// watched takes what a read showed.
+func (s *Seat) watched(rows []table.Cell, took time.Duration) {
+	if len(rows) == 0 {
+		s.claim("no owner yet")
+		return
+	}
+	if rows[0].Version < s.version {
+		return
+	}
+	if rows[0].Version > s.version {
+		s.sawHolder(rows[0])
+	} else {
+		s.reads++
+	}
+	silent := time.Since(s.changedAt)
+	switch {
+	case s.holder.Name == "":
+		s.claim("handed over")
+	case s.term == nil && s.holder.Name == s.settings.Name:
+		// A claim whose answer was lost, or an earlier incarnation of this process.
+		s.claim("own earlier claim")
+	case s.term == nil && s.reads >= 2 && silent > silentAfter+slownessFactor*took:
+		s.claim("owner silent", zap.Duration("silent", silent), zap.Uint64("epoch", s.holder.Epoch))
+	}
+}
+
+func (s *Seat) sawHolder(row table.Cell) {
+	holder, err := ReadHolder(row)
+	if err != nil {
+		s.log.Warn("row-ignored", logs.Error(err))
+		return
+	}
+	s.version, s.changedAt, s.reads = row.Version, time.Now(), 0
+	changed := holder.Under != s.holder.Under
+	s.holder = holder
+	if changed {
+		s.log.Info("owner", zap.String("owner", holder.Name), zap.Uint64("epoch", holder.Epoch), zap.Uint64("version", holder.Under))
+		s.onHolder(holder)
+	}
+	if s.term != nil && holder.Under > s.term.under {
+		s.depose("another owner was seen")
+	}
+}
+
+// claim takes the ownership by a change that holds only if the owner's row is as seen.
+func (s *Seat) claim(why string, fields ...zap.Field) {
+	if s.claiming || s.leaving || s.term != nil {
+		return
+	}
+	s.claiming = true
+	s.log.Info("claim", append(fields, zap.String("reason", why), zap.Uint64("version", s.holder.Under))...)
+	next := Holder{Epoch: s.holder.Epoch + 1, Name: s.settings.Name, Address: s.settings.Address}
+	change, err := handChange(s.holder.Under, next)
+	if err != nil {
+		s.log.Error("claim-failed", logs.Error(err))
+		return
+	}
+	began := time.Now()
+	s.loop.Go(func() {
+		applied, err := s.apply(change)
+		s.loop.Post(func() {
+			s.claiming = false
+			if applied.Outcome != table.Committed {
+				s.log.Info("claim-lost", zap.Stringer("outcome", applied.Outcome), logs.Error(err))
+				return
+			}
+			next.Under = applied.Version
+			s.begin(next, began)
+		})
+	})
+}
+
+// handChange gives the ownership to next if the owner's row is at version under.
+func handChange(under uint64, next Holder) (table.Change, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return table.Change{}, errors.Wrap(err, "write owner row")
+	}
+	return table.Change{
+		Expected: []table.Expected{{Place: ownerPlace(), Version: under}},
+		Sets:     []table.Set{{Place: ownerPlace(), Value: value}, {Place: alivePlace(), Value: value}},
+	}, nil
+}
+
+func (s *Seat) apply(change table.Change) (table.Applied, error) {
+	bounded, cancel := context.WithTimeout(s.loop.Context(), callBound)
+	defer cancel()
+	return s.store.Apply(bounded, change)
+}
+
+// begin starts a term under a holder that is this process.
+func (s *Seat) begin(holder Holder, claimed time.Time) {
+	s.version, s.holder, s.changedAt, s.reads = holder.Under, holder, time.Now(), 0
+	s.term = newTerm(s, holder, claimed)
+	s.set.Add("terms", 1)
+	s.onHolder(holder)
+	s.term.load()
+}
+
+// depose ends the term.
+func (s *Seat) depose(why string) {
+	if s.term == nil {
+		return
+	}
+	s.log.Warn("owner-no-more", zap.String("reason", why), zap.Uint64("epoch", s.term.epoch))
+	s.term.end()
+	s.term = nil
+}
+
+// Leave hands the ownership over, if this process has it, and claims none any more.
+func (s *Seat) Leave(ctx context.Context) {
+	done := make(chan struct{})
+	err := s.loop.Do(func() {
+		s.leaving = true
+		if s.term == nil {
+			close(done)
+			return
+		}
+		s.term.handOver(func() { close(done) })
+	})
+	if err != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Serve answers a call that arrived on a link; ok is false when it is not for the owner.
+func (s *Seat) Serve(ctx context.Context, conn *Peer, method string, params []byte) (result any, ok bool, err error) {
+	switch method {
+	case link.MethodWhoOwns:
+		var owns link.Owns
+		err = s.loop.Do(func() { owns = link.Owns{Address: s.holder.Address, Under: s.holder.Under} })
+		return owns, true, err
+	case link.MethodAttach, link.MethodReport, link.MethodAccepted, link.MethodCancelled, link.MethodWaiting:
+		return s.serveTerm(ctx, conn, method, params)
+	}
+	return nil, false, nil
+}
+
+// ErrNotOwner answers calls for the owner that reach another entry.
+var ErrNotOwner = errors.New("not the owner")
+
+func (s *Seat) serveTerm(_ context.Context, conn *Peer, method string, params []byte) (result any, ok bool, err error) {
+	loopErr := s.loop.Do(func() {
+		if s.term == nil || !s.term.loaded {
+			err = ErrNotOwner
+			return
+		}
+		result, err = s.term.serve(conn, method, params)
+	})
+	return result, true, errors.CombineErrors(err, loopErr)
+}
+
+// Waiting counts the jobs that wait, by queue, when this process is the owner.
+func (s *Seat) Waiting() (counts map[string]int, err error) {
+	result, _, err := s.serveTerm(s.loop.Context(), nil, link.MethodWaiting, nil)
+	if err != nil {
+		return nil, err
+	}
+	return result.(link.Waiting).Counts, nil
+}
+
+// Accepted hands a job over when this process is the owner.
+func (s *Seat) Accepted(params []byte) error {
+	_, _, err := s.serveTerm(s.loop.Context(), nil, link.MethodAccepted, params)
+	return err
+}
--- /dev/null
+++ b/internal/owner/sessions.go
@@ -0,0 +1,145 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/logs"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// errNoSession answers reports of agents that have to attach first.
+var errNoSession = errors.New("no session")
+
+// attach begins a session.
+func (t *term) attach(peer *Peer, a link.Attach) link.Attached {
+	id := a.Offer.Life.ID
+	if old := t.sessions[id]; old != nil && old.peer != peer {
+		old.peer.conn.Close()
+	}
+	t.log.Info("attach", zap.String("instance", id), zap.Int64("born", a.Offer.Life.Born), zap.String("agent", a.Offer.Agent), zap.Uint64("session", a.Session))
+	t.book.Attach(time.Now(), a.Offer)
+	t.book.Reachable(id, false) // until its list is here
+	s := &session{peer: peer, number: a.Session, life: a.Offer.Life, granted: time.Now()}
+	t.sessions[id] = s
+	delete(t.lapses, id)
+	t.seat.loop.Go(func() {
+		select {
+		case <-peer.conn.Done():
+		case <-t.ctx.Done():
+			return
+		}
+		t.post(func() { t.parted(id, s) })
+	})
+	t.wake()
+	return link.Attached{Epoch: t.epoch}
+}
+
+// parted takes that the link of a session is gone.
+func (t *term) parted(id string, s *session) {
+	if t.sessions[id] != s {
+		return
+	}
+	t.log.Warn("instance-parted", zap.String("instance", id))
+	delete(t.sessions, id)
+	t.book.Reachable(id, false)
+	t.lapses[id] = s.granted.Add(grantWait)
+}
+
+// report takes the news of an agent.
+func (t *term) report(peer *Peer, r link.Report) (link.Reported, error) {
+	id := r.Offer.Life.ID
+	s := t.sessions[id]
+	if s == nil || s.peer != peer || s.life != r.Offer.Life {
+		return link.Reported{}, errNoSession
+	}
+	now := time.Now()
+	t.book.Attach(now, r.Offer)
+	t.takeEnds(now, s, r.Ends)
+	if r.Full {
+		t.book.List(now, s.life, r.Running)
+		s.full = true
+	} else {
+		t.book.Saved(s.life, r.Running)
+	}
+	t.book.Reachable(id, s.full && !r.Silent)
+	if r.Lapsed {
+		t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", "worker silent, its leases are over"))
+		t.book.Lost(now, s.life)
+		delete(t.sessions, id)
+	}
+	t.wake()
+	return link.Reported{Grant: t.grant(s, now).Milliseconds(), Kept: s.kept}, nil
+}
+
+func (t *term) takeEnds(now time.Time, s *session, ends []dispatch.End) {
+	for _, end := range ends {
+		if end.Sequence > 0 && end.Sequence <= s.seen {
+			continue
+		}
+		s.seen = max(s.seen, end.Sequence)
+		t.log.Info("end", zap.Stringer("task", end.Task), zap.Int64("run", end.Run), zap.Stringer("how", end.How), zap.String("instance", s.life.ID))
+	}
+	t.book.Ended(now, s.life, ends)
+}
+
+// grant is the lease that a report earns now. An owner whose epoch the table has not
+// confirmed for long grants nothing: there may be another.
+func (t *term) grant(s *session, now time.Time) time.Duration {
+	if now.Sub(t.confirmed) > confirmTTL {
+		return 0
+	}
+	s.granted = now
+	return grantTTL
+}
+
+// lose gives up instances whose grants are over, after the table has confirmed that
+// this is still the owner: the removal of the instance's row depends on that.
+func (t *term) lose() {
+	now := time.Now()
+	for id, over := range t.lapses {
+		if now.Before(over) || t.losing[id] {
+			continue
+		}
+		t.losing[id] = true
+		place := instancePlace(id)
+		change := table.Change{
+			Expected: []table.Expected{t.guard()},
+			Removes:  []table.Place{place},
+		}
+		t.seat.loop.Go(func() {
+			applied, err := t.seat.apply(change)
+			t.post(func() { t.lost(id, place, applied, err) })
+		})
+	}
+}
+
+func (t *term) lost(id string, place table.Place, applied table.Applied, err error) {
+	delete(t.losing, id)
+	switch applied.Outcome {
+	case table.Committed:
+	case table.Conflict:
+		t.seat.depose("the removal of an instance found another owner")
+		return
+	default:
+		t.log.Warn("instance-loss-unconfirmed", zap.String("instance", id), logs.Error(err))
+		return
+	}
+	delete(t.versions, place)
+	if _, silent := t.lapses[id]; !silent {
+		t.book.Unregister(id) // it is back; its row has to be written again
+		t.wake()
+		return
+	}
+	delete(t.lapses, id)
+	t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", "silent until its grants were over"))
+	t.book.LostByID(time.Now(), id)
+	t.wake()
+}
+
+func (t *term) guard() table.Expected {
+	return table.Expected{Place: ownerPlace(), Version: t.under}
+}
--- /dev/null
+++ b/internal/owner/term.go
@@ -0,0 +1,334 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/logs"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// grantTTL is the lease that a report earns, from when it was sent. It is also the
+	// least time until the tasks of an instance that went silent start elsewhere.
+	grantTTL = 3500 * time.Millisecond
+	// grantWait is when a grant has lapsed for certain: clocks may differ by 2 %.
+	grantWait = grantTTL + grantTTL/40 + 50*time.Millisecond
+	// confirmTTL is how long an owner goes on granting without the table having
+	// confirmed its epoch, so that work goes on while the table is away.
+	confirmTTL = 9 * time.Second
+	// doubtWait is the time from a claim until nothing that an earlier owner granted
+	// lasts.
+	doubtWait = confirmTTL + confirmTTL/40 + grantWait
+	// tickPeriod is how often time alone makes the owner look at its book.
+	tickPeriod = 50 * time.Millisecond
+	// commitPause is the wait before a commit that nobody waits for.
+	commitPause = 40 * time.Millisecond
+	// refusedPause is the wait after the table has turned a commit away.
+	refusedPause = 100 * time.Millisecond
+	// catchUpPeriod is how often the owner looks for jobs and cancellations that no
+	// entry has told it of.
+	catchUpPeriod = 500 * time.Millisecond
+	// orderBound is how long an agent may take to confirm orders.
+	orderBound = time.Second
+)
+
+// Peer is one link to another process.
+type Peer struct {
+	conn *link.Conn
+}
+
+// NewPeer makes a peer; Bind gives it its link.
+func NewPeer() *Peer { return &Peer{} }
+
+// Bind sets the link of the peer.
+func (p *Peer) Bind(conn *link.Conn) { p.conn = conn }
+
+// session is an agent's session with the owner.
+type session struct {
+	peer    *Peer
+	number  uint64
+	life    dispatch.Life
+	full    bool  // its whole list has come
+	seen    int64 // highest number of an end that the book has
+	kept    int64 // highest number of an end that is in the table
+	granted time.Time
+}
+
+// term is one ownership of the shard. All of it runs on the loop.
+type term struct {
+	seat     *Seat
+	log      *zap.Logger
+	epoch    uint64
+	under    uint64
+	claimed  time.Time
+	loaded   bool
+	ended    bool
+	book     *dispatch.Book
+	sessions map[string]*session // by life ID
+
+	lapses   map[string]time.Time // instances without a session: when their grants are over
+	versions map[table.Place]uint64
+	changes  []dispatch.InstanceChange // rows of instances to be committed
+	losing   map[string]bool
+	finished []finishedJob // in the order of their ends
+
+	committing bool
+	commitDue  bool // a timer for the next commit runs
+	pausedTill time.Time
+	confirmed  time.Time // when a call that confirmed the epoch was sent
+	planDue    bool
+	feed       uint64
+	beat       uint64
+	stop       context.CancelFunc
+	ctx        context.Context
+	handedOver func()
+}
+
+// finishedJob is a job whose rows are to be removed at a time.
+type finishedJob struct {
+	id     string
+	remove time.Time
+}
+
+func newTerm(s *Seat, holder Holder, claimed time.Time) *term {
+	ctx, stop := context.WithCancel(s.loop.Context())
+	return &term{
+		seat: s, log: s.log.With(zap.Uint64("epoch", holder.Epoch)),
+		epoch: holder.Epoch, under: holder.Under, claimed: claimed, confirmed: claimed,
+		book: dispatch.New(holder.Epoch, holder.Under), sessions: map[string]*session{},
+		lapses: map[string]time.Time{}, versions: map[table.Place]uint64{}, losing: map[string]bool{},
+		ctx: ctx, stop: stop,
+	}
+}
+
+// post hands f to the loop, unless the term has ended by then.
+func (t *term) post(f func()) {
+	t.seat.loop.Post(func() {
+		if !t.ended {
+			f()
+		}
+	})
+}
+
+func (t *term) end() {
+	t.ended = true
+	t.stop()
+	for _, s := range t.sessions {
+		s.peer.conn.Close()
+	}
+	if t.handedOver != nil {
+		t.handedOver()
+	}
+}
+
+// load reads what earlier owners left, again until that works.
+func (t *term) load() {
+	t.seat.loop.Go(func() {
+		for t.ctx.Err() == nil {
+			began := time.Now()
+			instances, jobs, version, err := t.read()
+			if err == nil {
+				t.post(func() { t.open(instances, jobs, version, began) })
+				return
+			}
+			t.log.Warn("load-failed", logs.Error(err))
+			sleep(t.ctx, refusedPause)
+		}
+	})
+}
+
+func (t *term) read() (instances, jobs []table.Cell, version uint64, err error) {
+	bounded, cancel := context.WithTimeout(t.ctx, 2*callBound)
+	defer cancel()
+	instances, _, err = t.seat.store.Read(bounded, table.Range{Table: tableInstances, Part: shardPart})
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	jobs, version, err = t.seat.store.Read(bounded, table.Range{Table: tableJobs, Part: shardPart})
+	return instances, jobs, version, err
+}
+
+// open begins the work of the term with what the table holds.
+func (t *term) open(instances, jobs []table.Cell, version uint64, began time.Time) {
+	for _, row := range instances {
+		var offer dispatch.Offer
+		if err := json.Unmarshal(row.Value, &offer); err != nil {
+			t.log.Warn("row-ignored", zap.String("key", row.Key), logs.Error(err))
+			continue
+		}
+		t.versions[row.Place] = row.Version
+		t.book.Doubt(offer)
+		t.lapses[offer.Life.ID] = t.claimed.Add(doubtWait)
+	}
+	t.takeRows(jobs)
+	t.feed, t.loaded, t.confirmed = version, true, began
+	t.log.Info("term", zap.Int("instances", len(instances)), zap.Int("rows", len(jobs)), zap.Duration("took", time.Since(t.claimed)))
+	t.run(alivePeriod, t.keepAlive)
+	t.run(catchUpPeriod, t.catchUp)
+	t.run(tickPeriod, t.tick)
+	t.wake()
+}
+
+// run calls f on the loop each period until the term ends.
+func (t *term) run(period time.Duration, f func()) {
+	t.seat.loop.Go(func() {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-t.ctx.Done():
+				return
+			case <-ticker.C:
+				t.post(f)
+			}
+		}
+	})
+}
+
+// takeRows takes rows of jobs that were read or have changed.
+func (t *term) takeRows(rows []table.Cell) {
+	jobs := gatherJobs(rows, func(key string, err error) {
+		t.log.Warn("row-ignored", zap.String("key", key), logs.Error(err))
+	})
+	for id, of := range jobs {
+		if of.job != nil {
+			if _, known := t.versions[jobPlace(id, suffixProgress)]; !known {
+				t.versions[jobPlace(id, suffixProgress)] = of.progressVersion
+			}
+			t.accept(of.job, of.progress)
+		}
+		if of.cancelled {
+			t.cancel(id)
+		}
+	}
+}
+
+func (t *term) accept(job *dispatch.Job, progress *dispatch.Progress) {
+	if t.book.Accept(time.Now(), job, progress) {
+		t.log.Info("job", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.Int("steps", len(job.Steps)), zap.Uint64("under", job.Under))
+	} else if state, done := t.book.Finished(job.ID); done && progress != nil && progress.State == state {
+		t.finished = append(t.finished, finishedJob{job.ID, time.Now().Add(t.seat.settings.Keep)})
+	}
+	t.wake()
+}
+
+func (t *term) cancel(id string) {
+	if t.book.Cancel(id) {
+		t.log.Info("cancel", zap.String("job", id))
+		t.wake()
+	}
+}
+
+// serve answers a call for the owner. It runs on the loop.
+func (t *term) serve(peer *Peer, method string, params []byte) (any, error) {
+	switch method {
+	case link.MethodAttach:
+		attach, err := link.Decode[link.Attach](params)
+		if err != nil {
+			return nil, err
+		}
+		return t.attach(peer, attach), nil
+	case link.MethodReport:
+		report, err := link.Decode[link.Report](params)
+		if err != nil {
+			return nil, err
+		}
+		return t.report(peer, report)
+	case link.MethodAccepted:
+		accepted, err := link.Decode[link.Accepted](params)
+		if err == nil && accepted.Job.Under == t.under {
+			t.accept(&accepted.Job, nil)
+		}
+		return nil, err
+	case link.MethodCancelled:
+		cancelled, err := link.Decode[link.Cancelled](params)
+		if err == nil {
+			t.cancel(cancelled.ID)
+		}
+		return nil, err
+	case link.MethodWaiting:
+		return link.Waiting{Counts: t.book.Waiting()}, nil
+	}
+	return nil, errors.Newf("no method %s", method)
+}
+
+// wake plans soon.
+func (t *term) wake() {
+	if t.planDue || !t.loaded {
+		return
+	}
+	t.planDue = true
+	t.post(func() {
+		t.planDue = false
+		t.dispatch()
+	})
+}
+
+// tick does what time alone brings.
+func (t *term) tick() {
+	t.book.Due(t.seat.unix())
+	t.lose()
+	t.dispatch()
+}
+
+// dispatch sends out what the book decides and commits what it wants kept.
+func (t *term) dispatch() {
+	orders := map[string]*link.Orders{}
+	of := func(id string) *link.Orders {
+		if orders[id] == nil {
+			orders[id] = &link.Orders{}
+		}
+		return orders[id]
+	}
+	now := time.Now()
+	for _, start := range t.book.Plan(now) {
+		t.log.Info("start", zap.Stringer("task", start.Task), zap.Int64("run", start.Run), zap.String("instance", start.Instance))
+		of(start.Instance).Starts = append(of(start.Instance).Starts, link.StartOrder{
+			Task: start.Task, Run: start.Run, Payload: start.Payload, Saved: start.Saved,
+			Fills: start.Step.Fills, Target: start.Step.Target,
+		})
+	}
+	for _, stop := range t.book.TakeStops() {
+		t.log.Info("stop", zap.Stringer("task", stop.Task), zap.Int64("run", stop.Run), zap.String("instance", stop.Instance))
+		of(stop.Instance).Stops = append(of(stop.Instance).Stops, link.StopOrder{Task: stop.Task, Run: stop.Run})
+	}
+	for id, order := range orders {
+		t.send(id, order)
+	}
+	t.changes = append(t.changes, t.book.TakeChanges()...)
+	t.scheduleCommit()
+}
+
+// send gives an instance's agent its orders. If that fails the session ends; the
+// agent's next full list tells what has become of them.
+func (t *term) send(id string, orders *link.Orders) {
+	s := t.sessions[id]
+	if s == nil {
+		return
+	}
+	orders.Session, orders.Kept = s.number, s.kept
+	t.seat.loop.Go(func() {
+		bounded, cancel := context.WithTimeout(t.ctx, orderBound)
+		defer cancel()
+		var done struct{}
+		if err := s.peer.conn.Call(bounded, link.MethodOrders, orders, &done); err != nil && t.ctx.Err() == nil {
+			t.log.Warn("orders-failed", zap.String("instance", id), logs.Error(err))
+			s.peer.conn.Close()
+		}
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/runner/runs.go
@@ -0,0 +1,211 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/logs"
+	"go.uber.org/zap"
+)
+
+const (
+	// orderBound is how long the worker may take to answer an order.
+	orderBound = 400 * time.Millisecond
+	// orderPause is the wait before an order is sent again.
+	orderPause = 50 * time.Millisecond
+	// startTries is how often a start is sent until the run is settled by a stop.
+	startTries = 3
+)
+
+// run is one run that may be on the worker, or that an order may still start there.
+type run struct {
+	number    int64
+	order     link.StartOrder
+	saved     string
+	savedNews bool
+	stopping  bool
+	// settled is when it became certain that no order is on its way that could still
+	// start the run: a list asked for later shows it or it is not there.
+	settled time.Time
+}
+
+// runsByTask are the runs of a worker.
+type runsByTask map[dispatch.TaskName]*run
+
+// sawRunning takes a run on the worker's list. It tells whether that is news.
+func (m runsByTask) sawRunning(r *Runner, l Listed) bool {
+	known := m[l.Task]
+	if known == nil || known.number < l.Run {
+		// Of an earlier agent or owner, or a late order: the owner decides.
+		r.log.Info("run-found", zap.Stringer("task", l.Task), zap.Int64("run", l.Run))
+		m[l.Task] = &run{number: l.Run, saved: l.Saved, savedNews: true, settled: time.Now()}
+		return true
+	}
+	if known.number != l.Run {
+		return false
+	}
+	if known.settled.IsZero() {
+		known.settled = time.Now()
+	}
+	if known.saved != l.Saved {
+		known.saved, known.savedNews = l.Saved, true
+	}
+	return false
+}
+
+// obey carries out orders of the session with the number. Orders of older sessions are
+// void: the owner has a full list that does not have them.
+func (r *Runner) obey(orders link.Orders) {
+	if r.session == nil || r.session.number != orders.Session {
+		r.log.Info("orders-void", zap.Uint64("session", orders.Session))
+		return
+	}
+	r.forget(orders.Kept)
+	for _, order := range orders.Starts {
+		r.start(order)
+	}
+	for _, order := range orders.Stops {
+		r.stop(order)
+	}
+}
+
+func (r *Runner) start(order link.StartOrder) {
+	if known := r.runs[order.Task]; known != nil {
+		r.log.Warn("start-ignored", zap.Stringer("task", order.Task), zap.Int64("run", order.Run), zap.Int64("known", known.number))
+		return
+	}
+	if r.offer.Leaving {
+		r.log.Info("start-refused", zap.Stringer("task", order.Task), zap.String("reason", "worker is leaving"))
+		r.absent(order.Task, order.Run)
+		r.news()
+		return
+	}
+	known := &run{number: order.Run, order: order, saved: order.Saved}
+	r.runs[order.Task] = known
+	r.tryStart(known, 1)
+}
+
+// current tells whether a run is still the one of its task in this life.
+func (r *Runner) current(life dispatch.Life, known *run, name dispatch.TaskName) bool {
+	return r.offer != nil && r.offer.Life == life && r.runs[name] == known
+}
+
+// tryStart sends the start of a run.
+func (r *Runner) tryStart(known *run, try int) {
+	order := known.order
+	call := StartCall{
+		Life: r.offer.Life, Fence: r.fence, Until: r.until(),
+		Task: order.Task, Run: order.Run, Payload: order.Payload, Saved: order.Saved,
+	}
+	sent := time.Now()
+	if call.Until == 0 {
+		r.log.Warn("start-refused", zap.Stringer("task", order.Task), zap.String("reason", "no lease"), zap.Int("try", try))
+		r.startDenied(known, call, try)
+		return
+	}
+	r.loop.Go(func() {
+		bounded, cancel := context.WithTimeout(r.loop.Context(), orderBound)
+		defer cancel()
+		answer, err := r.worker.Start(bounded, call)
+		r.loop.Post(func() {
+			r.set.Time("start-order", time.Since(sent))
+			r.startAnswered(known, call, try, answer, err)
+		})
+	})
+}
+
+func (r *Runner) startAnswered(known *run, call StartCall, try int, answer Answer, err error) {
+	if !r.current(call.Life, known, call.Task) {
+		return
+	}
+	switch {
+	case err == nil && answer.Kind == Obeyed:
+		known.settled = time.Now()
+	case err == nil:
+		r.log.Warn("start-denied", zap.Stringer("task", call.Task), zap.Int64("run", call.Run), zap.Stringer("answer", answer.Kind), zap.String("reason", answer.Reason), zap.Int("try", try))
+		r.set.Add("start-denied", 1)
+		r.startDenied(known, call, try)
+	case known.stopping:
+	case try >= startTries:
+		r.log.Warn("start-unanswered", zap.Stringer("task", call.Task), zap.Int64("run", call.Run), zap.Int("tries", try), logs.Error(err))
+		r.settleByStop(known, call.Task)
+	default:
+		r.set.Add("start-again", 1)
+		r.after(orderPause, func() {
+			if r.current(call.Life, known, call.Task) && known.settled.IsZero() && !known.stopping {
+				r.tryStart(known, try+1)
+			}
+		})
+	}
+}
+
+// startDenied takes that a start was turned away. An earlier try without an answer may
+// still be carried out; a stop rules that out.
+func (r *Runner) startDenied(known *run, call StartCall, try int) {
+	if known.stopping || !known.settled.IsZero() {
+		return
+	}
+	if try > 1 {
+		r.settleByStop(known, call.Task)
+		return
+	}
+	known.settled = time.Now()
+	r.look()
+}
+
+// after runs f on the loop later.
+func (r *Runner) after(d time.Duration, f func()) {
+	time.AfterFunc(d, func() { r.loop.Post(f) })
+}
+
+func (r *Runner) stop(order link.StopOrder) {
+	known := r.runs[order.Task]
+	if known == nil {
+		known = &run{number: order.Run}
+		r.runs[order.Task] = known
+	}
+	if known.number != order.Run {
+		return
+	}
+	r.settleByStop(known, order.Task)
+}
+
+// settleByStop stops a run until the worker confirms it. Then the run is over, or never
+// will be.
+func (r *Runner) settleByStop(known *run, name dispatch.TaskName) {
+	if known.stopping {
+		return
+	}
+	known.stopping = true
+	known.settled = time.Time{}
+	r.tryStop(known, name)
+}
+
+func (r *Runner) tryStop(known *run, name dispatch.TaskName) {
+	call := StopCall{Life: r.offer.Life, Fence: r.fence, Task: name, Run: known.number}
+	r.loop.Go(func() {
+		bounded, cancel := context.WithTimeout(r.loop.Context(), orderBound)
+		defer cancel()
+		answer, err := r.worker.Stop(bounded, call)
+		r.loop.Post(func() { r.stopAnswered(known, call, answer, err) })
+	})
+}
+
+func (r *Runner) stopAnswered(known *run, call StopCall, answer Answer, err error) {
+	if !r.current(call.Life, known, call.Task) {
+		return
+	}
+	if err == nil && answer.Kind == Obeyed {
+		known.settled = time.Now()
+		r.look()
+		return
+	}
+	r.set.Add("stop-again", 1)
+	r.after(orderPause, func() {
+		if r.current(call.Life, known, call.Task) {
+			r.tryStop(known, call.Task)
+		}
+	})
+}
--- a/internal/verb/addresses.go
+++ b/internal/verb/addresses.go
@@ -57,6 +57,8 @@
 var required = map[string][]string{
 	"entry":            {"name", "domain", "platform"},
 	"agent":            {"name", "domain", "platform", "upstream"},
+	"platform entry":   {"name", "domain", "store", "front", "ready", "link"},
+	"platform agent":   {"name", "store", "control", "worker"},
 	"standin upstream": {"name"},
 	"standin-upstream": {"name"},
 }
--- /dev/null
+++ b/internal/verb/platform.go
@@ -0,0 +1,141 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/logs"
+	"github.com/apricotwind/apricotwind/internal/process"
+	"github.com/apricotwind/apricotwind/platform"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+func platformEntryVerb() Verb {
+	return Verb{
+		Name:  "platform entry",
+		Short: "run an entry on the users' platform",
+		Long: `
+Runs an entry on the users' platform until SIGTERM, which drains it. It takes
+jobs with steps into the platform's store, tells their state, and may own the
+shard, which places their tasks. deploy/entry.yaml is the template of its
+settings.
+
+Example:
+  apricotwind platform entry --settings entry.yaml
+  apricotwind platform entry --name e1 --domain a --store 127.0.0.1:7000 \
+      --front 127.0.0.1:7100 --ready 127.0.0.1:7101 --link 127.0.0.1:7102`,
+		Build: func(flags *flag.FlagSet) Run { return newPlatformEntryCommand(flags).run },
+	}
+}
+
+// platformCommon holds the flags that both roles on the platform have.
+type platformCommon struct {
+	flags          *flag.FlagSet
+	name, level    *string
+	store, metrics *addressFlag
+}
+
+func newPlatformCommon(flags *flag.FlagSet) platformCommon {
+	return platformCommon{
+		flags:   flags,
+		name:    flags.String("name", "", "`name` of the process, unique among those that run"),
+		level:   flags.String("log", "info", "log `level`: debug, info, warn, error"),
+		store:   addressVar(flags, "store", "", "`address` of the platform's store"),
+		metrics: addressVar(flags, "metrics", "", "`address` of metrics and health; none if empty"),
+	}
+}
+
+// logger checks how the verb was called and makes its logger, which writes to the
+// standard output.
+func (c *platformCommon) logger(streams Streams, role string, arguments []string) (*zap.Logger, error) {
+	if len(arguments) > 0 {
+		return nil, usagef("takes no arguments: %q", arguments[0])
+	}
+	if err := requireValues(c.flags); err != nil {
+		return nil, err
+	}
+	log, err := logs.New(streams.Out, *c.level, role, *c.name)
+	return log, errors.Mark(err, errUsage)
+}
+
+// platformEntryCommand holds the flags of the entry.
+type platformEntryCommand struct {
+	platformCommon
+	domain             *string
+	front, ready, link *addressFlag
+	keep               *time.Duration
+}
+
+func newPlatformEntryCommand(flags *flag.FlagSet) *platformEntryCommand {
+	return &platformEntryCommand{
+		platformCommon: newPlatformCommon(flags),
+		domain:         flags.String("domain", "", "failure `domain` of the process"),
+		front:          addressVar(flags, "front", "", "`address` for those who hand in jobs"),
+		ready:          addressVar(flags, "ready", "", "`address` of the readiness check"),
+		link:           addressVar(flags, "link", "", "`address` for agents and other entries"),
+		keep:           flags.Duration("keep", 150*time.Second, "`time` for which a finished job's state is kept"),
+	}
+}
+
+func (c *platformEntryCommand) run(ctx context.Context, streams Streams, arguments []string) error {
+	log, err := c.logger(streams, "entry", arguments)
+	if err != nil {
+		return err
+	}
+	running, err := platform.NewEntry(ctx, c.store.String(), process.QueueEntrySettings{
+		Name: *c.name, Domain: *c.domain, Front: c.front.String(), Ready: c.ready.String(),
+		Link: c.link.String(), Metrics: c.metrics.String(), Keep: *c.keep,
+	}, process.NewNetwork(), log)
+	if err != nil {
+		return err
+	}
+	return untilDrained(streams, running)
+}
+
+func platformAgentVerb() Verb {
+	return Verb{
+		Name:  "platform agent",
+		Short: "run an agent on the users' platform",
+		Long: `
+Runs the agent beside one worker of the users' platform until SIGTERM. The worker
+registers with it; it passes the owner's orders on and keeps the worker's lease.
+At SIGTERM it ends at once: the worker goes on under its lease, and the agent
+that comes next takes it over. deploy/agent.yaml is the template of its settings.
+
+Example:
+  apricotwind platform agent --settings agent.yaml
+  apricotwind platform agent --name a1 --store 127.0.0.1:7000 \
+      --control 127.0.0.1:7200 --worker 127.0.0.1:9000`,
+		Build: func(flags *flag.FlagSet) Run { return newPlatformAgentCommand(flags).run },
+	}
+}
+
+// platformAgentCommand holds the flags of the agent.
+type platformAgentCommand struct {
+	platformCommon
+	control, worker *addressFlag
+}
+
+func newPlatformAgentCommand(flags *flag.FlagSet) *platformAgentCommand {
+	return &platformAgentCommand{
+		platformCommon: newPlatformCommon(flags),
+		control:        addressVar(flags, "control", "", "`address` where the worker registers"),
+		worker:         addressVar(flags, "worker", "", "`address` of the worker"),
+	}
+}
+
+func (c *platformAgentCommand) run(ctx context.Context, streams Streams, arguments []string) error {
+	log, err := c.logger(streams, "agent", arguments)
+	if err != nil {
+		return err
+	}
+	running, err := platform.NewAgent(ctx, c.store.String(), c.worker.String(), process.QueueAgentSettings{
+		Name: *c.name, Control: c.control.String(), Metrics: c.metrics.String(),
+	}, process.NewNetwork(), log)
+	if err != nil {
+		return err
+	}
+	return untilDrained(streams, running)
+}
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -14,6 +14,8 @@
 		demoVerb(),
 		entryVerb(),
 		agentVerb(),
+		platformEntryVerb(),
+		platformAgentVerb(),
 		standinPlatformVerb(),
 		standinUpstreamVerb(),
 		targetGetVerb(),
