--- a/internal/decision/dispatch/book.go
+++ b/internal/decision/dispatch/book.go
@@ -35,18 +35,25 @@
 	runBase   int64
 	under     uint64 // version of the owner's row of this epoch
 	jobs      map[string]*work
-	finished  map[string]State
+	finished  map[string]finished
 	instances map[string]*instance // by the ID of their life
 	doubts    map[string]bool      // instances of earlier owners not heard of yet
 	stops     []Stop
 	changes   []InstanceChange
 }
 
+// finished is a job whose last state is kept. Runs of it may still be stopping, so
+// what they take must be known.
+type finished struct {
+	job   *Job
+	state State
+}
+
 // New makes the book of the owner of an epoch, whose row has the version under.
 func New(epoch, under uint64) *Book {
 	return &Book{
 		epoch: epoch, under: under, runBase: int64(epoch-1) * runsAnEpoch,
-		jobs: map[string]*work{}, finished: map[string]State{},
+		jobs: map[string]*work{}, finished: map[string]finished{},
 		instances: map[string]*instance{}, doubts: map[string]bool{},
 	}
 }
@@ -64,7 +71,7 @@
 		return false
 	}
 	if kept != nil && kept.State.Final() {
-		b.finished[job.ID] = kept.State
+		b.finished[job.ID] = finished{job, kept.State}
 		return false
 	}
 	w := &work{job: job, accepted: now, objective: time.Duration(job.Objective()) * time.Millisecond}
@@ -232,7 +239,7 @@
 	w.dirty = false
 	if w.state.Final() {
 		delete(b.jobs, c.Job)
-		b.finished[c.Job] = w.state
+		b.finished[c.Job] = finished{w.job, w.state}
 	}
 }
 
@@ -241,8 +248,8 @@
 
 // Finished tells the last state of a job that is kept.
 func (b *Book) Finished(id string) (State, bool) {
-	state, ok := b.finished[id]
-	return state, ok
+	done, ok := b.finished[id]
+	return done.state, ok
 }
 
 // Open tells whether the book has the job and it is not finished.
--- /dev/null
+++ b/internal/decision/dispatch/book_test.go
@@ -0,0 +1,310 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// began is the time at which the tests' books begin.
+var began = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
+
+func offerOf(id string, cores int) Offer {
+	return Offer{
+		Life: Life{ID: id, Born: 1}, Agent: "agent-" + id, Process: "p1", Service: "s",
+		Rack: "r1", Labels: []string{"a", "r1"}, Capacity: Need{Processors: cores * 1000, Memory: 100_000},
+	}
+}
+
+func jobOf(id string, steps ...Step) *Job {
+	return &Job{ID: id, Queue: "q", Policy: Policy{Service: "s", Attempts: 2, Stretch: 2, Latency: 1000}, Steps: steps, Under: 7}
+}
+
+func stepOf(count, cores int) Step {
+	return Step{Count: count, Need: Need{Processors: cores * 1000, Memory: 10}, Estimate: 1000}
+}
+
+// bookWith makes a book whose instances are attached, registered and empty.
+func bookWith(offers ...Offer) *Book {
+	b := New(1, 7)
+	for _, offer := range offers {
+		attachTo(b, offer)
+	}
+	return b
+}
+
+func attachTo(b *Book, offer Offer) {
+	b.Attach(began, offer)
+	b.Registered(offer.Life)
+	b.List(began, offer.Life, nil)
+}
+
+// startsOf writes starts as "task run instance".
+func startsOf(starts []Start) []string {
+	var texts []string
+	for _, s := range starts {
+		texts = append(texts, fmt.Sprintf("%s %d %s", s.Task, s.Run, s.Instance))
+	}
+	return texts
+}
+
+func expect(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+func TestStepsRunInOrderAndTheJobCompletes(t *testing.T) {
+	b := bookWith(offerOf("a", 8))
+	second := stepOf(1, 1)
+	second.After = []int{0}
+	b.Accept(began, jobOf("j", stepOf(2, 1), second), nil)
+	expect(t, "first step", startsOf(b.Plan(at(0))), []string{"j.0.0.0 1 a", "j.0.0.1 1 a"})
+	life := Life{"a", 1}
+	b.Ended(at(1), life, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 1, How: EndDone}})
+	expect(t, "while one task is open", startsOf(b.Plan(at(1))), []string(nil))
+	b.Ended(at(1), life, []End{{Sequence: 2, Task: TaskName{"j", 0, 0, 1}, Run: 1, How: EndDone}})
+	expect(t, "second step", startsOf(b.Plan(at(1))), []string{"j.0.1.0 1 a"})
+	b.Ended(at(2), life, []End{{Sequence: 3, Task: TaskName{"j", 0, 1, 0}, Run: 1, How: EndDone}})
+	changes := b.Dirty(10)
+	expect(t, "changes", len(changes), 1)
+	expect(t, "state", changes[0].Progress.State, Completed)
+	b.Kept(changes[0])
+	expect(t, "open", b.Open("j"), false)
+}
+
+func TestRoomIsNeverExceeded(t *testing.T) {
+	cases := []struct {
+		name  string
+		step  Step
+		cores int
+		want  int
+	}{
+		{"processors", stepOf(9, 2), 8, 4},
+		{"memory", Step{Count: 9, Need: Need{Processors: 1, Memory: 30_000}}, 8, 3},
+		{"accelerators", Step{Count: 2, Need: Need{Accelerators: 1}}, 8, 0},
+		{"most on one", Step{Count: 5, Need: Need{Processors: 1}, MostOnOne: 2}, 8, 2},
+		{"filling tasks take what is left", Step{Count: 9, Need: Need{Processors: 3000}, Fills: true}, 8, 2},
+		{"a job that fills runs at least one task", Step{Count: 9, Need: Need{Processors: 9000}, Fills: true}, 8, 1},
+		{"label", Step{Count: 1, Label: "b"}, 8, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := bookWith(offerOf("a", c.cores))
+			b.Accept(began, jobOf("j", c.step), nil)
+			expect(t, "starts", len(b.Plan(at(0))), c.want)
+			expect(t, "starts of a second plan", len(b.Plan(at(0))), 0)
+		})
+	}
+}
+
+// A successor must not start a task that an earlier owner may have started on an
+// instance that it has not heard of, also when another instance lists an older end.
+func TestDoubtedTasksWaitForAllInstances(t *testing.T) {
+	b := New(2, 9)
+	b.Doubt(offerOf("a", 8))
+	b.Doubt(offerOf("b", 8))
+	b.Accept(began, jobOf("j", stepOf(1, 1)), nil)
+	b.Attach(at(0), offerOf("a", 8))
+	b.Ended(at(0), Life{"a", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 1, How: EndFailed}})
+	b.List(at(0), Life{"a", 1}, nil)
+	expect(t, "before b is heard of", startsOf(b.Plan(at(0))), []string(nil))
+	b.Attach(at(1), offerOf("b", 8))
+	b.List(at(1), Life{"b", 1}, []Listed{{Task: TaskName{"j", 0, 0, 0}, Run: 2}})
+	expect(t, "while run 2 goes on", startsOf(b.Plan(at(1))), []string(nil))
+	b.Ended(at(2), Life{"b", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 2, How: EndLapsed}})
+	expect(t, "afterwards", startsOf(b.Plan(at(2))), []string{"j.0.0.0 1000001 a"})
+}
+
+func TestDoubtEndsWhenTheInstanceIsLostOrReplaced(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(b *Book)
+	}{
+		{"lost", func(b *Book) { b.LostByID(at(1), "a") }},
+		{"another life of the same ID", func(b *Book) {
+			offer := offerOf("a", 8)
+			offer.Life.Born = 2
+			b.Attach(at(1), offer)
+		}},
+		{"another ID beside the same agent", func(b *Book) {
+			offer := offerOf("c", 8)
+			offer.Agent, offer.Life.Born = "agent-a", 2
+			b.Attach(at(1), offer)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := New(2, 9)
+			b.Doubt(offerOf("a", 8))
+			b.Accept(began, jobOf("j", stepOf(1, 1)), nil)
+			attachTo(b, offerOf("b", 8))
+			expect(t, "before", len(b.Plan(at(0))), 0)
+			c.do(b)
+			expect(t, "after", len(b.Plan(at(1))), 1)
+		})
+	}
+}
+
+// Runs of finished jobs take room until they are gone, also for a successor that read
+// the job as finished.
+func TestRunsOfFinishedJobsTakeRoom(t *testing.T) {
+	b := New(2, 9)
+	b.Doubt(offerOf("a", 8))
+	b.Accept(began, jobOf("old", stepOf(1, 8)), &Progress{State: Cancelled})
+	b.Accept(began, jobOf("j", stepOf(1, 1)), nil)
+	b.Attach(began, offerOf("a", 8))
+	b.List(began, Life{"a", 1}, []Listed{{Task: TaskName{"old", 0, 0, 0}, Run: 1}})
+	expect(t, "starts beside the run", startsOf(b.Plan(at(0))), []string(nil))
+	expect(t, "stops", b.TakeStops(), []Stop{{Instance: "a", Task: TaskName{"old", 0, 0, 0}, Run: 1}})
+	b.Ended(at(1), Life{"a", 1}, []End{{Sequence: 1, Task: TaskName{"old", 0, 0, 0}, Run: 1, How: EndStopped}})
+	expect(t, "starts afterwards", startsOf(b.Plan(at(1))), []string{"j.0.0.0 1000001 a"})
+}
+
+func TestNothingStartsBesideARunOfAnUnknownJob(t *testing.T) {
+	b := New(2, 9)
+	b.Doubt(offerOf("a", 8))
+	b.Accept(began, jobOf("j", stepOf(1, 1)), nil)
+	b.Attach(began, offerOf("a", 8))
+	b.List(began, Life{"a", 1}, []Listed{{Task: TaskName{"unknown", 0, 0, 0}, Run: 1}})
+	expect(t, "starts", startsOf(b.Plan(at(0))), []string(nil))
+}
+
+func TestFailedEndsCountOnceAndEndTheJob(t *testing.T) {
+	b := bookWith(offerOf("a", 8))
+	b.Accept(began, jobOf("j", stepOf(1, 1)), nil)
+	life, task := Life{"a", 1}, TaskName{"j", 0, 0, 0}
+	b.Plan(at(0))
+	failed := End{Sequence: 1, Task: task, Run: 1, How: EndFailed}
+	b.Ended(at(1), life, []End{failed})
+	b.Ended(at(1), life, []End{failed})
+	expect(t, "second run", startsOf(b.Plan(at(1))), []string{"j.0.0.0 2 a"})
+	b.Ended(at(2), life, []End{{Sequence: 2, Task: task, Run: 2, How: EndFailed}})
+	expect(t, "state", b.Dirty(10)[0].Progress.State, Failed)
+}
+
+func TestASuccessorCountsKeptFailuresOnce(t *testing.T) {
+	b := New(2, 9)
+	b.Doubt(offerOf("a", 8))
+	b.Accept(began, jobOf("j", stepOf(1, 1)), &Progress{Occurrences: []*Occurrence{{
+		Done: []string{""}, Failed: map[string][]int64{"0.0": {1}}, Saved: map[string]string{"0.0": "c1"},
+	}}})
+	b.Attach(began, offerOf("a", 8))
+	b.Ended(began, Life{"a", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 1, How: EndFailed}})
+	b.List(began, Life{"a", 1}, nil)
+	starts := b.Plan(at(0))
+	expect(t, "starts", startsOf(starts), []string{"j.0.0.0 1000001 a"})
+	expect(t, "checkpoint", starts[0].Saved, "c1")
+}
+
+func TestLastingTasksRestartHoweverTheyEnd(t *testing.T) {
+	for _, how := range []How{EndDone, EndFailed, EndStopped, EndLapsed} {
+		t.Run(how.String(), func(t *testing.T) {
+			b := bookWith(offerOf("a", 8))
+			step := stepOf(1, 1)
+			step.Lasting = true
+			b.Accept(began, jobOf("j", step), nil)
+			for run := int64(1); run < 6; run++ {
+				expect(t, "starts", startsOf(b.Plan(at(float64(run)))), []string{fmt.Sprintf("j.0.0.0 %d a", run)})
+				b.Ended(at(float64(run)), Life{"a", 1}, []End{{Sequence: run, Task: TaskName{"j", 0, 0, 0}, Run: run, How: how}})
+			}
+			expect(t, "open", b.Open("j"), true)
+		})
+	}
+}
+
+func TestGangsStartTogetherWithOneRunOrNotAtAll(t *testing.T) {
+	gang := stepOf(3, 4)
+	gang.Gang = true
+	b := bookWith(offerOf("a", 8))
+	b.Accept(began, jobOf("j", gang), nil)
+	expect(t, "without room for all", len(b.Plan(at(0))), 0)
+	attachTo(b, offerOf("b", 8))
+	starts := b.Plan(at(1))
+	expect(t, "with room", len(starts), 3)
+	for _, start := range starts {
+		expect(t, "run", start.Run, starts[0].Run)
+	}
+}
+
+func TestOccurrencesWaitForTheirTime(t *testing.T) {
+	b := bookWith(offerOf("a", 8))
+	job := jobOf("j", stepOf(1, 1))
+	job.FirstRun, job.Interval, job.Repeat = 5_000, 1_000, 2
+	b.Accept(began, job, nil)
+	b.Due(4_999)
+	expect(t, "before", startsOf(b.Plan(at(0))), []string(nil))
+	b.Due(5_000)
+	expect(t, "first", startsOf(b.Plan(at(0))), []string{"j.0.0.0 1 a"})
+	b.Due(6_000)
+	expect(t, "second", startsOf(b.Plan(at(0))), []string{"j.1.0.0 1 a"})
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	b := bookWith(offerOf("a", 8))
+	b.Accept(began, jobOf("j", stepOf(2, 1)), nil)
+	b.Plan(at(0))
+	b.Cancel("j")
+	expect(t, "stops", len(b.TakeStops()), 2)
+	expect(t, "state", b.Dirty(10)[0].Progress.State, Cancelled)
+	expect(t, "starts", len(b.Plan(at(1))), 0)
+}
+
+// An order that an agent's earlier incarnation was given may still be on its way to the
+// worker: only a stop shows that it starts nothing.
+func TestAbsenceCountsOnlyFromTheAgentThatWasGivenTheOrder(t *testing.T) {
+	b := bookWith(offerOf("a", 8))
+	b.Accept(began, jobOf("j", stepOf(1, 1)), nil)
+	b.Plan(at(0))
+	offer := offerOf("a", 8)
+	offer.Process = "p2"
+	b.Attach(at(1), offer)
+	b.List(at(1), offer.Life, nil)
+	expect(t, "starts", startsOf(b.Plan(at(1))), []string(nil))
+	expect(t, "stops", len(b.TakeStops()), 1)
+	b.Ended(at(2), offer.Life, []End{{Task: TaskName{"j", 0, 0, 0}, Run: 1, How: EndAbsent}})
+	expect(t, "starts after the stop", startsOf(b.Plan(at(2))), []string{"j.0.0.0 2 a"})
+}
+
+func TestLeavingInstancesGetNothingAndGiveUpWhatTheyWouldCutOff(t *testing.T) {
+	b := bookWith(offerOf("a", 8))
+	lasting, short := stepOf(1, 1), stepOf(1, 1)
+	lasting.Lasting = true
+	b.Accept(began, jobOf("l", lasting), nil)
+	b.Accept(began, jobOf("s", short), nil)
+	expect(t, "starts", len(b.Plan(at(0))), 2)
+	offer := offerOf("a", 8)
+	offer.Leaving, offer.Remaining = true, 3000
+	b.Attach(at(0.1), offer)
+	b.Accept(began, jobOf("k", short), nil)
+	expect(t, "starts", startsOf(b.Plan(at(0.1))), []string(nil))
+	expect(t, "stops", b.TakeStops(), []Stop{{Instance: "a", Task: TaskName{"l", 0, 0, 0}, Run: 1}})
+}
+
+func TestTaskNames(t *testing.T) {
+	cases := []struct {
+		text string
+		want TaskName
+		ok   bool
+	}{
+		{"5c0e7a21d94b36f8.0.1.17", TaskName{"5c0e7a21d94b36f8", 0, 1, 17}, true},
+		{"5c0e7a21d94b36f8.0.1", TaskName{}, false},
+		{"j.0.-1.2", TaskName{}, false},
+		{"j.a.1.2", TaskName{}, false},
+		{"", TaskName{}, false},
+	}
+	for _, c := range cases {
+		got, ok := ParseTaskName(c.text)
+		if got != c.want || ok != c.ok {
+			t.Errorf("ParseTaskName(%q) = %v, %v", c.text, got, ok)
+		}
+		if ok && got.String() != c.text {
+			t.Errorf("%v.String() is not %q", got, c.text)
+		}
+	}
+}
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -81,8 +81,10 @@
 	synced     bool // it has listed what it runs since the owner took over
 	reachable  bool // its agent talks to the owner and the worker answers the agent
 	placements map[TaskName]*placement
+	unknown    int  // placements of steps that are not known: nobody knows what they take
 	used       Need // by tasks that do not fill
 	filled     int  // thousandths of a core that filling tasks ask for
+	served     int  // thousandths of a core that serving tasks ask for, part of used
 	fails      int  // failed ends in a row, of distinct jobs
 	failedJob  string
 	avoidUntil time.Time
@@ -94,7 +96,7 @@
 }
 
 func (in *instance) usable(now time.Time) bool {
-	return in.registered && in.synced && in.reachable && !in.offer.Leaving && !now.Before(in.avoidUntil)
+	return in.registered && in.synced && in.reachable && in.unknown == 0 && !in.offer.Leaving && !now.Before(in.avoidUntil)
 }
 
 // free is the room that is left for tasks that do not fill.
@@ -107,13 +109,27 @@
 
 func (in *instance) has(label string) bool { return slices.Contains(in.offer.Labels, label) }
 
+// of takes over what a run of a step takes; nil is a step that is not known.
+func (p *placement) of(step *Step) {
+	p.step = step
+	if step != nil {
+		p.need, p.fills, p.serves = step.Need, step.Fills, step.Target > 0
+	}
+}
+
 func (in *instance) add(p *placement) {
 	in.placements[p.name] = p
+	if p.step == nil {
+		in.unknown++
+	}
 	counted := p.need
 	if p.fills {
 		counted.Processors = 0
 		in.filled += p.need.Processors
 	}
+	if p.serves {
+		in.served += p.need.Processors
+	}
 	in.used = in.used.plus(counted)
 }
 
@@ -122,11 +138,17 @@
 		return
 	}
 	delete(in.placements, p.name)
+	if p.step == nil {
+		in.unknown--
+	}
 	counted := p.need
 	if p.fills {
 		counted.Processors = 0
 		in.filled -= p.need.Processors
 	}
+	if p.serves {
+		in.served -= p.need.Processors
+	}
 	in.used = in.used.minus(counted)
 }
 
--- a/internal/decision/dispatch/lists.go
+++ b/internal/decision/dispatch/lists.go
@@ -126,11 +126,9 @@
 		return
 	}
 	p := &placement{name: r.Task, run: r.Run, since: now, process: in.offer.Process}
-	t := b.find(r.Task)
-	if t != nil {
-		p.step, p.need, p.fills, p.serves = t.step, t.step.Need, t.step.Fills, t.step.Target > 0
-	}
+	p.of(b.stepOf(r.Task))
 	in.add(p)
+	t := b.find(r.Task)
 	if t == nil || t.done || t.instance != "" || r.Run < t.lastRun && !t.doubted {
 		b.stop(in, p)
 		return
@@ -143,6 +141,20 @@
 	}
 }
 
+// stepOf finds the step of a task of any job that is known, nil for others.
+func (b *Book) stepOf(name TaskName) *Step {
+	var job *Job
+	if w, open := b.jobs[name.Job]; open {
+		job = w.job
+	} else {
+		job = b.finished[name.Job].job
+	}
+	if job == nil || name.Step >= len(job.Steps) {
+		return nil
+	}
+	return &job.Steps[name.Step]
+}
+
 // Saved takes new checkpoints of runs.
 func (b *Book) Saved(life Life, saved []Listed) {
 	for _, r := range saved {
@@ -208,7 +220,6 @@
 // judge draws the conclusions of an end for its task and job.
 func (b *Book) judge(now time.Time, in *instance, end End, t *task) {
 	w := t.work
-	t.doubted = t.doubted && end.How == EndAbsent
 	switch end.How {
 	case EndDone:
 		in.fails = 0
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -115,6 +115,9 @@
 				continue
 			}
 			in := p.choose(w, t, "")
+			if in == nil && step.Fills && !o.runs() {
+				in = p.squeeze(w, t)
+			}
 			if in == nil {
 				break // the tasks of a step are alike
 			}
@@ -196,8 +199,26 @@
 	return best
 }
 
-// suits tells whether a task may run on an instance and fits there.
+// squeeze finds the instance with the most left for a filling task, however little that
+// is, so that each job goes on.
+func (p *planner) squeeze(w *work, t *task) *instance {
+	var best *instance
+	for _, in := range p.usable {
+		if fits(w, t, in) && (best == nil || in.fillRoom() > best.fillRoom()) {
+			best = in
+		}
+	}
+	return best
+}
+
+// suits tells whether a task may run on an instance, fits there and, if it fills, is
+// left enough to run at its speed.
 func suits(w *work, t *task, in *instance) bool {
+	return fits(w, t, in) && (!t.step.Fills || in.fillRoom() >= t.step.Need.Processors)
+}
+
+// fits tells whether a task may run on an instance and fits there.
+func fits(w *work, t *task, in *instance) bool {
 	step := t.step
 	if in.offer.Service != w.job.Policy.Service {
 		return false
@@ -207,9 +228,6 @@
 	}
 	need := step.Need
 	if step.Fills {
-		if in.fillRoom() < need.Processors {
-			return false
-		}
 		need.Processors = 0
 	}
 	if !need.fitsIn(in.free()) {
@@ -239,10 +257,9 @@
 func (p *planner) place(w *work, t *task, in *instance, run int64) {
 	t.instance, t.run, t.lastRun, t.since = in.offer.Life.ID, run, run, p.now
 	w.started = true
-	in.add(&placement{
-		name: t.name, run: run, step: t.step, need: t.step.Need,
-		fills: t.step.Fills, serves: t.step.Target > 0, since: p.now, process: in.offer.Process,
-	})
+	placed := &placement{name: t.name, run: run, since: p.now, process: in.offer.Process}
+	placed.of(t.step)
+	in.add(placed)
 	p.starts = append(p.starts, Start{
 		Instance: in.offer.Life.ID, Task: t.name, Run: run, Step: t.step,
 		Payload: w.job.Payload, Saved: t.saved,
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -48,6 +48,18 @@
 	return true
 }
 
+// runs tells whether a task of the occurrence is on an instance.
+func (o *occurrence) runs() bool {
+	for _, tasks := range o.steps {
+		for _, t := range tasks {
+			if t.instance != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ready tells whether the tasks of a step may start.
 func (o *occurrence) ready(step *Step) bool {
 	for _, before := range step.After {
