Serving tasks are packed; filling ones go where they disturb nobody

Jobs of filling tasks ran at a third of their speed while most of the pool stood idle.

Change: the owner learns the cost of each pair from the figures in reports (normalized least mean squares), places filling tasks where tails are expected to stay below 75 % of their targets, and packs serving tasks onto few instances. Agents pace by image, the dearest first, with the learned costs.

--- a/internal/decision/dispatch/book.go
+++ b/internal/decision/dispatch/book.go
@@ -13,6 +13,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/interference"
 )
 
 const (
@@ -40,6 +42,7 @@
 	doubts    map[string]bool      // instances of earlier owners not heard of yet
 	stops     []Stop
 	changes   []InstanceChange
+	pairs     *interference.Pairs
 }
 
 // finished is a job whose last state is kept. Runs of it may still be stopping, so
@@ -55,6 +58,7 @@
 		epoch: epoch, under: under, runBase: int64(epoch-1) * runsAnEpoch,
 		jobs: map[string]*work{}, finished: map[string]finished{},
 		instances: map[string]*instance{}, doubts: map[string]bool{},
+		pairs: interference.NewPairs(),
 	}
 }
 
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -33,6 +33,13 @@
 	Saved string   `json:"saved,omitempty"`
 }
 
+// Figure is what an instance measured of a run over the last half second: the tail
+// latency in ms of a serving task, else the processors in use in thousandths of a core.
+type Figure struct {
+	Task  TaskName `json:"task"`
+	Value float64  `json:"v"`
+}
+
 //go:generate stringer -type=How -linecomment
 
 // How tells how a run ended.
@@ -81,11 +88,13 @@
 	synced     bool // it has listed what it runs since the owner took over
 	reachable  bool // its agent talks to the owner and the worker answers the agent
 	placements map[TaskName]*placement
-	unknown    int  // placements of steps that are not known: nobody knows what they take
-	used       Need // by tasks that do not fill
-	filled     int  // thousandths of a core that filling tasks ask for
-	served     int  // thousandths of a core that serving tasks ask for, part of used
-	fails      int  // failed ends in a row, of distinct jobs
+	unknown    int                  // placements of steps that are not known: nobody knows what they take
+	used       Need                 // by tasks that do not fill
+	filled     int                  // thousandths of a core that filling tasks ask for
+	served     int                  // thousandths of a core that serving tasks ask for, part of used
+	serving    int                  // placements that serve users of their own
+	tails      map[TaskName]float64 // ms, of serving tasks
+	fails      int                  // failed ends in a row, of distinct jobs
 	failedJob  string
 	avoidUntil time.Time
 	leaveAt    time.Time // when a leaving instance may be gone
@@ -128,6 +137,7 @@
 		in.filled += p.need.Processors
 	}
 	if p.serves {
+		in.serving++
 		in.served += p.need.Processors
 	}
 	in.used = in.used.plus(counted)
@@ -147,6 +157,7 @@
 		in.filled -= p.need.Processors
 	}
 	if p.serves {
+		in.serving--
 		in.served -= p.need.Processors
 	}
 	in.used = in.used.minus(counted)
@@ -162,14 +173,3 @@
 	}
 	return count
 }
-
-// serving counts the placements that serve users of their own.
-func (in *instance) serving() int {
-	count := 0
-	for _, p := range in.placements {
-		if p.serves {
-			count++
-		}
-	}
-	return count
-}
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -17,13 +17,21 @@
 }
 
 // Points that a placement costs. The instance with the fewest points is taken.
+//
+// Serving tasks are packed onto few instances, so that filling tasks find others on
+// which they disturb nobody.
 const (
 	pointsFar     = 1000 // away from the rack of the data, where tasks take longer
 	pointsLoad    = 100  // an instance whose processors are all taken
-	pointsServing = 60   // a filling task beside one that serves
-	pointsFilled  = 150  // a serving task beside an instance full of filling ones
+	pointsServing = 200  // a filling task beside one that serves
+	pointsApart   = 300  // a serving task where none serves yet
+	pointsFilled  = 100  // a serving task beside an instance full of filling ones
 )
 
+// quietAt is the share of its target up to which a serving task's tail may be expected
+// to rise when a filling task is placed beside it.
+const quietAt = 0.75
+
 // Plan decides what starts now. The room is taken at once; what turns out not to
 // have started gives it back by its end.
 func (b *Book) Plan(now time.Time) []Start {
@@ -189,7 +197,7 @@
 	var best *instance
 	var least int
 	for _, in := range p.usable {
-		if rack != "" && in.offer.Rack != rack || !suits(w, t, in) {
+		if rack != "" && in.offer.Rack != rack || !p.book.suits(w, t, in) {
 			continue
 		}
 		if points := pointsOf(t.step, in); best == nil || points < least {
@@ -204,17 +212,51 @@
 func (p *planner) squeeze(w *work, t *task) *instance {
 	var best *instance
 	for _, in := range p.usable {
-		if fits(w, t, in) && (best == nil || in.fillRoom() > best.fillRoom()) {
+		if fits(w, t, in) && (best == nil || p.book.roomier(t.step, in, best)) {
 			best = in
 		}
 	}
 	return best
 }
 
+// roomier tells whether a filling task disturbs less, or has more left, on one instance
+// than on another.
+func (b *Book) roomier(step *Step, one, other *instance) bool {
+	if quiet := b.quiet(step, one); quiet != b.quiet(step, other) {
+		return quiet
+	}
+	return one.fillRoom() > other.fillRoom()
+}
+
+// quiet tells whether the serving tasks on an instance are expected to stay well below
+// their targets beside one more filling task.
+func (b *Book) quiet(step *Step, in *instance) bool {
+	if in.serving == 0 {
+		return true
+	}
+	for name, p := range in.placements {
+		if !p.serves {
+			continue
+		}
+		tail, measured := in.tails[name]
+		if !measured {
+			tail = b.pairs.Tail(p.step.Image)
+		}
+		more := b.pairs.Cost(p.step.Image, step.Image) * float64(step.Need.Processors) / 1000
+		if tail+more > quietAt*float64(p.step.Target) {
+			return false
+		}
+	}
+	return true
+}
+
 // suits tells whether a task may run on an instance, fits there and, if it fills, is
-// left enough to run at its speed.
-func suits(w *work, t *task, in *instance) bool {
-	return fits(w, t, in) && (!t.step.Fills || in.fillRoom() >= t.step.Need.Processors)
+// left enough to run at its speed without disturbing others.
+func (b *Book) suits(w *work, t *task, in *instance) bool {
+	if !fits(w, t, in) {
+		return false
+	}
+	return !t.step.Fills || in.fillRoom() >= t.step.Need.Processors && b.quiet(t.step, in)
 }
 
 // fits tells whether a task may run on an instance and fits there.
@@ -245,11 +287,15 @@
 	if step.Rack != "" && !in.has(step.Rack) {
 		points += pointsFar
 	}
-	if step.Fills {
-		points += pointsServing * min(in.serving(), 2)
+	if step.Fills && in.serving > 0 {
+		points += pointsServing
 	}
 	if step.Target > 0 {
 		points += pointsFilled * in.filled / capacity
+		points -= 2 * pointsLoad * in.used.Processors / capacity // the fullest that has room
+		if in.serving == 0 {
+			points += pointsApart
+		}
 	}
 	return points
 }
--- /dev/null
+++ b/internal/decision/interference/pacer.go
@@ -0,0 +1,176 @@
+package interference
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// fullPace is the pace, in percent, of a task that nobody slows.
+	fullPace = 100
+	// slowAt is the share of its target at which a serving task's tail makes filling
+	// tasks give way; they give way until it is expected at aimAt, and get more again
+	// below calmAt.
+	slowAt = 0.85
+	aimAt  = 0.65
+	calmAt = 0.65
+	// patience is how long a serving task may be over its target until all filling
+	// tasks stand still, whatever is known of their images.
+	patience = 1200 * time.Millisecond
+	// settleTime is how long a change takes to show in the figures.
+	settleTime = 550 * time.Millisecond
+	// raiseMost is the most that a pace goes up at a time, in percent points, for an
+	// image that is known to cost something.
+	raiseMost = 25
+	// lightCost is the cost below which an image counts as harmless, in ms for each core.
+	lightCost = 0.35
+)
+
+// Serving is a serving task's state.
+type Serving struct {
+	Image  string
+	Tail   float64 // ms, over the last moment
+	Target float64 // ms
+}
+
+// Pacer decides how fast the filling tasks of one instance may work, by image, so that
+// the serving ones beside them stay below their targets.
+type Pacer struct {
+	pairs   *Pairs
+	paces   map[string]int // percent, of images that are slowed
+	changed time.Time
+	over    time.Time // since when a serving task has been over its target
+}
+
+// NewPacer makes a pacer that slows nothing.
+func NewPacer(pairs *Pairs) *Pacer { return &Pacer{pairs: pairs, paces: map[string]int{}} }
+
+// Pace is the pace of an image in percent.
+func (p *Pacer) Pace(image string) int {
+	if pace, slowed := p.paces[image]; slowed {
+		return pace
+	}
+	return fullPace
+}
+
+// Observe takes the state of the serving tasks and the cores that each filling image
+// uses, and adjusts the paces. It tells whether any has changed.
+func (p *Pacer) Observe(now time.Time, serving []Serving, cores map[string]float64) bool {
+	worst := 0.0
+	for _, s := range serving {
+		worst = max(worst, s.Tail/s.Target)
+	}
+	if worst < 1 {
+		p.over = time.Time{}
+	} else if p.over.IsZero() {
+		p.over = now
+	}
+	switch {
+	case len(serving) == 0:
+		changed := len(p.paces) > 0
+		clear(p.paces)
+		return changed
+	case !p.over.IsZero() && now.Sub(p.over) > patience:
+		return p.standStill(now, cores)
+	case now.Sub(p.changed) < settleTime:
+		return false
+	case worst >= slowAt:
+		return p.lower(now, serving, cores)
+	case worst <= calmAt:
+		return p.raise(now, serving, cores)
+	}
+	return false
+}
+
+func (p *Pacer) standStill(now time.Time, cores map[string]float64) bool {
+	changed := false
+	for image := range cores {
+		changed = changed || p.Pace(image) > 0
+		p.paces[image] = 0
+	}
+	if changed {
+		p.changed = now
+	}
+	return changed
+}
+
+// lower slows the images that cost the serving tasks the most, until each of these is
+// expected where it should be.
+func (p *Pacer) lower(now time.Time, serving []Serving, cores map[string]float64) bool {
+	changed := false
+	for _, s := range serving {
+		excess := s.Tail - aimAt*s.Target
+		if s.Tail < slowAt*s.Target {
+			continue
+		}
+		for _, image := range p.byCost(s.Image, cores) {
+			pace := p.Pace(image)
+			share := p.pairs.Cost(s.Image, image) * cores[image] // of the tail
+			if excess <= 0 || share <= 0 || pace == 0 {
+				continue
+			}
+			left := 0
+			if share > excess {
+				left = int(float64(pace) * (1 - excess/share))
+			}
+			p.paces[image] = left
+			excess -= share
+			changed = true
+		}
+	}
+	if changed {
+		p.changed = now
+	}
+	return changed
+}
+
+// byCost orders the images by what they cost a serving image, the dearest first.
+func (p *Pacer) byCost(serving string, cores map[string]float64) []string {
+	var images []string
+	for image := range cores {
+		images = append(images, image)
+	}
+	slices.SortFunc(images, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(p.pairs.Cost(serving, b)*cores[b], p.pairs.Cost(serving, a)*cores[a]),
+			cmp.Compare(a, b),
+		)
+	})
+	return images
+}
+
+// raise gives pace back: at once to harmless images, else to the cheapest one.
+func (p *Pacer) raise(now time.Time, serving []Serving, cores map[string]float64) bool {
+	cheapest, least := "", 0.0
+	changed := false
+	for image, pace := range p.paces {
+		if _, here := cores[image]; !here {
+			continue // the next task of the image begins as slowly
+		}
+		if pace >= fullPace {
+			delete(p.paces, image)
+			continue
+		}
+		cost := 0.0
+		for _, s := range serving {
+			cost = max(cost, p.pairs.Cost(s.Image, image))
+		}
+		if cost < lightCost {
+			delete(p.paces, image)
+			changed = true
+			continue
+		}
+		if cheapest == "" || cost < least || cost == least && image < cheapest {
+			cheapest, least = image, cost
+		}
+	}
+	if cheapest != "" && !changed {
+		p.paces[cheapest] = min(p.paces[cheapest]+raiseMost, fullPace)
+		changed = true
+	}
+	if changed {
+		p.changed = now
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/decision/interference/pairs_test.go
@@ -0,0 +1,89 @@
+package interference
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The pairs of a made instance: image h costs image s much, image l nothing.
+func TestPairsTellHeavyFromLight(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		pairs := NewPairs()
+		for range 40 {
+			heavy, light := 8*random.Float64(), 8*random.Float64()
+			tail := 8 + 3*heavy + 4*(random.Float64()-0.5)
+			pairs.Observe(Sample{Serving: "s", Tail: tail, Cores: map[string]float64{"h": heavy, "l": light}})
+		}
+		if h, l := pairs.Cost("s", "h"), pairs.Cost("s", "l"); h < 2 || l > 1 {
+			t.Errorf("seed %d: heavy costs %.2f and light %.2f ms for each core; 3 and 0 are true", seed, h, l)
+		}
+	}
+}
+
+// An instance whose serving task has a tail of 8 ms and 3 ms more for each core of the
+// heavy image that works.
+func tailWith(pacer *Pacer, heavyCores float64) float64 {
+	return 8 + 3*heavyCores*float64(pacer.Pace("h"))/100
+}
+
+func TestPacerSlowsWhatIsHeavyOnly(t *testing.T) {
+	pairs := NewPairs()
+	pairs.Set(Weight{Pair{"s", "h"}, 3})
+	pairs.Set(Weight{Pair{"s", "l"}, 0})
+	pacer := NewPacer(pairs)
+	now := time.Unix(0, 0)
+	over := time.Duration(0)
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		tail := tailWith(pacer, 7)
+		if tail > 18 {
+			over += 250 * time.Millisecond
+		}
+		pacer.Observe(now, []Serving{{"s", tail, 18}}, map[string]float64{"h": 7 * float64(pacer.Pace("h")) / 100, "l": 7})
+	}
+	if over > time.Second {
+		t.Errorf("over the target for %v", over)
+	}
+	if pacer.Pace("l") != 100 {
+		t.Errorf("the light image is slowed to %d %%", pacer.Pace("l"))
+	}
+	if pacer.Pace("h") == 100 {
+		t.Error("the heavy image is not slowed")
+	}
+}
+
+// Whatever is believed of the images, a serving task is not left over its target.
+func TestPacerStopsEverythingWhenNothingElseHelps(t *testing.T) {
+	pairs := NewPairs()
+	pairs.Set(Weight{Pair{"s", "h"}, 0}) // wrong
+	pacer := NewPacer(pairs)
+	now := time.Unix(0, 0)
+	over, longest := time.Duration(0), time.Duration(0)
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		tail := tailWith(pacer, 7)
+		if over += 250 * time.Millisecond; tail <= 18 {
+			over = 0
+		}
+		longest = max(longest, over)
+		pacer.Observe(now, []Serving{{"s", tail, 18}}, map[string]float64{"h": 7})
+	}
+	if longest > 2*time.Second {
+		t.Errorf("over the target for %v on end", longest)
+	}
+}
+
+func TestPacerGivesBackWhatNobodyNeeds(t *testing.T) {
+	pacer := NewPacer(NewPairs())
+	now := time.Unix(0, 0)
+	pacer.Observe(now.Add(time.Second), []Serving{{"s", 30, 18}}, map[string]float64{"h": 7})
+	if pacer.Pace("h") == 100 {
+		t.Fatal("nothing is slowed")
+	}
+	pacer.Observe(now.Add(2*time.Second), nil, map[string]float64{"h": 7})
+	if pacer.Pace("h") != 100 {
+		t.Error("still slowed without a serving task")
+	}
+}
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/decision/interference"
 	"github.com/cockroachdb/errors"
 )
 
@@ -37,6 +38,7 @@
 	Full    bool              `json:"full,omitempty"`
 	Running []dispatch.Listed `json:"running,omitempty"`
 	Ends    []dispatch.End    `json:"ends,omitempty"`
+	Figures []dispatch.Figure `json:"figures,omitempty"`
 	Silent  bool              `json:"silent,omitempty"` // the worker does not answer its agent
 	Lapsed  bool              `json:"lapsed,omitempty"` // and all its leases are over
 }
@@ -45,6 +47,9 @@
 type Reported struct {
 	Grant int64 `json:"grant,omitempty"` // ms of lease, from when the report was sent
 	Kept  int64 `json:"kept,omitempty"`  // ends up to this number are in the table
+	// Weights are what filling images cost the serving ones on the instance, where that
+	// has changed since the last report.
+	Weights []interference.Weight `json:"weights,omitempty"`
 }
 
 // Orders are what an agent is to do. Kept is as in Reported.
@@ -53,6 +58,8 @@
 	Starts  []StartOrder `json:"starts,omitempty"`
 	Stops   []StopOrder  `json:"stops,omitempty"`
 	Kept    int64        `json:"kept,omitempty"`
+	// Traits describe runs that the agent has found and was not ordered to start.
+	Traits []StartOrder `json:"traits,omitempty"`
 }
 
 // StartOrder starts one run of a task.
@@ -61,6 +68,7 @@
 	Run     int64             `json:"run"`
 	Payload string            `json:"payload,omitempty"`
 	Saved   string            `json:"saved,omitempty"`
+	Image   string            `json:"image,omitempty"` // what it runs: tasks of one image behave alike
 	Fills   bool              `json:"fills,omitempty"`
 	Target  int64             `json:"target,omitempty"` // ms of tail latency
 }
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"math"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/decision/interference"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
@@ -23,7 +25,7 @@
 	t.log.Info("attach", zap.String("instance", id), zap.Int64("born", a.Offer.Life.Born), zap.String("agent", a.Offer.Agent), zap.Uint64("session", a.Session))
 	t.book.Attach(time.Now(), a.Offer)
 	t.book.Reachable(id, false) // until its list is here
-	s := &session{peer: peer, number: a.Session, life: a.Offer.Life, granted: time.Now()}
+	s := &session{peer: peer, number: a.Session, life: a.Offer.Life, granted: time.Now(), told: map[interference.Pair]float64{}}
 	t.sessions[id] = s
 	delete(t.lapses, id)
 	t.seat.loop.Go(func() {
@@ -62,9 +64,11 @@
 	if r.Full {
 		t.book.List(now, s.life, r.Running)
 		s.full = true
+		t.sendTraits(id)
 	} else {
 		t.book.Saved(s.life, r.Running)
 	}
+	t.book.Measured(s.life, r.Figures)
 	t.book.Reachable(id, s.full && !r.Silent)
 	if r.Lapsed {
 		t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", "worker silent, its leases are over"))
@@ -72,7 +76,42 @@
 		delete(t.sessions, id)
 	}
 	t.wake()
-	return link.Reported{Grant: t.grant(s, now).Milliseconds(), Kept: s.kept}, nil
+	return link.Reported{Grant: t.grant(s, now).Milliseconds(), Kept: s.kept, Weights: s.news(t.book.Weights(id))}, nil
+}
+
+// weightNews is the change of a weight, in ms for each core, that an agent is told of.
+const weightNews = 0.2
+
+// news picks the weights that differ from what the agent was told.
+func (s *session) news(weights []interference.Weight) []interference.Weight {
+	var changed []interference.Weight
+	for _, w := range weights {
+		told, known := s.told[w.Pair]
+		if !known || math.Abs(told-w.Cost) >= weightNews {
+			s.told[w.Pair] = w.Cost
+			changed = append(changed, w)
+		}
+	}
+	return changed
+}
+
+// sendTraits tells an agent what the runs are that it has found.
+func (t *term) sendTraits(id string) {
+	orders := &link.Orders{}
+	for _, trait := range t.book.Traits(id) {
+		orders.Traits = append(orders.Traits, startOrder(trait))
+	}
+	if len(orders.Traits) > 0 {
+		t.send(id, orders)
+	}
+}
+
+// startOrder writes a start for an agent.
+func startOrder(s dispatch.Start) link.StartOrder {
+	return link.StartOrder{
+		Task: s.Task, Run: s.Run, Payload: s.Payload, Saved: s.Saved,
+		Image: s.Step.Image, Fills: s.Step.Fills, Target: s.Step.Target,
+	}
 }
 
 func (t *term) takeEnds(now time.Time, s *session, ends []dispatch.End) {
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/decision/interference"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
@@ -58,6 +59,7 @@
 	seen    int64 // highest number of an end that the book has
 	kept    int64 // highest number of an end that is in the table
 	granted time.Time
+	told    map[interference.Pair]float64 // weights that the agent knows
 }
 
 // term is one ownership of the shard. All of it runs on the loop.
@@ -289,10 +291,7 @@
 	now := time.Now()
 	for _, start := range t.book.Plan(now) {
 		t.log.Info("start", zap.Stringer("task", start.Task), zap.Int64("run", start.Run), zap.String("instance", start.Instance))
-		of(start.Instance).Starts = append(of(start.Instance).Starts, link.StartOrder{
-			Task: start.Task, Run: start.Run, Payload: start.Payload, Saved: start.Saved,
-			Fills: start.Step.Fills, Target: start.Step.Target,
-		})
+		of(start.Instance).Starts = append(of(start.Instance).Starts, startOrder(start))
 	}
 	for _, stop := range t.book.TakeStops() {
 		t.log.Info("stop", zap.Stringer("task", stop.Task), zap.Int64("run", stop.Run), zap.String("instance", stop.Instance))
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -5,31 +5,20 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/decision/interference"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"go.uber.org/zap"
 )
 
-const (
-	// slowAt is the share of its target at which a serving task's tail makes the filling
-	// tasks beside it give way, in percent; below calmAt they may take more again.
-	slowAt = 90
-	calmAt = 65
-	// paceUp is what they get back at a time, in percent points.
-	paceUp = 20
-	// paceUpPeriod is the time between two such steps.
-	paceUpPeriod = 500 * time.Millisecond
-	// paceDownPeriod is the time between two steps down: a figure covers half a second,
-	// so one earlier than that does not show the last step yet.
-	paceDownPeriod = 250 * time.Millisecond
-	// fullPace is the pace of a task that nobody slows.
-	fullPace = 100
-)
+// fullPace is the pace, in percent, of a run that nobody slows.
+const fullPace = 100
 
-// pacer slows the filling tasks of a worker while a serving task beside them is over
-// its target. The agent decides that alone, on the worker's figures.
+// pacer carries out what package interference decides on one worker's figures. The
+// agent decides alone: a serving task can't wait for the owner.
 type pacer struct {
-	percent int // that filling tasks are allowed
-	changed time.Time
+	pairs   *interference.Pairs
+	decides *interference.Pacer
+	figures []dispatch.Figure // of the last list
 	sent    map[dispatch.TaskName]paced
 }
 
@@ -39,31 +28,54 @@
 	percent int
 }
 
-func newPacer() pacer { return pacer{percent: fullPace, sent: map[dispatch.TaskName]paced{}} }
+func newPacer() pacer {
+	pairs := interference.NewPairs()
+	return pacer{pairs: pairs, decides: interference.NewPacer(pairs), sent: map[dispatch.TaskName]paced{}}
+}
 
-// observe takes a list of what runs and adjusts the pace.
+// observe takes a list of what runs and adjusts the paces.
 func (p *pacer) observe(r *Runner, running []Listed, now time.Time) {
-	worst := -1 // tail of a serving task as a percentage of its target
+	var serving []interference.Serving
+	cores := map[string]float64{}
+	p.figures = p.figures[:0]
 	for _, l := range running {
 		known := r.runs[l.Task]
-		if known != nil && known.order.Target > 0 {
-			worst = max(worst, int(l.Figure*100/float64(known.order.Target)))
+		switch {
+		case known == nil || known.number != l.Run:
+			continue
+		case known.order.Target > 0:
+			serving = append(serving, interference.Serving{Image: known.order.Image, Tail: l.Figure, Target: float64(known.order.Target)})
+		case known.order.Fills:
+			cores[known.order.Image] += l.Figure / 1000
+		default:
+			continue
+		}
+		p.figures = append(p.figures, dispatch.Figure{Task: l.Task, Value: l.Figure})
+	}
+	if p.decides.Observe(now, serving, cores) {
+		for image := range cores {
+			r.log.Info("pace", zap.String("image", image), zap.Int("percent", p.decides.Pace(image)), zap.Float64("cores", cores[image]), zap.Float64("tail", worstTail(serving)))
 		}
 	}
-	p.adjust(worst, now)
+	p.apply(r, running)
+}
+
+func worstTail(serving []interference.Serving) float64 {
+	worst := 0.0
+	for _, s := range serving {
+		worst = max(worst, s.Tail)
+	}
+	return worst
+}
+
+// apply orders the paces that runs do not have yet.
+func (p *pacer) apply(r *Runner, running []Listed) {
 	present := make(map[dispatch.TaskName]bool, len(running))
 	for _, l := range running {
 		present[l.Task] = true
 		known := r.runs[l.Task]
-		if known == nil || !known.order.Fills || known.number != l.Run {
-			continue
-		}
-		was, ok := p.sent[l.Task]
-		if !ok || was.run != l.Run {
-			was = paced{l.Run, fullPace}
-		}
-		if was.percent != p.percent {
-			p.send(r, l, p.percent)
+		if known != nil && known.order.Fills && known.number == l.Run {
+			p.set(r, known, l.Task)
 		}
 	}
 	for name := range p.sent {
@@ -73,26 +85,20 @@
 	}
 }
 
-// adjust finds the pace for the worst serving task; worst is -1 when there is none.
-func (p *pacer) adjust(worst int, now time.Time) {
-	since := now.Sub(p.changed)
-	switch {
-	case worst < 0:
-		p.percent = fullPace
-	case worst >= slowAt && p.percent > 0 && since >= paceDownPeriod:
-		p.percent, p.changed = p.percent/2, now
-		if p.percent < 10 {
-			p.percent = 0
-		}
-	case worst <= calmAt && p.percent < fullPace && since >= paceUpPeriod:
-		p.percent, p.changed = min(p.percent+paceUp, fullPace), now
+// set orders the pace of a run if it has another.
+func (p *pacer) set(r *Runner, known *run, name dispatch.TaskName) {
+	percent := p.decides.Pace(known.order.Image)
+	was, ok := p.sent[name]
+	if !ok || was.run != known.number {
+		was = paced{known.number, fullPace}
 	}
-}
-
-func (p *pacer) send(r *Runner, l Listed, percent int) {
-	p.sent[l.Task] = paced{l.Run, percent}
-	call := PaceCall{Life: r.offer.Life, Fence: r.fence, Task: l.Task, Run: l.Run, Percent: percent}
+	if was.percent == percent {
+		return
+	}
+	now := paced{known.number, percent}
+	p.sent[name] = now
 	r.set.Add("paced", 1)
+	call := PaceCall{Life: r.offer.Life, Fence: r.fence, Task: name, Run: known.number, Percent: percent}
 	r.loop.Go(func() {
 		bounded, cancel := context.WithTimeout(r.loop.Context(), orderBound)
 		defer cancel()
@@ -101,11 +107,13 @@
 			return
 		}
 		r.loop.Post(func() {
-			r.log.Info("pace-failed", zap.Stringer("task", l.Task), zap.Stringer("answer", answer.Kind), logs.Error(err))
-			delete(p.sent, l.Task) // sent again with the next list
-			if percent == fullPace {
-				p.sent[l.Task] = paced{l.Run, -1}
+			r.log.Info("pace-failed", zap.Stringer("task", name), zap.Stringer("answer", answer.Kind), logs.Error(err))
+			if p.sent[name] == now {
+				p.sent[name] = paced{known.number, unknownPace} // ordered again with the next list
 			}
 		})
 	})
 }
+
+// unknownPace is the pace of a run whose last order was not answered.
+const unknownPace = -1
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
@@ -332,7 +333,7 @@
 
 // report is what the owner is told next.
 func (r *Runner) report(s *session) link.Report {
-	report := link.Report{Offer: *r.offer, Silent: r.silent, Lapsed: r.lapsed()}
+	report := link.Report{Offer: *r.offer, Silent: r.silent, Lapsed: r.lapsed(), Figures: slices.Clone(r.pacer.figures)}
 	for _, end := range r.ends {
 		if end.Sequence > s.reported {
 			report.Ends = append(report.Ends, end)
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -63,6 +63,11 @@
 		return
 	}
 	r.forget(orders.Kept)
+	for _, trait := range orders.Traits {
+		if known := r.runs[trait.Task]; known != nil && known.number == trait.Run {
+			known.order.Image, known.order.Fills, known.order.Target = trait.Image, trait.Fills, trait.Target
+		}
+	}
 	for _, order := range orders.Starts {
 		r.start(order)
 	}
@@ -123,6 +128,9 @@
 	switch {
 	case err == nil && answer.Kind == Obeyed:
 		known.settled = time.Now()
+		if known.order.Fills {
+			r.pacer.set(r, known, call.Task)
+		}
 	case err == nil:
 		r.log.Warn("start-denied", zap.Stringer("task", call.Task), zap.Int64("run", call.Run), zap.Stringer("answer", answer.Kind), zap.String("reason", answer.Reason), zap.Int("try", try))
 		r.set.Add("start-denied", 1)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -201,6 +201,9 @@
 		s.reported = s.reporting
 		r.granted(sent, time.Duration(reported.Grant)*time.Millisecond)
 		r.forget(reported.Kept)
+		for _, weight := range reported.Weights {
+			r.pacer.pairs.Set(weight)
+		}
 	})
 	return report.Lapsed, loopErr
 }
