Costs of image pairs are learned as shares of the target, blame by belief

Causes, each from a trace: a tail measured while a serving task starts, or on a worker that hangs (up to 5,500 ms), moved the learned base by orders of magnitude; blame shared by cores alone made harmless images look costly, since they run beside the guilty ones.

Change: costs are shares of the target, errors are shared by what each image is believed to add (exponentiated gradient with a floor), starts and wild tails teach nothing. Filling tasks are placed by the rate at which they are expected to work; serving tasks of one image go together; jobs that can still be in time go before late ones; a filling task that stands still moves.

Lists are ordered by the worker's clock now, and a start that is not obeyed is answered as absent. The list is not believed for the time that a stop takes.

--- a/internal/decision/dispatch/figures.go
+++ b/internal/decision/dispatch/figures.go
@@ -1,10 +1,22 @@
 package dispatch
 
-import "github.com/apricotwind/apricotwind/internal/decision/interference"
+import (
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/interference"
+)
+
+const (
+	// warmUp is how long a serving task's figures say nothing of those beside it.
+	warmUp = 2 * time.Second
+	// wildTail is the multiple of the target from which on a tail has other causes than
+	// filling tasks: a start, an instance that hangs.
+	wildTail = 6
+)
 
 // Measured takes the figures of an instance and learns from them what filling images
 // cost serving ones.
-func (b *Book) Measured(life Life, figures []Figure) {
+func (b *Book) Measured(now time.Time, life Life, figures []Figure) {
 	in, ok := b.instances[life.ID]
 	if !ok || in.offer.Life != life || len(figures) == 0 {
 		return
@@ -16,13 +28,28 @@
 		switch {
 		case p == nil || p.step == nil:
 		case p.serves && figure.Value > 0:
-			in.tails[figure.Task] = figure.Value
+			in.tails[figure.Task] = figure.Value / float64(p.step.Target)
 		case p.fills:
 			cores[p.step.Image] += figure.Value / 1000
+			p.measured(now, figure.Value)
 		}
 	}
 	for name, tail := range in.tails {
-		b.pairs.Observe(interference.Sample{Serving: in.placements[name].step.Image, Tail: tail, Cores: cores})
+		p := in.placements[name]
+		if now.Sub(p.since) < warmUp || tail > wildTail {
+			continue
+		}
+		b.pairs.Observe(interference.Sample{Serving: p.step.Image, Tail: tail, Cores: cores})
+	}
+}
+
+// measured notes since when a filling task has hardly worked.
+func (p *placement) measured(now time.Time, used float64) {
+	switch {
+	case used*100 >= float64(stalledShare*p.need.Processors):
+		p.stalled = time.Time{}
+	case p.stalled.IsZero():
+		p.stalled = now
 	}
 }
 
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -78,6 +78,7 @@
 	since    time.Time
 	process  string // incarnation of the agent that was given the order
 	stopping bool
+	stalled  time.Time // since when it has hardly worked; zero while it does
 }
 
 // instance is one life of a worker as the owner knows it.
@@ -93,7 +94,7 @@
 	filled     int                  // thousandths of a core that filling tasks ask for
 	served     int                  // thousandths of a core that serving tasks ask for, part of used
 	serving    int                  // placements that serve users of their own
-	tails      map[TaskName]float64 // ms, of serving tasks
+	tails      map[TaskName]float64 // of serving tasks, as a share of their targets
 	fails      int                  // failed ends in a row, of distinct jobs
 	failedJob  string
 	avoidUntil time.Time
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -18,20 +18,17 @@
 
 // Points that a placement costs. The instance with the fewest points is taken.
 //
-// Serving tasks are packed onto few instances, so that filling tasks find others on
-// which they disturb nobody.
+// Serving tasks are packed onto few instances, those of one image together, so that
+// filling tasks find others on which they disturb nobody.
 const (
 	pointsFar     = 1000 // away from the rack of the data, where tasks take longer
 	pointsLoad    = 100  // an instance whose processors are all taken
-	pointsServing = 200  // a filling task beside one that serves
+	pointsServing = 100  // a filling task beside one that serves
+	pointsSlow    = 400  // a filling task that would stand still
 	pointsApart   = 300  // a serving task where none serves yet
-	pointsFilled  = 100  // a serving task beside an instance full of filling ones
+	pointsMixed   = 60   // a serving task beside one of another image
 )
 
-// quietAt is the share of its target up to which a serving task's tail may be expected
-// to rise when a filling task is placed beside it.
-const quietAt = 0.75
-
 // Plan decides what starts now. The room is taken at once; what turns out not to
 // have started gives it back by its end.
 func (b *Book) Plan(now time.Time) []Start {
@@ -46,6 +43,7 @@
 		return nil
 	}
 	slices.SortFunc(p.usable, func(a, c *instance) int { return cmp.Compare(a.offer.Life.ID, c.offer.Life.ID) })
+	p.rescue()
 	for _, w := range b.byUrgency(now) {
 		for _, o := range w.occurrences {
 			if o.left > 0 {
@@ -74,8 +72,29 @@
 	}
 }
 
-// byUrgency orders the open jobs: what can be worth something first, then by
-// priority, then by the time at which it should be done.
+// Ranks of jobs by what they can still be worth.
+const (
+	inTime   = iota // its objective can be met
+	late            // worth a part
+	hopeless        // worth nothing more
+)
+
+// rank tells what a job can still be worth.
+func (w *work) rank(now time.Time) int {
+	taken := now.Sub(w.accepted)
+	switch {
+	case w.job.Lasts() || w.job.FirstRun > 0:
+		return inTime
+	case taken > lateLimit*w.objective:
+		return hopeless
+	case taken > w.objective:
+		return late
+	}
+	return inTime
+}
+
+// byUrgency orders the open jobs: what can be worth most first, then by priority, then
+// by the time at which it should be done.
 func (b *Book) byUrgency(now time.Time) []*work {
 	open := make([]*work, 0, len(b.jobs))
 	for _, w := range b.jobs {
@@ -83,15 +102,9 @@
 			open = append(open, w)
 		}
 	}
-	hopeless := func(w *work) int {
-		if !w.job.Lasts() && now.Sub(w.accepted) > lateLimit*w.objective {
-			return 1
-		}
-		return 0
-	}
 	slices.SortFunc(open, func(a, c *work) int {
 		return cmp.Or(
-			cmp.Compare(hopeless(a), hopeless(c)),
+			cmp.Compare(a.rank(now), c.rank(now)),
 			cmp.Compare(a.job.Policy.Priority, c.job.Policy.Priority),
 			a.accepted.Add(a.objective).Compare(c.accepted.Add(c.objective)),
 			cmp.Compare(a.job.ID, c.job.ID),
@@ -134,6 +147,36 @@
 	}
 }
 
+const (
+	// stalledShare is the part of what it asks for below which a filling task counts as
+	// standing still, in percent.
+	stalledShare = 30
+	// stalledFor is how long it does so until it is moved.
+	stalledFor = 1200 * time.Millisecond
+	// rescuesAPlan bounds how many tasks are moved at a time, since each may find room
+	// that the next does not.
+	rescuesAPlan = 1
+)
+
+// rescue stops a filling task that stands still, if there is a better place for it now.
+// It goes on from its checkpoint.
+func (p *planner) rescue() {
+	rescued := 0
+	for _, in := range p.usable {
+		for name, placed := range in.placements {
+			if placed.stopping || placed.stalled.IsZero() || p.now.Sub(placed.stalled) < stalledFor {
+				continue
+			}
+			t := p.book.find(name)
+			if t == nil || !t.step.Checkpoints || rescued >= rescuesAPlan || p.choose(t.work, t, "") == nil {
+				continue
+			}
+			p.book.stop(in, placed)
+			rescued++
+		}
+	}
+}
+
 func (p *planner) startable(t *task) bool {
 	return t.waits() && !t.doubted && !p.now.Before(t.notBefore)
 }
@@ -197,66 +240,36 @@
 	var best *instance
 	var least int
 	for _, in := range p.usable {
-		if rack != "" && in.offer.Rack != rack || !p.book.suits(w, t, in) {
+		if rack != "" && in.offer.Rack != rack || !p.book.suits(p.now, w, t, in) {
 			continue
 		}
-		if points := pointsOf(t.step, in); best == nil || points < least {
+		if points := p.book.points(p.now, t.step, in); best == nil || points < least {
 			best, least = in, points
 		}
 	}
 	return best
 }
 
-// squeeze finds the instance with the most left for a filling task, however little that
-// is, so that each job goes on.
+// squeeze finds the instance on which a filling task gets on best, however slowly, so
+// that each job goes on.
 func (p *planner) squeeze(w *work, t *task) *instance {
 	var best *instance
+	var most float64
 	for _, in := range p.usable {
-		if fits(w, t, in) && (best == nil || p.book.roomier(t.step, in, best)) {
-			best = in
-		}
-	}
-	return best
-}
-
-// roomier tells whether a filling task disturbs less, or has more left, on one instance
-// than on another.
-func (b *Book) roomier(step *Step, one, other *instance) bool {
-	if quiet := b.quiet(step, one); quiet != b.quiet(step, other) {
-		return quiet
-	}
-	return one.fillRoom() > other.fillRoom()
-}
-
-// quiet tells whether the serving tasks on an instance are expected to stay well below
-// their targets beside one more filling task.
-func (b *Book) quiet(step *Step, in *instance) bool {
-	if in.serving == 0 {
-		return true
-	}
-	for name, p := range in.placements {
-		if !p.serves {
+		if !fits(w, t, in) {
 			continue
 		}
-		tail, measured := in.tails[name]
-		if !measured {
-			tail = b.pairs.Tail(p.step.Image)
-		}
-		more := b.pairs.Cost(p.step.Image, step.Image) * float64(step.Need.Processors) / 1000
-		if tail+more > quietAt*float64(p.step.Target) {
-			return false
+		if rate := p.book.rate(p.now, t.step, in); best == nil || rate > most {
+			best, most = in, rate
 		}
 	}
-	return true
+	return best
 }
 
 // suits tells whether a task may run on an instance, fits there and, if it fills, is
-// left enough to run at its speed without disturbing others.
-func (b *Book) suits(w *work, t *task, in *instance) bool {
-	if !fits(w, t, in) {
-		return false
-	}
-	return !t.step.Fills || in.fillRoom() >= t.step.Need.Processors && b.quiet(t.step, in)
+// expected to get on there.
+func (b *Book) suits(now time.Time, w *work, t *task, in *instance) bool {
+	return fits(w, t, in) && (!t.step.Fills || b.rate(now, t.step, in) >= rateLeast)
 }
 
 // fits tells whether a task may run on an instance and fits there.
@@ -281,21 +294,27 @@
 	return step.MostOnOne == 0 || in.of(t.name) < step.MostOnOne
 }
 
-func pointsOf(step *Step, in *instance) int {
+func (b *Book) points(now time.Time, step *Step, in *instance) int {
 	capacity := max(in.offer.Capacity.Processors, 1)
-	points := pointsLoad * (in.used.Processors + in.filled) / capacity
+	load := pointsLoad * in.used.Processors / capacity
+	points := pointsLoad * in.filled / capacity
 	if step.Rack != "" && !in.has(step.Rack) {
 		points += pointsFar
 	}
-	if step.Fills && in.serving > 0 {
-		points += pointsServing
-	}
-	if step.Target > 0 {
-		points += pointsFilled * in.filled / capacity
-		points -= 2 * pointsLoad * in.used.Processors / capacity // the fullest that has room
+	switch {
+	case step.Fills:
+		points += load + int(pointsSlow*(1-b.rate(now, step, in)))
+		if in.serving > 0 {
+			points += pointsServing
+		}
+	case step.Target > 0:
+		points -= 2 * load // the fullest that has room
 		if in.serving == 0 {
 			points += pointsApart
 		}
+		points += pointsMixed * in.otherImages(step.Image)
+	default:
+		points += load
 	}
 	return points
 }
--- a/internal/decision/interference/pacer.go
+++ b/internal/decision/interference/pacer.go
@@ -23,15 +23,14 @@
 	// raiseMost is the most that a pace goes up at a time, in percent points, for an
 	// image that is known to cost something.
 	raiseMost = 25
-	// lightCost is the cost below which an image counts as harmless, in ms for each core.
-	lightCost = 0.35
+	// lightCost is the cost below which an image counts as harmless.
+	lightCost = 0.012
 )
 
 // Serving is a serving task's state.
 type Serving struct {
-	Image  string
-	Tail   float64 // ms, over the last moment
-	Target float64 // ms
+	Image string
+	Tail  float64 // over the last moment, as a share of the target
 }
 
 // Pacer decides how fast the filling tasks of one instance may work, by image, so that
@@ -59,7 +58,7 @@
 func (p *Pacer) Observe(now time.Time, serving []Serving, cores map[string]float64) bool {
 	worst := 0.0
 	for _, s := range serving {
-		worst = max(worst, s.Tail/s.Target)
+		worst = max(worst, s.Tail)
 	}
 	if worst < 1 {
 		p.over = time.Time{}
@@ -100,10 +99,10 @@
 func (p *Pacer) lower(now time.Time, serving []Serving, cores map[string]float64) bool {
 	changed := false
 	for _, s := range serving {
-		excess := s.Tail - aimAt*s.Target
-		if s.Tail < slowAt*s.Target {
+		if s.Tail < slowAt {
 			continue
 		}
+		excess := s.Tail - aimAt
 		for _, image := range p.byCost(s.Image, cores) {
 			pace := p.Pace(image)
 			share := p.pairs.Cost(s.Image, image) * cores[image] // of the tail
--- a/internal/decision/interference/pairs.go
+++ b/internal/decision/interference/pairs.go
@@ -3,16 +3,28 @@
 import "slices"
 
 const (
-	// unknownWeight is what a filling image costs a serving one until it is learned, in
-	// ms of tail latency for each core.
-	unknownWeight = 0.5
-	// unknownTail is the tail latency of a serving image on its own until it is learned.
-	unknownTail = 8
-	// weightRate and tailRate are the parts of an error that one sample corrects.
-	weightRate = 0.3
-	tailRate   = 0.05
-	// weightMost bounds what is learned from one wild sample.
-	weightMost = 20
+	// unknownCost is what a filling image costs a serving one until it is learned, as a
+	// share of the target for each core.
+	unknownCost = 0.025
+	// unknownTail is the tail of a serving image on its own until it is learned, as a
+	// share of its target.
+	unknownTail = 0.45
+	// costRate and tailRate are the parts of an error that one sample corrects.
+	costRate = 0.3
+	tailRate = 0.05
+	// blameLeast is the part of the target by which a tail must be higher than expected
+	// until anything is blamed for it: the load of serving tasks swings.
+	blameLeast = 0.15
+	// blameMost bounds what is learned from one sample, since tails rise steeply near the
+	// limit.
+	blameMost = 1.0
+	// blameFloor is the cost that even an image known as harmless has when blame is
+	// shared, so that it can be found guilty later.
+	blameFloor = 0.002
+	// coresLeast is how much of an image must work for a sample to say something of it.
+	coresLeast = 0.5
+	// costMost bounds a cost.
+	costMost = 1.0
 )
 
 // Pair is a serving image and a filling one that run on one instance.
@@ -21,8 +33,8 @@
 	Filling string `json:"f"`
 }
 
-// Weight is what a pair costs: ms of the serving image's tail latency for each core
-// that the filling image uses.
+// Weight is what a pair costs: the share of its target by which the serving image's
+// tail latency rises for each core that the filling image uses.
 type Weight struct {
 	Pair
 	Cost float64 `json:"w"`
@@ -32,29 +44,30 @@
 // filling image beside it used then.
 type Sample struct {
 	Serving string
-	Tail    float64 // ms
+	Tail    float64 // as a share of the target
 	Cores   map[string]float64
 }
 
-// Pairs learns what pairs of images cost, by normalized least mean squares: each sample
-// moves the weights of what ran by a part of the error, in proportion to its cores.
+// Pairs learns what pairs of images cost. Each sample corrects the costs of what ran by
+// a part of the error, shared by what each image is believed to add (the exponentiated
+// gradient method, with a floor), since most pairs cost nothing and few cost much.
 type Pairs struct {
-	weights map[Pair]float64
-	tails   map[string]float64
+	costs map[Pair]float64
+	tails map[string]float64
 }
 
 // NewPairs makes a learner that knows nothing.
-func NewPairs() *Pairs { return &Pairs{weights: map[Pair]float64{}, tails: map[string]float64{}} }
+func NewPairs() *Pairs { return &Pairs{costs: map[Pair]float64{}, tails: map[string]float64{}} }
 
-// Cost is what a pair costs in ms for each core, as far as is known.
+// Cost is what a pair costs, as far as is known.
 func (p *Pairs) Cost(serving, filling string) float64 {
-	if weight, known := p.weights[Pair{serving, filling}]; known {
-		return weight
+	if cost, known := p.costs[Pair{serving, filling}]; known {
+		return cost
 	}
-	return unknownWeight
+	return unknownCost
 }
 
-// Tail is the tail latency of a serving image on its own, in ms.
+// Tail is the tail latency of a serving image on its own, as a share of its target.
 func (p *Pairs) Tail(serving string) float64 {
 	if tail, known := p.tails[serving]; known {
 		return tail
@@ -64,29 +77,39 @@
 
 // Observe learns from a sample.
 func (p *Pairs) Observe(s Sample) {
-	expected, norm := p.Tail(s.Serving), 1.0
+	expected, believed := p.Tail(s.Serving), 0.0
 	for filling, cores := range s.Cores {
+		if cores < coresLeast {
+			continue
+		}
 		expected += p.Cost(s.Serving, filling) * cores
-		norm += cores * cores
+		believed += (p.Cost(s.Serving, filling) + blameFloor) * cores
+	}
+	wrong := min(s.Tail-expected, blameMost)
+	if believed == 0 {
+		p.tails[s.Serving] = min(max(p.Tail(s.Serving)+tailRate*wrong, 0), 1)
+		return
+	}
+	if wrong > 0 {
+		wrong = max(wrong-blameLeast, 0)
 	}
-	wrong := s.Tail - expected
 	for filling, cores := range s.Cores {
-		if cores <= 0 {
+		if cores < coresLeast {
 			continue
 		}
-		pair := Pair{s.Serving, filling}
-		p.weights[pair] = min(max(p.Cost(s.Serving, filling)+weightRate*wrong*cores/norm, 0), weightMost)
+		cost := p.Cost(s.Serving, filling)
+		share := (cost + blameFloor) / believed // of the error, for each core
+		p.costs[Pair{s.Serving, filling}] = min(max(cost+costRate*wrong*share, 0), costMost)
 	}
-	p.tails[s.Serving] = max(p.Tail(s.Serving)+tailRate*wrong, 0)
 }
 
 // Set takes a weight that was learned elsewhere.
-func (p *Pairs) Set(w Weight) { p.weights[w.Pair] = w.Cost }
+func (p *Pairs) Set(w Weight) { p.costs[w.Pair] = w.Cost }
 
 // Of lists the weights known of serving images, in order.
 func (p *Pairs) Of(serving []string) []Weight {
 	var weights []Weight
-	for pair, cost := range p.weights {
+	for pair, cost := range p.costs {
 		if slices.Contains(serving, pair.Serving) {
 			weights = append(weights, Weight{pair, cost})
 		}
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -68,7 +68,7 @@
 	} else {
 		t.book.Saved(s.life, r.Running)
 	}
-	t.book.Measured(s.life, r.Figures)
+	t.book.Measured(now, s.life, r.Figures)
 	t.book.Reachable(id, s.full && !r.Silent)
 	if r.Lapsed {
 		t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", "worker silent, its leases are over"))
@@ -79,8 +79,8 @@
 	return link.Reported{Grant: t.grant(s, now).Milliseconds(), Kept: s.kept, Weights: s.news(t.book.Weights(id))}, nil
 }
 
-// weightNews is the change of a weight, in ms for each core, that an agent is told of.
-const weightNews = 0.2
+// weightNews is the change of a weight that an agent is told of.
+const weightNews = 0.01
 
 // news picks the weights that differ from what the agent was told.
 func (s *session) news(weights []interference.Weight) []interference.Weight {
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -44,7 +44,7 @@
 		case known == nil || known.number != l.Run:
 			continue
 		case known.order.Target > 0:
-			serving = append(serving, interference.Serving{Image: known.order.Image, Tail: l.Figure, Target: float64(known.order.Target)})
+			serving = append(serving, interference.Serving{Image: known.order.Image, Tail: l.Figure / float64(known.order.Target)})
 		case known.order.Fills:
 			cores[known.order.Image] += l.Figure / 1000
 		default:
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -230,9 +230,10 @@
 		}
 		return false
 	}
-	if got.After(r.clockAt) {
-		r.clock, r.clockAt = lists.Clock, got
+	if lists.Clock < r.clock && !r.clockAt.IsZero() {
+		return false // overtaken by an answer that the worker gave later
 	}
+	r.clock, r.clockAt = lists.Clock, got
 	r.takeLists(lists, sent)
 	if r.session != nil && call.Fence == r.session.epoch && sent.After(r.session.began) && !r.session.listed {
 		r.session.listed = true
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -15,6 +15,9 @@
 	orderBound = 400 * time.Millisecond
 	// orderPause is the wait before an order is sent again.
 	orderPause = 50 * time.Millisecond
+	// stopTime is how long a worker may take to stop a run; until then its lists may show
+	// the run neither as running nor as ended.
+	stopTime = 450 * time.Millisecond
 	// startTries is how often a start is sent until the run is settled by a stop.
 	startTries = 3
 )
@@ -77,17 +80,21 @@
 }
 
 func (r *Runner) start(order link.StartOrder) {
-	if known := r.runs[order.Task]; known != nil {
-		r.log.Warn("start-ignored", zap.Stringer("task", order.Task), zap.Int64("run", order.Run), zap.Int64("known", known.number))
-		return
+	why := ""
+	known := r.runs[order.Task]
+	switch {
+	case known != nil && (known.number >= order.Run || known.settled.IsZero()):
+		why = "another run of the task is open"
+	case r.offer.Leaving:
+		why = "worker is leaving"
 	}
-	if r.offer.Leaving {
-		r.log.Info("start-refused", zap.Stringer("task", order.Task), zap.String("reason", "worker is leaving"))
+	if why != "" {
+		r.log.Warn("start-refused", zap.Stringer("task", order.Task), zap.Int64("run", order.Run), zap.String("reason", why))
 		r.absent(order.Task, order.Run)
 		r.news()
 		return
 	}
-	known := &run{number: order.Run, order: order, saved: order.Saved}
+	known = &run{number: order.Run, order: order, saved: order.Saved}
 	r.runs[order.Task] = known
 	r.tryStart(known, 1)
 }
@@ -206,8 +213,8 @@
 		return
 	}
 	if err == nil && answer.Kind == Obeyed {
-		known.settled = time.Now()
-		r.look()
+		known.settled = time.Now().Add(stopTime)
+		r.after(stopTime+orderPause, r.look)
 		return
 	}
 	r.set.Add("stop-again", 1)
