Schedules of faults against the whole system; four faults they found

TestSchedules plays three entries and four agents, real processes on a network in memory and the paused clock, against stand-ins of the store and the workers: processes killed, workers crashed and reborn under their ID, cuts, the store silent, refusing, slow, losing answers or compacted, orders carried out up to 8 s late. What is left: an order of a dead agent, carried out by a worker that was reborn under the same ID meanwhile.

--- a/internal/decision/dispatch/book_test.go
+++ b/internal/decision/dispatch/book_test.go
@@ -131,6 +131,7 @@
 			offer := offerOf("a", 8)
 			offer.Life.Born = 2
 			b.Attach(at(1), offer)
+			b.List(at(1), offer.Life, nil)
 		}},
 		{"another ID beside the same agent", func(b *Book) {
 			offer := offerOf("c", 8)
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -86,6 +86,7 @@
 	offer      Offer
 	registered bool // its row is in the table
 	asked      bool // that its row be written
+	renewed    bool // another life has begun that has not listed what it runs
 	synced     bool // it has listed what it runs since the owner took over
 	reachable  bool // its agent talks to the owner and the worker answers the agent
 	placements map[TaskName]*placement
@@ -105,6 +106,12 @@
 	return &instance{offer: offer, placements: map[TaskName]*placement{}}
 }
 
+// renew takes that another life has begun under the same ID.
+func (in *instance) renew() {
+	in.renewed, in.registered, in.asked, in.synced = true, false, false, false
+	in.tails = nil
+}
+
 func (in *instance) usable(now time.Time) bool {
 	return in.registered && in.synced && in.reachable && in.unknown == 0 && !in.offer.Leaving && !now.Before(in.avoidUntil)
 }
--- a/internal/decision/dispatch/lists.go
+++ b/internal/decision/dispatch/lists.go
@@ -38,13 +38,14 @@
 }
 
 // Attach takes what an instance's agent says of it. A new life under a known ID ends
-// the life before. It tells whether the row of the instance must be written first.
+// the life before, but for orders that may still be on their way and that the new life
+// would obey: its first list tells. Attach tells whether the row of the instance must be
+// written first.
 func (b *Book) Attach(now time.Time, offer Offer) bool {
 	id := offer.Life.ID
 	in, known := b.instances[id]
 	if known && in.offer.Life != offer.Life {
-		b.drop(now, in, EndLapsed)
-		known = false
+		in.renew()
 	}
 	if !known {
 		in = newInstance(offer)
@@ -103,6 +104,8 @@
 	for name, p := range in.placements {
 		switch {
 		case listed[name]:
+		case in.renewed && p.process == in.offer.Process:
+			b.end(now, in, End{Task: name, Run: p.run, How: EndLapsed})
 		case p.process != in.offer.Process:
 			// The agent that was given the order is gone, and the order may still be on
 			// its way to the worker: a stop settles that.
@@ -112,7 +115,7 @@
 			b.end(now, in, End{Task: name, Run: p.run, How: EndAbsent})
 		}
 	}
-	in.synced = true
+	in.synced, in.renewed = true, false
 	b.settleDoubt(life.ID)
 }
 
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -156,14 +156,18 @@
 		// Nothing was done, or it is not known: the same is sent again under the same
 		// conditions, so that it takes effect once.
 		t.changes = append(b.instances, t.changes...)
-		t.log.Warn("commit-unanswered", logs.Error(err), zap.Duration("took", time.Since(b.began)))
+		t.commitTrouble.Note(errors.CombineErrors(err, errNoOutcome))
 		t.pausedTill = time.Now().Add(refusedPause)
 		return
 	}
 	t.wake()
 }
 
+// errNoOutcome marks commits of which it is not known whether they took effect.
+var errNoOutcome = errors.New("commit without outcome")
+
 func (t *term) committed(b *batch, version uint64) {
+	t.commitTrouble.Note(nil)
 	t.confirmed = maxTime(t.confirmed, b.began)
 	for _, set := range b.change.Sets {
 		t.versions[set.Place] = version
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -85,11 +85,13 @@
 	pausedTill time.Time
 	confirmed  time.Time // when a call that confirmed the epoch was sent
 	planDue    bool
-	feed       uint64
-	beat       uint64
-	stop       context.CancelFunc
-	ctx        context.Context
-	handedOver func()
+	// commitTrouble logs commits that were not answered.
+	commitTrouble *logs.Trouble
+	feed          uint64
+	beat          uint64
+	stop          context.CancelFunc
+	ctx           context.Context
+	handedOver    func()
 }
 
 // finishedJob is a job whose rows are to be removed at a time.
@@ -100,8 +102,9 @@
 
 func newTerm(s *Seat, holder Holder, claimed time.Time) *term {
 	ctx, stop := context.WithCancel(s.loop.Context())
+	log := s.log.With(zap.Uint64("epoch", holder.Epoch))
 	return &term{
-		seat: s, log: s.log.With(zap.Uint64("epoch", holder.Epoch)),
+		seat: s, log: log, commitTrouble: logs.NewTrouble(log, "commit-unanswered"),
 		epoch: holder.Epoch, under: holder.Under, claimed: claimed, confirmed: claimed,
 		book: dispatch.New(holder.Epoch, holder.Under), sessions: map[string]*session{},
 		lapses: map[string]time.Time{}, versions: map[table.Place]uint64{}, losing: map[string]bool{},
--- a/internal/process/queue_entry.go
+++ b/internal/process/queue_entry.go
@@ -210,10 +210,11 @@
 
 // Wait waits until the entry has ended by itself.
 func (e *QueueEntry) Wait() error {
-	e.loop.Wait()
+	<-e.loop.Context().Done()
 	for _, server := range e.servers {
 		// The process is over; connections end with it.
 		_ = server.Close()
 	}
+	e.loop.Wait()
 	return nil
 }
--- /dev/null
+++ b/internal/rig/shard.go
@@ -0,0 +1,166 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/process"
+	"github.com/apricotwind/apricotwind/internal/queue"
+	"github.com/apricotwind/apricotwind/internal/runner"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// registerPeriod is the time between two registrations of a stand-in worker.
+	registerPeriod = time.Second
+	// keepFinished is how long the rig's entries keep a finished job.
+	keepFinished = 10 * time.Minute
+)
+
+// Shard is a system that runs jobs with steps: real entries and agents on a network in
+// memory, with stand-ins of the store and the workers.
+type Shard struct {
+	Net     *Memory
+	Store   *Store
+	Watch   *Watch
+	Workers []*Worker
+	Entries []*ShardEntry
+	agents  []*shardAgent
+	ctx     context.Context
+	log     *zap.Logger
+}
+
+// ShardEntry is one entry, which may be down.
+type ShardEntry struct {
+	name string
+	desk atomic.Pointer[queue.Desk] // nil while it is down
+	stop context.CancelFunc
+	node *process.QueueEntry
+}
+
+// shardAgent is one agent, which may be down.
+type shardAgent struct {
+	name string
+	stop context.CancelFunc
+	node *process.QueueAgent
+	of   atomic.Pointer[runner.Runner] // nil while it is down
+}
+
+// NewShard starts a system with so many entries and workers of a capacity.
+func NewShard(ctx context.Context, entries, workers int, capacity dispatch.Need, log *zap.Logger) (*Shard, error) {
+	s := &Shard{Net: NewMemory(), Store: NewStore(), Watch: NewWatch(capacity), ctx: ctx, log: log}
+	for i := range entries {
+		s.Entries = append(s.Entries, &ShardEntry{name: fmt.Sprintf("e%d", i)})
+		if err := s.StartEntry(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range workers {
+		worker := NewWorker(fmt.Sprintf("w%d", i), s.Watch)
+		s.Workers = append(s.Workers, worker)
+		s.agents = append(s.agents, &shardAgent{name: fmt.Sprintf("a%d", i)})
+		go worker.Run(ctx)
+		go s.register(i)
+		if err := s.StartAgent(i); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// register says again and again that a worker is there.
+func (s *Shard) register(i int) {
+	for sequence := int64(1); s.ctx.Err() == nil; sequence++ {
+		life, up := s.Workers[i].Life()
+		if of := s.agents[i].of.Load(); up && of != nil {
+			of.Register(dispatch.Offer{
+				Life: life, Service: "s", Rack: "r", Labels: []string{"a", "r"}, Capacity: s.Watch.capacity,
+			}, sequence)
+		}
+		_ = sleepOrDone(s.ctx, registerPeriod) // its only error is the end of ctx
+	}
+}
+
+// StartEntry starts an entry that is down.
+func (s *Shard) StartEntry(i int) error {
+	e := s.Entries[i]
+	ctx, stop := context.WithCancel(s.ctx)
+	address := fmt.Sprintf("10.0.0.%d:1", i+1)
+	node, err := process.NewQueueEntry(ctx, process.QueueEntrySettings{
+		Name: e.name, Front: "front-" + e.name, Ready: "ready-" + e.name, Link: address, Keep: keepFinished,
+	}, process.QueueParts{
+		Store: s.Store.View(e.name),
+		Front: func(desk *queue.Desk, _ *queue.InForce, _ func() bool, _ *zap.Logger) http.Handler {
+			e.desk.Store(desk)
+			return http.NotFoundHandler()
+		},
+		Ready:  func(func() error) http.Handler { return http.NotFoundHandler() },
+		Follow: func(ctx context.Context, _ *queue.InForce) { <-ctx.Done() },
+	}, s.Net.View(e.name), s.log.Named(e.name))
+	if err != nil {
+		stop()
+		return err
+	}
+	e.stop, e.node = stop, node
+	return nil
+}
+
+// KillEntry ends an entry without a word.
+func (s *Shard) KillEntry(i int) error {
+	e := s.Entries[i]
+	e.desk.Store(nil)
+	e.stop()
+	return e.node.Wait()
+}
+
+// StartAgent starts an agent that is down.
+func (s *Shard) StartAgent(i int) error {
+	a := s.agents[i]
+	ctx, stop := context.WithCancel(s.ctx)
+	node, err := process.NewQueueAgent(ctx, process.QueueAgentSettings{Name: a.name, Control: "control-" + a.name}, process.AgentParts{
+		Store: s.Store.View(a.name), Worker: s.Workers[i].Calls(),
+		Control: func(r *runner.Runner, _ *zap.Logger) http.Handler {
+			a.of.Store(r)
+			return http.NotFoundHandler()
+		},
+	}, s.Net.View(a.name), s.log.Named(a.name))
+	if err != nil {
+		stop()
+		return err
+	}
+	a.stop, a.node = stop, node
+	return nil
+}
+
+// KillAgent ends an agent without a word.
+func (s *Shard) KillAgent(i int) error {
+	a := s.agents[i]
+	a.of.Store(nil)
+	a.stop()
+	s.Workers[i].AgentDied()
+	return a.node.Wait()
+}
+
+// Desk is the desk of an entry, nil while it is down.
+func (s *Shard) Desk(i int) *queue.Desk { return s.Entries[i].desk.Load() }
+
+// AgentUp tells whether an agent runs.
+func (s *Shard) AgentUp(i int) bool { return s.agents[i].of.Load() != nil }
+
+// Stop ends everything that runs. The context that the system was made with must be
+// over.
+func (s *Shard) Stop() error {
+	var failed error
+	for _, e := range s.Entries {
+		failed = errors.CombineErrors(failed, e.node.Wait())
+	}
+	for _, a := range s.agents {
+		failed = errors.CombineErrors(failed, a.node.Wait())
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/rig/store.go
@@ -0,0 +1,196 @@
+package rig
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// storeRead and storeApply are how long the stand-in of the partitioned store takes.
+	storeRead  = 4 * time.Millisecond
+	storeApply = 12 * time.Millisecond
+)
+
+// StoreFault is what befalls one call of the store.
+type StoreFault struct {
+	Refuse bool          // turned away, nothing is done
+	Silent bool          // no answer and nothing is done
+	Lost   bool          // done, no answer
+	Late   time.Duration // with Lost: done only so much later
+	Slow   time.Duration // done and answered so much later
+}
+
+// Store is a stand-in of the partitioned store, in memory.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[table.Place]table.Cell
+	history []table.Cell
+	first   uint64 // oldest version from which a feed can go on
+	version uint64
+	changed chan struct{}
+	// Fault tells what befalls a call of the process named; nil is none.
+	Fault func(process string, write bool) StoreFault
+}
+
+// NewStore makes an empty store.
+func NewStore() *Store {
+	return &Store{rows: map[table.Place]table.Cell{}, changed: make(chan struct{})}
+}
+
+// View is the store as the process named sees it.
+func (s *Store) View(process string) *table.Store {
+	return &table.Store{
+		Read: func(ctx context.Context, of table.Range) ([]table.Cell, uint64, error) {
+			if err := s.befall(ctx, process); err != nil {
+				return nil, 0, err
+			}
+			rows, version := s.read(of)
+			return rows, version, nil
+		},
+		Follow: func(ctx context.Context, name string, after uint64, wait time.Duration) (table.Feed, error) {
+			if err := s.befall(ctx, process); err != nil {
+				return table.Feed{}, err
+			}
+			return s.follow(ctx, name, after, wait)
+		},
+		Apply: func(ctx context.Context, change table.Change) (table.Applied, error) {
+			return s.apply(ctx, process, change)
+		},
+	}
+}
+
+func (s *Store) fault(process string, write bool) StoreFault {
+	if s.Fault == nil {
+		return StoreFault{}
+	}
+	return s.Fault(process, write)
+}
+
+// befall spends the time of a read, or fails it.
+func (s *Store) befall(ctx context.Context, process string) error {
+	fault := s.fault(process, false)
+	switch {
+	case fault.Refuse:
+		return errors.Mark(errors.New("turned away"), table.ErrRefused)
+	case fault.Silent || fault.Lost:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return sleepOrDone(ctx, storeRead+fault.Slow)
+}
+
+func sleepOrDone(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (s *Store) read(of table.Range) ([]table.Cell, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []table.Cell
+	for place, row := range s.rows {
+		if place.Table == of.Table && place.Part == of.Part && place.Key >= of.From && (of.To == "" || place.Key < of.To) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b table.Cell) int { return cmp.Compare(a.Key, b.Key) })
+	return rows, s.version
+}
+
+func (s *Store) follow(ctx context.Context, name string, after uint64, wait time.Duration) (table.Feed, error) {
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		if after < s.first {
+			s.mu.Unlock()
+			return table.Feed{}, errors.Mark(errors.New("compacted"), table.ErrHistory)
+		}
+		feed := table.Feed{Version: s.version}
+		for _, row := range s.history {
+			if row.Table == name && row.Version > after {
+				feed.Rows = append(feed.Rows, row)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(feed.Rows) > 0 {
+			return feed, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return feed, nil
+		case <-ctx.Done():
+			return table.Feed{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) apply(ctx context.Context, process string, change table.Change) (table.Applied, error) {
+	fault := s.fault(process, true)
+	switch {
+	case fault.Refuse:
+		return table.Applied{}, errors.Mark(errors.New("turned away"), table.ErrRefused)
+	case fault.Silent:
+		<-ctx.Done()
+		return table.Applied{}, ctx.Err()
+	case fault.Lost:
+		time.AfterFunc(storeApply+fault.Late, func() { s.do(change) })
+		<-ctx.Done()
+		return table.Applied{}, ctx.Err()
+	}
+	if err := sleepOrDone(ctx, storeApply/2+fault.Slow); err != nil {
+		return table.Applied{}, err
+	}
+	applied := s.do(change)
+	return applied, sleepOrDone(ctx, storeApply/2)
+}
+
+// do applies a change if its conditions hold.
+func (s *Store) do(change table.Change) table.Applied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []table.Cell
+	holds := true
+	for _, expected := range change.Expected {
+		row := s.rows[expected.Place]
+		row.Place = expected.Place
+		rows = append(rows, row)
+		holds = holds && row.Version == expected.Version
+	}
+	if !holds {
+		return table.Applied{Outcome: table.Conflict, Version: s.version, Rows: rows}
+	}
+	s.version++
+	for _, set := range change.Sets {
+		cell := table.Cell{Place: set.Place, Value: slices.Clone(set.Value), Version: s.version}
+		s.rows[set.Place] = cell
+		s.history = append(s.history, cell)
+	}
+	for _, place := range change.Removes {
+		if _, there := s.rows[place]; there {
+			delete(s.rows, place)
+			s.history = append(s.history, table.Cell{Place: place, Version: s.version, Removed: true})
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return table.Applied{Outcome: table.Committed, Version: s.version}
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.first = nil, s.version
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -51,9 +51,11 @@
 	sequence int64           // of its last registration
 	fence    uint64          // highest epoch obeyed
 	runs     runsByTask
-	ends     []dispatch.End // listed and not kept
-	listed   int64          // highest number of a listed end
-	kept     int64          // ends up to here are in the table
+	// unanswered are the last starts that got no answer, which may be carried out late.
+	unanswered map[dispatch.TaskName]unansweredStart
+	ends       []dispatch.End // listed and not kept
+	listed     int64          // highest number of a listed end
+	kept       int64          // ends up to here are in the table
 
 	deadline time.Time // until when the lease is granted
 	lapse    time.Time // when all leases given are over for certain
@@ -72,7 +74,7 @@
 func New(settings Settings, worker Worker, l *loop.Loop, log *zap.Logger, set *metrics.Set) *Runner {
 	return &Runner{
 		settings: settings, worker: worker, loop: l, log: log, set: set,
-		runs: map[dispatch.TaskName]*run{}, lapse: time.Now().Add(firstLapse),
+		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, lapse: time.Now().Add(firstLapse),
 		answered: time.Now(), holdWake: make(chan struct{}, 1), pacer: newPacer(),
 	}
 }
@@ -101,15 +103,39 @@
 // newLife takes that another life of the worker has begun: nothing of before is there.
 func (r *Runner) newLife(offer dispatch.Offer) {
 	r.log.Info("worker-life", zap.String("instance", offer.Life.ID), zap.Int64("born", offer.Life.Born), zap.Int("lost", len(r.runs)))
+	unsettled := r.unsettled(offer)
 	r.offer = &offer
 	r.sequence = 0
-	r.runs = map[dispatch.TaskName]*run{}
+	r.runs = unsettled
 	r.ends, r.listed, r.kept = nil, 0, 0
 	r.clockAt, r.answered, r.silent = time.Time{}, time.Now(), false
 	r.endSession()
 	r.wakeHold()
 }
 
+// unsettled are the runs whose orders may still be on their way, if the next life has
+// the ID of the last: it would obey them. A stop settles each.
+func (r *Runner) unsettled(next dispatch.Offer) runsByTask {
+	left := runsByTask{}
+	if r.offer == nil || r.offer.Life.ID != next.Life.ID {
+		return left
+	}
+	for name, known := range r.runs {
+		if known.settled.IsZero() {
+			left[name] = &run{number: known.number, order: known.order}
+		}
+	}
+	for name, order := range r.unanswered {
+		if time.Since(order.at) < lateMost && (left[name] == nil || left[name].number < order.run) {
+			left[name] = &run{number: order.run}
+		}
+	}
+	for name, known := range left {
+		r.loop.Post(func() { r.settleByStop(known, name) })
+	}
+	return left
+}
+
 // Deregister takes that the worker has left.
 func (r *Runner) Deregister(id string) {
 	r.loop.Post(func() {
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -18,6 +18,8 @@
 	// stopTime is how long a worker may take to stop a run; until then its lists may show
 	// the run neither as running nor as ended.
 	stopTime = 450 * time.Millisecond
+	// lateMost is how long after it was sent an order may still be carried out.
+	lateMost = 15 * time.Second
 	// startTries is how often a start is sent until the run is settled by a stop.
 	startTries = 3
 )
@@ -129,6 +131,9 @@
 }
 
 func (r *Runner) startAnswered(known *run, call StartCall, try int, answer Answer, err error) {
+	if err != nil {
+		r.noteUnanswered(call)
+	}
 	if !r.current(call.Life, known, call.Task) {
 		return
 	}
@@ -156,6 +161,22 @@
 	}
 }
 
+// unansweredStart is a start that got no answer.
+type unansweredStart struct {
+	run int64
+	at  time.Time
+}
+
+func (r *Runner) noteUnanswered(call StartCall) {
+	now := time.Now()
+	for name, order := range r.unanswered {
+		if now.Sub(order.at) > lateMost {
+			delete(r.unanswered, name)
+		}
+	}
+	r.unanswered[call.Task] = unansweredStart{call.Run, now}
+}
+
 // startDenied takes that a start was turned away. An earlier try without an answer may
 // still be carried out; a stop rules that out.
 func (r *Runner) startDenied(known *run, call StartCall, try int) {
@@ -190,7 +211,7 @@
 // settleByStop stops a run until the worker confirms it. Then the run is over, or never
 // will be.
 func (r *Runner) settleByStop(known *run, name dispatch.TaskName) {
-	if known.stopping {
+	if known.stopping || r.runs[name] != known {
 		return
 	}
 	known.stopping = true
