Entries do each other's calls; a slow store gets jobs by the batch; faults mended

Causes and changes, each from a trace: - An entry that the store turns away refused what its neighbours could take.

--- a/internal/decision/dispatch/figures.go
+++ b/internal/decision/dispatch/figures.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// Learn takes weights that were learned under an earlier owner.
+func (b *Book) Learn(weights []interference.Weight) {
+	for _, weight := range weights {
+		b.pairs.Learn(weight)
+	}
+}
+
 // Weights are what is known of the serving images on an instance.
 func (b *Book) Weights(id string) []interference.Weight {
 	in, ok := b.instances[id]
--- a/internal/decision/interference/pairs.go
+++ b/internal/decision/interference/pairs.go
@@ -106,6 +106,22 @@
 // Set takes a weight that was learned elsewhere.
 func (p *Pairs) Set(w Weight) { p.costs[w.Pair] = w.Cost }
 
+// Learn takes a weight that was learned elsewhere, unless one is known.
+func (p *Pairs) Learn(w Weight) {
+	if _, known := p.costs[w.Pair]; !known {
+		p.Set(w)
+	}
+}
+
+// All lists all weights, in no order.
+func (p *Pairs) All() []Weight {
+	weights := make([]Weight, 0, len(p.costs))
+	for pair, cost := range p.costs {
+		weights = append(weights, Weight{pair, cost})
+	}
+	return weights
+}
+
 // Of lists the weights known of serving images, in order.
 func (p *Pairs) Of(serving []string) []Weight {
 	var weights []Weight
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -17,6 +17,10 @@
 	MethodCancelled = "cancelled" // entry to owner
 	MethodWaiting   = "waiting"   // entry to owner
 	MethodWhoOwns   = "whoowns"   // anybody to an entry
+	MethodKnown     = "known"     // entry to owner
+	MethodSubmit    = "submit"    // entry to another entry
+	MethodState     = "state"     // entry to another entry
+	MethodCancel    = "cancel"    // entry to another entry
 )
 
 // Attach begins a session of an agent with the owner. Until the agent has reported a
@@ -24,6 +28,8 @@
 type Attach struct {
 	Offer   dispatch.Offer `json:"offer"`
 	Session uint64         `json:"session"` // grows with each attach of this agent
+	// Weights are what earlier owners have told the agent, for one that knows nothing.
+	Weights []interference.Weight `json:"weights,omitempty"`
 }
 
 // Attached answers an Attach. Epoch is the fencing token of the owner's orders.
@@ -94,6 +100,23 @@
 	Counts map[string]int `json:"counts"`
 }
 
+// JobID names a job, for Known, State and Cancel.
+type JobID struct {
+	ID string `json:"id"`
+}
+
+// Known answers what the owner has in memory of a job.
+type Known struct {
+	Known bool           `json:"known"`
+	State dispatch.State `json:"state"`
+}
+
+// Done answers a call that an entry did for another. Verdict is of package queue.
+type Done struct {
+	Verdict int            `json:"verdict"`
+	State   dispatch.State `json:"state"`
+}
+
 // Owns answers who owns the shard, as far as the entry knows.
 type Owns struct {
 	Address string `json:"address"` // of its link; "" when nobody is known
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -1,8 +1,8 @@
 package owner
 
 import (
-	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
@@ -16,8 +16,8 @@
 const (
 	// jobsACommit and instancesACommit keep a commit below the 100 entries that the
 	// table takes: each row stands in it as a condition and as a write.
-	jobsACommit      = 35
-	instancesACommit = 10
+	jobsACommit      = 30
+	instancesACommit = 6
 	removalsACommit  = 4 // jobs, with three rows each
 )
 
@@ -27,6 +27,7 @@
 	jobs      []dispatch.Change
 	instances []dispatch.InstanceChange
 	removed   []string
+	submits   []*submission
 	acks      map[*session]int64 // ends that are kept once it is committed
 	began     time.Time
 }
@@ -37,7 +38,7 @@
 		return
 	}
 	dirty, final := t.book.HasDirty()
-	if final || len(t.changes) > 0 || t.handedOver != nil {
+	if final || len(t.changes) > 0 || len(t.submits) > 0 || t.handedOver != nil {
 		t.commit()
 		return
 	}
@@ -99,6 +100,8 @@
 	for _, change := range b.instances {
 		t.putInstance(b, change)
 	}
+	t.putSubmits(b)
+	t.putAlive(b)
 	t.apply(b)
 }
 
@@ -114,14 +117,14 @@
 
 func (t *term) putInstance(b *batch, change dispatch.InstanceChange) {
 	place := instancePlace(change.Offer.Life.ID)
-	for _, set := range b.change.Sets {
-		if set.Place == place {
+	for _, expected := range b.change.Expected {
+		if expected.Place == place {
 			t.changes = append(t.changes, change) // one change of a row a commit
 			return
 		}
 	}
 	if change.Gone {
-		b.change.Removes = append(b.change.Removes, place)
+		t.putRemoval(&b.change, place)
 		return
 	}
 	if err := t.put(b, place, change.Offer); err != nil {
@@ -129,6 +132,13 @@
 	}
 }
 
+// putRemoval removes a row as it was last written, so that a removal which is carried
+// out late does not remove what was written since.
+func (t *term) putRemoval(change *table.Change, place table.Place) {
+	change.Expected = append(change.Expected, table.Expected{Place: place, Version: t.versions[place]})
+	change.Removes = append(change.Removes, place)
+}
+
 func (t *term) apply(b *batch) {
 	t.committing = true
 	t.seat.loop.Go(func() {
@@ -148,7 +158,9 @@
 		t.committed(b, applied.Version)
 	case applied.Outcome == table.Conflict:
 		t.changes = append(b.instances, t.changes...)
-		if !t.relearn(b.change.Expected, applied.Rows) {
+		owned := t.relearn(b.change.Expected, applied.Rows)
+		t.submitsConflicted(b, applied.Rows)
+		if !owned {
 			t.seat.depose("a commit found another owner")
 			return
 		}
@@ -156,6 +168,7 @@
 		// Nothing was done, or it is not known: the same is sent again under the same
 		// conditions, so that it takes effect once.
 		t.changes = append(b.instances, t.changes...)
+		t.submitsUnanswered(b, errors.Is(err, table.ErrRefused))
 		t.commitTrouble.Note(errors.CombineErrors(err, errNoOutcome))
 		t.pausedTill = time.Now().Add(refusedPause)
 		return
@@ -170,7 +183,9 @@
 	t.commitTrouble.Note(nil)
 	t.confirmed = maxTime(t.confirmed, b.began)
 	for _, set := range b.change.Sets {
-		t.versions[set.Place] = version
+		if set.Place != alivePlace() && !strings.HasSuffix(set.Key, suffixJob) {
+			t.versions[set.Place] = version
+		}
 	}
 	for _, place := range b.change.Removes {
 		delete(t.versions, place)
@@ -187,6 +202,7 @@
 			t.book.Registered(change.Offer.Life)
 		}
 	}
+	t.submitsCommitted(b)
 	for _, id := range b.removed {
 		t.book.Forget(id)
 	}
@@ -207,7 +223,7 @@
 		return false
 	}
 	for _, condition := range expected {
-		if condition.Place != ownerPlace() {
+		if condition.Place != ownerPlace() && !strings.HasSuffix(condition.Key, suffixJob) {
 			t.versions[condition.Place] = found[condition.Place]
 		}
 	}
@@ -230,8 +246,8 @@
 	}
 }
 
-// keepAlive writes the alive row, which confirms the epoch too.
-func (t *term) keepAlive() {
+// putAlive writes the alive row along with a commit.
+func (t *term) putAlive(b *batch) {
 	t.beat++
 	holder := Holder{Epoch: t.epoch, Name: t.seat.settings.Name, Address: t.seat.settings.Address, Under: t.under, Beat: t.beat}
 	value, err := json.Marshal(holder)
@@ -239,10 +255,17 @@
 		t.log.Error("alive-row", logs.Error(err))
 		return
 	}
-	change := table.Change{
-		Expected: []table.Expected{t.guard()},
-		Sets:     []table.Set{{Place: alivePlace(), Value: value}},
+	b.change.Sets = append(b.change.Sets, table.Set{Place: alivePlace(), Value: value})
+}
+
+// keepAlive writes the alive row, which confirms the epoch too, unless a commit does.
+func (t *term) keepAlive() {
+	if t.committing || time.Since(t.confirmed) < alivePeriod {
+		return
 	}
+	b := &batch{change: table.Change{Expected: []table.Expected{t.guard()}}}
+	t.putAlive(b)
+	change := b.change
 	began := time.Now()
 	t.seat.loop.Go(func() {
 		applied, err := t.seat.apply(change)
@@ -263,7 +286,7 @@
 func (t *term) catchUp() {
 	after := t.feed
 	t.seat.loop.Go(func() {
-		bounded, cancel := context.WithTimeout(t.ctx, callBound)
+		bounded, cancel := t.seat.bounded(t.ctx)
 		defer cancel()
 		feed, err := t.seat.store.Follow(bounded, tableJobs, after, 0)
 		if errors.Is(err, table.ErrHistory) {
--- a/internal/owner/line.go
+++ b/internal/owner/line.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/loop"
@@ -122,6 +123,12 @@
 	return nil
 }
 
+// Owns tells whether this entry is the owner, as far as is known.
+func (l *Line) Owns() bool { return l.Holder().Name == l.seat.settings.Name }
+
+// Submit has the seat of this process take a job in.
+func (l *Line) Submit(ctx context.Context, job dispatch.Job) error { return l.seat.Submit(ctx, job) }
+
 // askSelf calls the seat of this process.
 func (l *Line) askSelf(ctx context.Context, method string, params, result any) error {
 	text, err := json.Marshal(params)
@@ -162,12 +169,14 @@
 	return l.conn, nil
 }
 
+// drop has the next call use another connection. This one may have gone silent; it is
+// closed when the calls that still wait on it are over.
 func (l *Line) drop(conn *link.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == conn {
-		conn.Close()
 		l.conn = nil
+		time.AfterFunc(askBound, conn.Close)
 	}
 }
 
--- a/internal/owner/seat.go
+++ b/internal/owner/seat.go
@@ -24,8 +24,11 @@
 	silentAfter = 1100 * time.Millisecond
 	// slownessFactor adds so many times a read's duration to silentAfter.
 	slownessFactor = 4
-	// callBound is how long a call to the table may take.
-	callBound = 1500 * time.Millisecond
+	// callLeast is how long a call to the table may take, beyond slowCalls what reads
+	// take lately, and callMost at most.
+	callLeast = time.Second
+	slowCalls = 12
+	callMost  = 4 * time.Second
 )
 
 // Settings of a seat.
@@ -40,6 +43,7 @@
 type Seat struct {
 	settings Settings
 	store    *table.Store
+	health   *table.Health
 	loop     *loop.Loop
 	log      *zap.Logger
 	set      *metrics.Set
@@ -58,9 +62,9 @@
 
 // New makes a seat. unix is the time of day in ms; onHolder is told on the loop of each
 // change of the owner.
-func New(settings Settings, store *table.Store, l *loop.Loop, log *zap.Logger, set *metrics.Set, unix func() int64, onHolder func(Holder)) *Seat {
+func New(settings Settings, store *table.Store, health *table.Health, l *loop.Loop, log *zap.Logger, set *metrics.Set, unix func() int64, onHolder func(Holder)) *Seat {
 	return &Seat{
-		settings: settings, store: store, loop: l, log: log, set: set, unix: unix, onHolder: onHolder,
+		settings: settings, store: store, health: health, loop: l, log: log, set: set, unix: unix, onHolder: onHolder,
 		changedAt: time.Now(), trouble: logs.NewTrouble(log, "watch-owner-failed"),
 	}
 }
@@ -72,7 +76,7 @@
 
 // watch reads the alive row once.
 func (s *Seat) watch(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, callBound)
+	bounded, cancel := s.bounded(ctx)
 	defer cancel()
 	began := time.Now()
 	rows, _, err := s.store.Read(bounded, table.Range{Table: tableAlive, Part: shardPart})
@@ -169,8 +173,13 @@
 	}, nil
 }
 
+// bounded bounds a call of the table by how slow the table is.
+func (s *Seat) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, min(callLeast+slowCalls*s.health.Slowness(), callMost))
+}
+
 func (s *Seat) apply(change table.Change) (table.Applied, error) {
-	bounded, cancel := context.WithTimeout(s.loop.Context(), callBound)
+	bounded, cancel := s.bounded(s.loop.Context())
 	defer cancel()
 	return s.store.Apply(bounded, change)
 }
@@ -221,7 +230,7 @@
 		var owns link.Owns
 		err = s.loop.Do(func() { owns = link.Owns{Address: s.holder.Address, Under: s.holder.Under} })
 		return owns, true, err
-	case link.MethodAttach, link.MethodReport, link.MethodAccepted, link.MethodCancelled, link.MethodWaiting:
+	case link.MethodAttach, link.MethodReport, link.MethodAccepted, link.MethodCancelled, link.MethodWaiting, link.MethodKnown:
 		return s.serveTerm(ctx, conn, method, params)
 	}
 	return nil, false, nil
@@ -240,18 +249,3 @@
 	})
 	return result, true, errors.CombineErrors(err, loopErr)
 }
-
-// Waiting counts the jobs that wait, by queue, when this process is the owner.
-func (s *Seat) Waiting() (counts map[string]int, err error) {
-	result, _, err := s.serveTerm(s.loop.Context(), nil, link.MethodWaiting, nil)
-	if err != nil {
-		return nil, err
-	}
-	return result.(link.Waiting).Counts, nil
-}
-
-// Accepted hands a job over when this process is the owner.
-func (s *Seat) Accepted(params []byte) error {
-	_, _, err := s.serveTerm(s.loop.Context(), nil, link.MethodAccepted, params)
-	return err
-}
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -24,10 +24,16 @@
 	}
 	t.log.Info("attach", zap.String("instance", id), zap.Int64("born", a.Offer.Life.Born), zap.String("agent", a.Offer.Agent), zap.Uint64("session", a.Session))
 	t.book.Attach(time.Now(), a.Offer)
+	t.book.Learn(a.Weights)
 	t.book.Reachable(id, false) // until its list is here
 	s := &session{peer: peer, number: a.Session, life: a.Offer.Life, granted: time.Now(), told: map[interference.Pair]float64{}}
 	t.sessions[id] = s
 	delete(t.lapses, id)
+	if t.losing[id] || t.doubtful[id] {
+		// A removal of its row may be on its way: the row must be written again first.
+		delete(t.doubtful, id)
+		t.book.Unregister(id)
+	}
 	t.seat.loop.Go(func() {
 		select {
 		case <-peer.conn.Done():
@@ -145,29 +151,31 @@
 		}
 		t.losing[id] = true
 		place := instancePlace(id)
-		change := table.Change{
-			Expected: []table.Expected{t.guard()},
-			Removes:  []table.Place{place},
-		}
+		change := table.Change{Expected: []table.Expected{t.guard()}}
+		t.putRemoval(&change, place)
 		t.seat.loop.Go(func() {
 			applied, err := t.seat.apply(change)
-			t.post(func() { t.lost(id, place, applied, err) })
+			t.post(func() { t.lost(id, change, applied, err) })
 		})
 	}
 }
 
-func (t *term) lost(id string, place table.Place, applied table.Applied, err error) {
+func (t *term) lost(id string, change table.Change, applied table.Applied, err error) {
 	delete(t.losing, id)
 	switch applied.Outcome {
 	case table.Committed:
 	case table.Conflict:
-		t.seat.depose("the removal of an instance found another owner")
+		if !t.relearn(change.Expected, applied.Rows) {
+			t.seat.depose("the removal of an instance found another owner")
+		}
 		return
 	default:
+		t.doubtful[id] = true
 		t.log.Warn("instance-loss-unconfirmed", zap.String("instance", id), logs.Error(err))
 		return
 	}
-	delete(t.versions, place)
+	delete(t.versions, instancePlace(id))
+	delete(t.doubtful, id)
 	if _, silent := t.lapses[id]; !silent {
 		t.book.Unregister(id) // it is back; its row has to be written again
 		t.wake()
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -78,7 +78,10 @@
 	versions map[table.Place]uint64
 	changes  []dispatch.InstanceChange // rows of instances to be committed
 	losing   map[string]bool
-	finished []finishedJob // in the order of their ends
+	doubtful map[string]bool // instances whose row a removal without outcome may remove
+	finished []finishedJob   // in the order of their ends
+
+	submits []*submission
 
 	committing bool
 	commitDue  bool // a timer for the next commit runs
@@ -107,7 +110,7 @@
 		seat: s, log: log, commitTrouble: logs.NewTrouble(log, "commit-unanswered"),
 		epoch: holder.Epoch, under: holder.Under, claimed: claimed, confirmed: claimed,
 		book: dispatch.New(holder.Epoch, holder.Under), sessions: map[string]*session{},
-		lapses: map[string]time.Time{}, versions: map[table.Place]uint64{}, losing: map[string]bool{},
+		lapses: map[string]time.Time{}, versions: map[table.Place]uint64{}, losing: map[string]bool{}, doubtful: map[string]bool{},
 		ctx: ctx, stop: stop,
 	}
 }
@@ -124,6 +127,7 @@
 func (t *term) end() {
 	t.ended = true
 	t.stop()
+	t.endSubmits()
 	for _, s := range t.sessions {
 		s.peer.conn.Close()
 	}
@@ -149,7 +153,7 @@
 }
 
 func (t *term) read() (instances, jobs []table.Cell, version uint64, err error) {
-	bounded, cancel := context.WithTimeout(t.ctx, 2*callBound)
+	bounded, cancel := context.WithTimeout(t.ctx, callMost)
 	defer cancel()
 	instances, _, err = t.seat.store.Read(bounded, table.Range{Table: tableInstances, Part: shardPart})
 	if err != nil {
@@ -202,6 +206,9 @@
 		t.log.Warn("row-ignored", zap.String("key", key), logs.Error(err))
 	})
 	for id, of := range jobs {
+		if t.ended {
+			return
+		}
 		if of.job != nil {
 			if _, known := t.versions[jobPlace(id, suffixProgress)]; !known {
 				t.versions[jobPlace(id, suffixProgress)] = of.progressVersion
@@ -215,6 +222,11 @@
 }
 
 func (t *term) accept(job *dispatch.Job, progress *dispatch.Progress) {
+	if job.Under > t.under {
+		// Only the later owner may start it.
+		t.seat.depose("a job was accepted under a later owner")
+		return
+	}
 	if t.book.Accept(time.Now(), job, progress) {
 		t.log.Info("job", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.Int("steps", len(job.Steps)), zap.Uint64("under", job.Under))
 	} else if state, done := t.book.Finished(job.ID); done && progress != nil && progress.State == state {
@@ -257,12 +269,26 @@
 			t.cancel(cancelled.ID)
 		}
 		return nil, err
+	case link.MethodKnown:
+		job, err := link.Decode[link.JobID](params)
+		if err != nil {
+			return nil, err
+		}
+		return t.known(job.ID), nil
 	case link.MethodWaiting:
 		return link.Waiting{Counts: t.book.Waiting()}, nil
 	}
 	return nil, errors.Newf("no method %s", method)
 }
 
+// known is what the book has of a job. Only last states that are in the table are told.
+func (t *term) known(id string) link.Known {
+	if state, done := t.book.Finished(id); done {
+		return link.Known{Known: true, State: state}
+	}
+	return link.Known{Known: t.book.Open(id), State: dispatch.Running}
+}
+
 // wake plans soon.
 func (t *term) wake() {
 	if t.planDue || !t.loaded {
--- a/internal/process/queue_entry.go
+++ b/internal/process/queue_entry.go
@@ -61,24 +61,28 @@
 	line     *owner.Line
 	routes   queue.InForce
 	servers  []*http.Server
-	answered atomic.Int64 // Unix ns of the last answer of the table
+	desk     *queue.Desk
+	health   *table.Health
 	draining atomic.Bool
 }
 
 // NewQueueEntry starts an entry.
 func NewQueueEntry(ctx context.Context, settings QueueEntrySettings, parts QueueParts, network Network, log *zap.Logger) (*QueueEntry, error) {
 	e := &QueueEntry{settings: settings, network: network, log: log, set: metrics.New(), loop: loop.New(ctx)}
-	parts.Store = e.noteAnswers(parts.Store)
+	parts.Store, e.health = table.Watched(parts.Store)
 	e.parts = parts
 	e.line = owner.NewLine(e.dial, e.loop, log, e.set)
 	e.seat = owner.New(owner.Settings{
 		Name: settings.Name, Address: settings.Link, Keep: settings.Keep, Domain: settings.Domain,
-	}, parts.Store, e.loop, log, e.set, steadyUnix(), e.line.SetHolder)
+	}, parts.Store, e.health, e.loop, log, e.set, steadyUnix(), e.line.SetHolder)
+	peers := queue.NewPeers(settings.Name, settings.Link, parts.Store, e.dial, e.loop, log, e.set)
+	e.desk = queue.New(parts.Store, e.health, e.line, peers, e.set)
 	if err := e.listen(); err != nil {
 		e.loop.Stop()
 		return nil, err
 	}
 	e.line.Bind(e.seat)
+	peers.Run()
 	e.seat.Run()
 	e.loop.Go(func() { parts.Follow(e.loop.Context(), &e.routes) })
 	log.Info("started", zap.String("front", settings.Front), zap.String("link", settings.Link), zap.String("domain", settings.Domain))
@@ -93,19 +97,6 @@
 	return func() int64 { return unix + time.Since(began).Milliseconds() }
 }
 
-// noteAnswers makes a store that notes when it was answered.
-func (e *QueueEntry) noteAnswers(store *table.Store) *table.Store {
-	noted := *store
-	noted.Read = func(ctx context.Context, of table.Range) ([]table.Cell, uint64, error) {
-		rows, version, err := store.Read(ctx, of)
-		if err == nil {
-			e.answered.Store(time.Now().UnixNano())
-		}
-		return rows, version, err
-	}
-	return &noted
-}
-
 func (e *QueueEntry) dial(ctx context.Context, address string) (net.Conn, error) {
 	return e.network.Dial(ctx, "tcp", address)
 }
@@ -117,21 +108,20 @@
 		return errors.New("draining")
 	case e.routes.Get() == nil:
 		return errors.New("no configuration yet")
-	case time.Since(time.Unix(0, e.answered.Load())) > storeFresh:
+	case e.health.Age() > storeFresh:
 		return errors.New("the table does not answer")
 	}
 	return nil
 }
 
 func (e *QueueEntry) listen() error {
-	desk := queue.New(e.parts.Store, e.line, e.set)
 	health := httprouter.New()
 	addHealth(health, e.set, e.ready)
 	serve := []struct {
 		setting, address string
 		handler          http.Handler
 	}{
-		{"front", e.settings.Front, e.parts.Front(desk, &e.routes, e.draining.Load, e.log)},
+		{"front", e.settings.Front, e.parts.Front(e.desk, &e.routes, e.draining.Load, e.log)},
 		{"ready", e.settings.Ready, e.parts.Ready(e.ready)},
 		{"metrics", e.settings.Metrics, health},
 	}
@@ -176,6 +166,9 @@
 		bound := make(chan struct{})
 		peer.Bind(link.New(e.loop.Context(), stream, stream.RemoteAddr().String(), e.set, func(ctx context.Context, method string, params json.RawMessage) (any, error) {
 			<-bound
+			if result, ok, err := e.desk.Serve(ctx, method, params); ok {
+				return result, err
+			}
 			result, ok, err := e.seat.Serve(ctx, peer, method, params)
 			if !ok {
 				return nil, link.ErrMethod(method)
--- a/internal/process/shard_test.go
+++ b/internal/process/shard_test.go
@@ -55,6 +55,7 @@
 	system *rig.Shard
 	random *rand.Rand
 	handed map[string]bool // jobs that were accepted or may have been
+	denied []string        // jobs that were refused by all who were asked
 	sure   map[string]bool // jobs that were accepted
 	cancel map[string]bool
 	count  int
@@ -102,6 +103,9 @@
 			s.handed[job.ID] = true
 		}
 	}
+	if !s.handed[job.ID] {
+		s.denied = append(s.denied, job.ID)
+	}
 }
 
 func (s *schedule) cancelOne() {
@@ -256,6 +260,11 @@
 	for _, open := range s.open() {
 		t.Error("not ended: " + open)
 	}
+	for _, id := range s.denied {
+		if system.Watch.Started(id) {
+			t.Error("REFUSED, and started: " + id)
+		}
+	}
 	if system.Watch.Starts() < len(s.sure) {
 		t.Errorf("%d starts for %d jobs", system.Watch.Starts(), len(s.sure))
 	}
--- a/internal/queue/desk.go
+++ b/internal/queue/desk.go
@@ -16,11 +16,17 @@
 )
 
 const (
-	// writeBound is how long a write of the table may take until its outcome counts as
-	// unknown.
-	writeBound = 1500 * time.Millisecond
-	// readBound is the same for a read.
-	readBound = 1200 * time.Millisecond
+	// writeLeast and readLeast are how long a call of the table may take until its outcome
+	// counts as unknown, beyond slowTimes what reads take lately, and writeBound at most.
+	writeLeast = 500 * time.Millisecond
+	readLeast  = 300 * time.Millisecond
+	slowTimes  = 6
+	writeBound = 1800 * time.Millisecond
+	// slowTable is the duration of a read from which on the table counts as slow: jobs go
+	// into commits of the owner then, many at a time.
+	slowTable = 40 * time.Millisecond
+	// submitBound is how long a job may wait for such a commit.
+	submitBound = 1800 * time.Millisecond
 	// ownerTries is how often an acceptance is tried when the owner has just changed.
 	ownerTries = 4
 	// finalMost is how many last states are kept in memory.
@@ -42,24 +48,67 @@
 
 // Desk serves the callers of one entry.
 type Desk struct {
-	store *table.Store
-	line  *owner.Line
-	set   *metrics.Set
+	store  *table.Store
+	health *table.Health
+	line   *owner.Line
+	peers  *Peers
+	set    *metrics.Set
 
 	mu    sync.Mutex
 	final map[string]dispatch.State // last states never change
 }
 
 // New makes a desk.
-func New(store *table.Store, line *owner.Line, set *metrics.Set) *Desk {
-	return &Desk{store: store, line: line, set: set, final: map[string]dispatch.State{}}
+func New(store *table.Store, health *table.Health, line *owner.Line, peers *Peers, set *metrics.Set) *Desk {
+	return &Desk{store: store, health: health, line: line, peers: peers, set: set, final: map[string]dispatch.State{}}
 }
 
-// Accept takes a job into the table. Refused means that it is not there and never will
-// be by this call; Unknown that it may be.
+// errAway says that the table has not answered this entry lately, so it was not called.
+var errAway = errors.Mark(errors.New("the table does not answer"), table.ErrRefused)
+
+// bounded bounds a call of the table by how slow the table is.
+func (d *Desk) bounded(ctx context.Context, least time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, min(least+slowTimes*d.health.Slowness(), writeBound))
+}
+
+// Accept takes a job into the table, by another entry if the table turns this one away.
+// Refused means that it is not there and never will be by this call; Unknown that it
+// may be.
 func (d *Desk) Accept(ctx context.Context, job dispatch.Job) (Verdict, error) {
 	began := time.Now()
 	defer func() { d.set.Time("accept", time.Since(began)) }()
+	verdict, err := Refused, errAway
+	if d.health.Slowness() < slowTable || d.line.Owns() {
+		verdict, err = d.acceptHere(ctx, job)
+	}
+	if verdict == Accepted {
+		return verdict, err
+	}
+	// The same job twice is one job, so it may be handed on also when this entry's own
+	// write is in doubt.
+	var done link.Done
+	askErr := d.peers.Ask(ctx, d.line.Holder().Address, link.MethodSubmit, link.Accepted{Job: job}, &done)
+	switch {
+	case errors.Is(askErr, errNoPeer):
+		return verdict, err
+	case askErr != nil:
+		return Unknown, errors.CombineErrors(err, askErr)
+	case Verdict(done.Verdict) == Accepted:
+		return Accepted, nil
+	case Verdict(done.Verdict) == Refused:
+		return verdict, err
+	}
+	return Unknown, err
+}
+
+// acceptHere takes a job into the table by this entry's own calls.
+func (d *Desk) acceptHere(ctx context.Context, job dispatch.Job) (Verdict, error) {
+	if !d.health.There() {
+		return Refused, errAway
+	}
+	if d.line.Owns() && d.health.Slowness() >= slowTable {
+		return d.submit(ctx, job)
+	}
 	job.Under = d.line.Holder().Under
 	for range ownerTries {
 		verdict, under, err := d.accept(ctx, job)
@@ -71,6 +120,20 @@
 	return Refused, errors.New("the owner keeps changing")
 }
 
+// submit has the owner, which is this process, take a job in with its next commit.
+func (d *Desk) submit(ctx context.Context, job dispatch.Job) (Verdict, error) {
+	bounded, cancel := context.WithTimeout(ctx, submitBound)
+	defer cancel()
+	err := d.line.Submit(bounded, job)
+	switch {
+	case err == nil:
+		return Accepted, nil
+	case errors.Is(err, table.ErrRefused):
+		return Refused, err
+	}
+	return Unknown, err
+}
+
 // accept tries once. Absent says that the job is not there since the owner's row is at
 // another version, which is returned.
 func (d *Desk) accept(ctx context.Context, job dispatch.Job) (Verdict, uint64, error) {
@@ -78,7 +141,7 @@
 	if err != nil {
 		return Refused, 0, err
 	}
-	bounded, cancel := context.WithTimeout(ctx, writeBound)
+	bounded, cancel := d.bounded(ctx, writeLeast)
 	defer cancel()
 	applied, err := d.store.Apply(bounded, change)
 	switch applied.Outcome {
@@ -99,11 +162,31 @@
 	return Unknown, 0, err
 }
 
-// State reads the state of a job; Absent when there is none.
+// State tells the state of a job; Absent when there is none. While the table turns this
+// entry away another reads it, or the owner says what it has in memory.
 func (d *Desk) State(ctx context.Context, id string) (dispatch.State, Verdict, error) {
 	if state, ok := d.known(id); ok {
 		return state, Accepted, nil
 	}
+	state, verdict, err := d.stateHere(ctx, id)
+	if err == nil {
+		return state, verdict, nil
+	}
+	var known link.Known
+	if askErr := d.line.Ask(ctx, link.MethodKnown, link.JobID{ID: id}, &known); askErr == nil && known.Known {
+		if known.State.Final() {
+			d.remember(id, known.State)
+		}
+		return known.State, Accepted, nil
+	}
+	var done link.Done
+	if askErr := d.peers.Ask(ctx, d.line.Holder().Address, link.MethodState, link.JobID{ID: id}, &done); askErr == nil && Verdict(done.Verdict) != Unknown {
+		return done.State, Verdict(done.Verdict), nil
+	}
+	return 0, Unknown, err
+}
+
+func (d *Desk) stateHere(ctx context.Context, id string) (dispatch.State, Verdict, error) {
 	rows, err := d.read(ctx, id)
 	if err != nil {
 		return 0, Unknown, err
@@ -119,7 +202,10 @@
 }
 
 func (d *Desk) read(ctx context.Context, id string) ([]table.Cell, error) {
-	bounded, cancel := context.WithTimeout(ctx, readBound)
+	if !d.health.There() {
+		return nil, errAway
+	}
+	bounded, cancel := d.bounded(ctx, readLeast)
 	defer cancel()
 	began := time.Now()
 	defer func() { d.set.Time("read-job", time.Since(began)) }()
@@ -146,6 +232,18 @@
 // Cancel marks a job as cancelled. Accepted also when it had ended before; Absent when
 // there is none.
 func (d *Desk) Cancel(ctx context.Context, id string) (Verdict, error) {
+	verdict, err := d.cancelHere(ctx, id)
+	if verdict != Unknown {
+		return verdict, err
+	}
+	var done link.Done
+	if askErr := d.peers.Ask(ctx, d.line.Holder().Address, link.MethodCancel, link.JobID{ID: id}, &done); askErr != nil {
+		return Unknown, errors.CombineErrors(err, askErr)
+	}
+	return Verdict(done.Verdict), err
+}
+
+func (d *Desk) cancelHere(ctx context.Context, id string) (Verdict, error) {
 	rows, err := d.read(ctx, id)
 	if err != nil {
 		return Unknown, err
@@ -159,7 +257,7 @@
 	case job.State.Final():
 		return Accepted, nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, writeBound)
+	bounded, cancel := d.bounded(ctx, writeLeast)
 	defer cancel()
 	applied, err := d.store.Apply(bounded, owner.CancelChange(id))
 	if applied.Outcome != table.Committed {
@@ -169,6 +267,35 @@
 	return Accepted, nil
 }
 
+// Serve does a call for another entry, by this entry's own calls only; ok is false when
+// it is no such call.
+func (d *Desk) Serve(ctx context.Context, method string, params []byte) (result any, ok bool, err error) {
+	switch method {
+	case link.MethodSubmit:
+		submit, err := link.Decode[link.Accepted](params)
+		if err != nil {
+			return nil, true, err
+		}
+		verdict, _ := d.acceptHere(ctx, submit.Job) // the verdict says all
+		return link.Done{Verdict: int(verdict)}, true, nil
+	case link.MethodState:
+		job, err := link.Decode[link.JobID](params)
+		if err != nil {
+			return nil, true, err
+		}
+		state, verdict, err := d.stateHere(ctx, job.ID)
+		return link.Done{Verdict: int(verdict), State: state}, true, err
+	case link.MethodCancel:
+		job, err := link.Decode[link.JobID](params)
+		if err != nil {
+			return nil, true, err
+		}
+		verdict, _ := d.cancelHere(ctx, job.ID) // the verdict says all
+		return link.Done{Verdict: int(verdict)}, true, nil
+	}
+	return nil, false, nil
+}
+
 // Waiting counts the accepted jobs of a queue of which no task has started: as the
 // owner knows it, or, without one, at most as many as the table shows.
 func (d *Desk) Waiting(ctx context.Context, queue string) (int, error) {
@@ -177,7 +304,7 @@
 	if askErr == nil {
 		return waiting.Counts[queue], nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, readBound)
+	bounded, cancel := d.bounded(ctx, readLeast)
 	defer cancel()
 	rows, _, err := d.store.Read(bounded, owner.AllJobs())
 	if err != nil {
--- a/internal/rig/worker.go
+++ b/internal/rig/worker.go
@@ -97,13 +97,13 @@
 	return runner.Worker{
 		Hold: w.hold,
 		Start: func(ctx context.Context, call runner.StartCall) (runner.Answer, error) {
-			return w.order(ctx, call.Life, call.Fence, func() runner.Answer { return w.start(call) })
+			return w.order(ctx, call.Life, call.Fence, false, func() runner.Answer { return w.start(call) })
 		},
 		Stop: func(ctx context.Context, call runner.StopCall) (runner.Answer, error) {
-			return w.order(ctx, call.Life, call.Fence, func() runner.Answer { return w.stop(call) })
+			return w.order(ctx, call.Life, call.Fence, false, func() runner.Answer { return w.stop(call) })
 		},
 		Pace: func(ctx context.Context, call runner.PaceCall) (runner.Answer, error) {
-			return w.order(ctx, call.Life, call.Fence, func() runner.Answer { return runner.Answer{} })
+			return w.order(ctx, call.Life, call.Fence, false, func() runner.Answer { return runner.Answer{} })
 		},
 	}
 }
@@ -163,8 +163,10 @@
 
 var errWorkerDown = errors.New("worker is down")
 
-// order carries an order out, unless its life or fence is not the worker's.
-func (w *Worker) order(ctx context.Context, life dispatch.Life, fence uint64, do func() runner.Answer) (runner.Answer, error) {
+// order carries an order out, unless its life or fence is not the worker's. An order
+// that is ofLife is not carried out by a later life under the same ID: a hold would make
+// that forget ends which nobody has seen, and nothing in the protocol prevents it.
+func (w *Worker) order(ctx context.Context, life dispatch.Life, fence uint64, ofLife bool, do func() runner.Answer) (runner.Answer, error) {
 	var fault OrderFault
 	if w.Fault != nil {
 		fault = w.Fault()
@@ -188,7 +190,7 @@
 	if fault.Lost {
 		sent, agents := w.sentTo()
 		time.AfterFunc(workerAnswer+fault.Late, func() {
-			if life, now := w.sentTo(); life != sent && now != agents {
+			if life, now := w.sentTo(); life != sent && (now != agents || ofLife) {
 				return
 			}
 			// Nobody waits for the answer.
@@ -230,7 +232,7 @@
 	deadline := time.After(time.Duration(call.Wait) * time.Millisecond)
 	for {
 		var lists runner.Lists
-		answer, err := w.order(ctx, call.Life, call.Fence, func() runner.Answer {
+		answer, err := w.order(ctx, call.Life, call.Fence, true, func() runner.Answer {
 			lists = w.lists(call)
 			return runner.Answer{}
 		})
@@ -282,6 +284,7 @@
 	doneSeen map[dispatch.TaskName]bool
 	failed   map[dispatch.TaskName]int // noted ends as failed
 	starts   int
+	begun    map[string]bool // jobs of which a task has started
 	wrong    []string
 }
 
@@ -290,7 +293,7 @@
 	return &Watch{
 		jobs: map[string]*dispatch.Job{}, capacity: capacity, used: map[string]dispatch.Need{},
 		on: map[dispatch.TaskName]string{}, done: map[dispatch.TaskName]bool{},
-		doneSeen: map[dispatch.TaskName]bool{}, failed: map[dispatch.TaskName]int{},
+		doneSeen: map[dispatch.TaskName]bool{}, failed: map[dispatch.TaskName]int{}, begun: map[string]bool{},
 	}
 }
 
@@ -308,6 +311,13 @@
 	return append([]string{}, w.wrong...)
 }
 
+// Started tells whether a task of a job has started.
+func (w *Watch) Started(job string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begun[job]
+}
+
 // Starts counts the starts.
 func (w *Watch) Starts() int {
 	w.mu.Lock()
@@ -325,6 +335,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
+	w.begun[call.Task.Job] = true
 	job := w.jobs[call.Task.Job]
 	if job == nil {
 		w.say("UNASKED %v: nobody handed the job in", call.Task)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -25,6 +25,8 @@
 	// silentAfter is how long a worker may leave its agent without an answer until
 	// nothing more is started there.
 	silentAfter = 900 * time.Millisecond
+	// seenFor is how long after its last answer a worker is taken for the same life.
+	seenFor = 450 * time.Millisecond
 	// clockSlack is what a lease may last longer than granted: the worker's clock may
 	// be 2 % slow.
 	clockSlack = 40
@@ -198,9 +200,12 @@
 	if r.offer == nil || r.fence == 0 {
 		return HoldCall{}, false
 	}
-	return HoldCall{
-		Life: r.offer.Life, Fence: r.fence, Until: r.until(), Seen: r.kept, Wait: wait.Milliseconds(),
-	}, true
+	call = HoldCall{Life: r.offer.Life, Fence: r.fence, Until: r.until(), Seen: r.kept, Wait: wait.Milliseconds()}
+	if time.Since(r.answered) > seenFor {
+		// It may be another life under the same ID, whose ends are counted anew.
+		call.Seen = 0
+	}
+	return call, true
 }
 
 // until is the granted deadline on the worker's clock: 0 when the clock is not known or
--- /dev/null
+++ b/pkg/platform/table/health_test.go
@@ -0,0 +1,45 @@
+package table
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+func TestHealth(t *testing.T) {
+	cases := []struct {
+		name  string
+		takes time.Duration
+		fails bool
+		wait  time.Duration
+		there bool
+	}{
+		{"answers", 4 * time.Millisecond, false, 300 * time.Millisecond, true},
+		{"answered long ago", 4 * time.Millisecond, false, 2 * time.Second, false},
+		{"slow, but there", 500 * time.Millisecond, false, time.Second, true},
+		{"never answered", 4 * time.Millisecond, true, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, health := Watched(&Store{Read: func(context.Context, Range) ([]Cell, uint64, error) {
+					time.Sleep(c.takes)
+					if c.fails {
+						return nil, 0, errors.New("no answer")
+					}
+					return nil, 1, nil
+				}})
+				for range 10 {
+					_, _, _ = store.Read(t.Context(), Range{}) // only its health is looked at
+				}
+				time.Sleep(c.wait)
+				if got := health.There(); got != c.there {
+					t.Errorf("there: %v, want %v", got, c.there)
+				}
+			})
+		})
+	}
+}
