--- a/internal/decision/dispatch/lists.go
+++ b/internal/decision/dispatch/lists.go
@@ -64,6 +64,12 @@
 	return !in.registered
 }
 
+// Reborn tells whether a life follows another that is known under its ID.
+func (b *Book) Reborn(life Life) bool {
+	in, known := b.instances[life.ID]
+	return known && in.offer.Life != life
+}
+
 // replaced ends the earlier lives beside the same agent: a younger one shows that
 // they are over.
 func (b *Book) replaced(now time.Time, offer Offer) {
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/decision/interference"
@@ -23,6 +24,15 @@
 	MethodCancel    = "cancel"    // entry to another entry
 )
 
+// RebornLapse is how long a worker that began another life under its ID may hold a lease
+// that nobody granted it: an order to the life before, carried out late, has its end on
+// the clock of that life, and the longest lease is 10 s. RebornRisk is how long after the
+// new life's first attach such an order may come.
+const (
+	RebornLapse = 10*time.Second + 300*time.Millisecond
+	RebornRisk  = 15 * time.Second
+)
+
 // Attach begins a session of an agent with the owner. Until the agent has reported a
 // full list it gets no orders.
 type Attach struct {
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -23,6 +23,9 @@
 		old.peer.conn.Close()
 	}
 	t.log.Info("attach", zap.String("instance", id), zap.Int64("born", a.Offer.Life.Born), zap.String("agent", a.Offer.Agent), zap.Uint64("session", a.Session))
+	if t.book.Reborn(a.Offer.Life) {
+		t.risky[id] = time.Now().Add(link.RebornRisk)
+	}
 	t.book.Attach(time.Now(), a.Offer)
 	t.book.Learn(a.Weights)
 	t.book.Reachable(id, false) // until its list is here
@@ -55,6 +58,9 @@
 	delete(t.sessions, id)
 	t.book.Reachable(id, false)
 	t.lapses[id] = s.granted.Add(grantWait)
+	if now := time.Now(); now.Before(t.risky[id]) {
+		t.lapses[id] = now.Add(link.RebornLapse)
+	}
 }
 
 // report takes the news of an agent.
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -77,6 +77,7 @@
 	lapses   map[string]time.Time // instances without a session: when their grants are over
 	versions map[table.Place]uint64
 	changes  []dispatch.InstanceChange // rows of instances to be committed
+	risky    map[string]time.Time      // until when a reborn instance may hold a lease of its life before
 	losing   map[string]bool
 	doubtful map[string]bool // instances whose row a removal without outcome may remove
 	finished []finishedJob   // in the order of their ends
@@ -110,7 +111,7 @@
 		seat: s, log: log, commitTrouble: logs.NewTrouble(log, "commit-unanswered"),
 		epoch: holder.Epoch, under: holder.Under, claimed: claimed, confirmed: claimed,
 		book: dispatch.New(holder.Epoch, holder.Under), sessions: map[string]*session{},
-		lapses: map[string]time.Time{}, versions: map[table.Place]uint64{}, losing: map[string]bool{}, doubtful: map[string]bool{},
+		lapses: map[string]time.Time{}, versions: map[table.Place]uint64{}, losing: map[string]bool{}, doubtful: map[string]bool{}, risky: map[string]time.Time{},
 		ctx: ctx, stop: stop,
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -65,6 +65,7 @@
 	clockAt  time.Time // and when it had been read
 	answered time.Time // when the worker answered last
 	silent   bool
+	unsure   bool // the last hold got no answer
 	holdWake chan struct{}
 
 	session *session
@@ -106,6 +107,9 @@
 func (r *Runner) newLife(offer dispatch.Offer) {
 	r.log.Info("worker-life", zap.String("instance", offer.Life.ID), zap.Int64("born", offer.Life.Born), zap.Int("lost", len(r.runs)))
 	unsettled := r.unsettled(offer)
+	if r.offer != nil && r.offer.Life.ID == offer.Life.ID {
+		r.lapse = latest(r.lapse, time.Now().Add(link.RebornLapse))
+	}
 	r.offer = &offer
 	r.sequence = 0
 	r.runs = unsettled
@@ -201,7 +205,7 @@
 		return HoldCall{}, false
 	}
 	call = HoldCall{Life: r.offer.Life, Fence: r.fence, Until: r.until(), Seen: r.kept, Wait: wait.Milliseconds()}
-	if time.Since(r.answered) > seenFor {
+	if r.unsure || time.Since(r.answered) > seenFor {
 		// It may be another life under the same ID, whose ends are counted anew.
 		call.Seen = 0
 	}
@@ -248,7 +252,7 @@
 		r.unheld(lists, err)
 		return true
 	}
-	r.answered = got
+	r.answered, r.unsure = got, false
 	if r.silent {
 		r.silent = false
 		r.log.Info("worker-answers", zap.String("instance", call.Life.ID))
@@ -277,6 +281,7 @@
 // unheld takes that a hold got no answer, or was turned away.
 func (r *Runner) unheld(lists Lists, err error) {
 	r.set.Add("hold-failed", 1)
+	r.unsure = true
 	now := time.Now()
 	if !r.silent && now.Sub(r.answered) > silentAfter {
 		r.silent = true
@@ -351,9 +356,14 @@
 	if deadline := sent.Add(ttl); deadline.After(r.deadline) {
 		r.deadline = deadline
 	}
-	if lapse := sent.Add(ttl + ttl/clockSlack + lapseExtra); lapse.After(r.lapse) {
-		r.lapse = lapse
+	r.lapse = latest(r.lapse, sent.Add(ttl+ttl/clockSlack+lapseExtra))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // news makes the session report soon.
