Filling tasks get what serving ones leave; leaving instances leave the table

An empty leaving instance leaves the table now, and an owner grants 4.5 s (9 before) without a confirmation: with a lease of 3.5 s that bears an outage of 7.4 s, and a doubt ends after 8.3 s. - A serving task's start slowed the filling tasks beside it.

Change besides: half of what serving tasks ask for is free for filling ones; these are placed where they are expected at 75 % of their speed with tails below 60 % of the target; paces rise as far as tails stay calm; a job of which what is left no longer fits before its objective counts as late.

--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -119,9 +119,14 @@
 // free is the room that is left for tasks that do not fill.
 func (in *instance) free() Need { return in.offer.Capacity.minus(in.used) }
 
+// servingShare is the part of what it asks for that a serving task uses most of the
+// time, in percent. Filling tasks get the rest.
+const servingShare = 50
+
 // fillRoom is what is left for filling tasks, in thousandths of a core.
 func (in *instance) fillRoom() int {
-	return in.offer.Capacity.Processors - in.used.Processors - in.filled
+	unused := in.served * (100 - servingShare) / 100
+	return in.offer.Capacity.Processors - in.used.Processors + unused - in.filled
 }
 
 func (in *instance) has(label string) bool { return slices.Contains(in.offer.Labels, label) }
--- a/internal/decision/dispatch/lists.go
+++ b/internal/decision/dispatch/lists.go
@@ -51,6 +51,9 @@
 		in = newInstance(offer)
 		b.instances[id] = in
 	}
+	if in.offer.Leaving && !offer.Leaving {
+		in.asked = false // its row may have been removed
+	}
 	in.offer = offer
 	in.reachable = true
 	b.replaced(now, offer)
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -60,6 +60,11 @@
 		if !in.offer.Leaving {
 			continue
 		}
+		if len(in.placements) == 0 && in.synced && in.registered {
+			// Nothing runs there and nothing will: a later owner need not wait for it.
+			in.registered, in.asked = false, true
+			b.changes = append(b.changes, InstanceChange{Offer: in.offer, Gone: true})
+		}
 		for _, p := range in.placements {
 			if p.step == nil || p.stopping {
 				continue
@@ -79,6 +84,37 @@
 	hopeless        // worth nothing more
 )
 
+// A job counts as late once this part of the estimate of what is left of it does not fit
+// before its objective: estimates are often too long.
+const (
+	hopeNumerator   = 2
+	hopeDenominator = 3
+)
+
+// remaining is the estimate of the longest chain of steps that is left of a job's last
+// occurrence.
+func (w *work) remaining() time.Duration {
+	if len(w.occurrences) == 0 {
+		return 0
+	}
+	o := w.occurrences[len(w.occurrences)-1]
+	longest := make([]int64, len(w.job.Steps))
+	var chain int64
+	for s := range w.job.Steps {
+		step := &w.job.Steps[s]
+		for _, before := range step.After {
+			if before < s {
+				longest[s] = max(longest[s], longest[before])
+			}
+		}
+		if !o.stepDone(s) {
+			longest[s] += step.Estimate
+		}
+		chain = max(chain, longest[s])
+	}
+	return time.Duration(chain) * time.Millisecond
+}
+
 // rank tells what a job can still be worth.
 func (w *work) rank(now time.Time) int {
 	taken := now.Sub(w.accepted)
@@ -87,7 +123,7 @@
 		return inTime
 	case taken > lateLimit*w.objective:
 		return hopeless
-	case taken > w.objective:
+	case taken+w.remaining()*hopeNumerator/hopeDenominator > w.objective:
 		return late
 	}
 	return inTime
@@ -259,7 +295,8 @@
 		if !fits(w, t, in) {
 			continue
 		}
-		if rate := p.book.rate(p.now, t.step, in); best == nil || rate > most {
+		rate := p.book.rate(p.now, t.step, in)
+		if best == nil || rate > most || rate == most && in.fillRoom() > best.fillRoom() {
 			best, most = in, rate
 		}
 	}
--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -5,13 +5,13 @@
 const (
 	// quietAt is the share of its target up to which a serving task's tail may be
 	// expected to rise beside a filling task that works at full pace.
-	quietAt = 0.75
+	quietAt = 0.6
 	// harmless is the rise of a tail, as a share of its target, that no placement depends
 	// on, as long as the tail is below loudAt.
 	harmless = 0.05
-	loudAt   = 0.95
+	loudAt   = 0.8
 	// rateLeast is the share of its speed below which a filling task is not placed.
-	rateLeast = 0.4
+	rateLeast = 0.75
 	// unmeasured is how long a filling task does not show in the figures of those beside
 	// it.
 	unmeasured = 900 * time.Millisecond
--- a/internal/decision/interference/pacer.go
+++ b/internal/decision/interference/pacer.go
@@ -10,11 +10,11 @@
 	// fullPace is the pace, in percent, of a task that nobody slows.
 	fullPace = 100
 	// slowAt is the share of its target at which a serving task's tail makes filling
-	// tasks give way; they give way until it is expected at aimAt, and get more again
-	// below calmAt.
+	// tasks give way; they give way until it is expected at aimAt, and get more again as
+	// far as it is expected to stay below calmAt.
 	slowAt = 0.85
 	aimAt  = 0.65
-	calmAt = 0.65
+	calmAt = 0.75
 	// patience is how long a serving task may be over its target until all filling
 	// tasks stand still, whatever is known of their images.
 	patience = 1200 * time.Millisecond
@@ -23,6 +23,8 @@
 	// raiseMost is the most that a pace goes up at a time, in percent points, for an
 	// image that is known to cost something.
 	raiseMost = 25
+	// raiseLeast is the least step that is worth an order.
+	raiseLeast = 4
 	// lightCost is the cost below which an image counts as harmless.
 	lightCost = 0.012
 )
@@ -33,6 +35,12 @@
 	Tail  float64 // over the last moment, as a share of the target
 }
 
+// Filling is what the filling tasks of one image use and ask for.
+type Filling struct {
+	Cores float64 // over the last moment
+	Asked float64 // at full pace
+}
+
 // Pacer decides how fast the filling tasks of one instance may work, by image, so that
 // the serving ones beside them stay below their targets.
 type Pacer struct {
@@ -53,9 +61,9 @@
 	return fullPace
 }
 
-// Observe takes the state of the serving tasks and the cores that each filling image
-// uses, and adjusts the paces. It tells whether any has changed.
-func (p *Pacer) Observe(now time.Time, serving []Serving, cores map[string]float64) bool {
+// Observe takes the state of the serving tasks and of the filling ones by image, and
+// adjusts the paces. It tells whether any has changed.
+func (p *Pacer) Observe(now time.Time, serving []Serving, filling map[string]Filling) bool {
 	worst := 0.0
 	for _, s := range serving {
 		worst = max(worst, s.Tail)
@@ -71,20 +79,20 @@
 		clear(p.paces)
 		return changed
 	case !p.over.IsZero() && now.Sub(p.over) > patience:
-		return p.standStill(now, cores)
+		return p.standStill(now, filling)
 	case now.Sub(p.changed) < settleTime:
 		return false
 	case worst >= slowAt:
-		return p.lower(now, serving, cores)
-	case worst <= calmAt:
-		return p.raise(now, serving, cores)
+		return p.lower(now, serving, filling)
+	case worst < calmAt:
+		return p.raise(now, serving, filling)
 	}
 	return false
 }
 
-func (p *Pacer) standStill(now time.Time, cores map[string]float64) bool {
+func (p *Pacer) standStill(now time.Time, filling map[string]Filling) bool {
 	changed := false
-	for image := range cores {
+	for image := range filling {
 		changed = changed || p.Pace(image) > 0
 		p.paces[image] = 0
 	}
@@ -96,16 +104,16 @@
 
 // lower slows the images that cost the serving tasks the most, until each of these is
 // expected where it should be.
-func (p *Pacer) lower(now time.Time, serving []Serving, cores map[string]float64) bool {
+func (p *Pacer) lower(now time.Time, serving []Serving, filling map[string]Filling) bool {
 	changed := false
 	for _, s := range serving {
 		if s.Tail < slowAt {
 			continue
 		}
 		excess := s.Tail - aimAt
-		for _, image := range p.byCost(s.Image, cores) {
+		for _, image := range p.byCost(s.Image, filling) {
 			pace := p.Pace(image)
-			share := p.pairs.Cost(s.Image, image) * cores[image] // of the tail
+			share := p.pairs.Cost(s.Image, image) * filling[image].Cores // of the tail
 			if excess <= 0 || share <= 0 || pace == 0 {
 				continue
 			}
@@ -125,31 +133,33 @@
 }
 
 // byCost orders the images by what they cost a serving image, the dearest first.
-func (p *Pacer) byCost(serving string, cores map[string]float64) []string {
+func (p *Pacer) byCost(serving string, filling map[string]Filling) []string {
 	var images []string
-	for image := range cores {
+	for image := range filling {
 		images = append(images, image)
 	}
 	slices.SortFunc(images, func(a, b string) int {
 		return cmp.Or(
-			cmp.Compare(p.pairs.Cost(serving, b)*cores[b], p.pairs.Cost(serving, a)*cores[a]),
+			cmp.Compare(p.pairs.Cost(serving, b)*filling[b].Cores, p.pairs.Cost(serving, a)*filling[a].Cores),
 			cmp.Compare(a, b),
 		)
 	})
 	return images
 }
 
-// raise gives pace back: at once to harmless images, else to the cheapest one.
-func (p *Pacer) raise(now time.Time, serving []Serving, cores map[string]float64) bool {
+// raise gives pace back: at once to harmless images, else to the cheapest one, as far as
+// all serving tasks are expected to stay calm.
+func (p *Pacer) raise(now time.Time, serving []Serving, filling map[string]Filling) bool {
 	cheapest, least := "", 0.0
 	changed := false
 	for image, pace := range p.paces {
-		if _, here := cores[image]; !here {
-			continue // the next task of the image begins as slowly
-		}
-		if pace >= fullPace {
+		asked, here := filling[image]
+		switch {
+		case pace >= fullPace:
 			delete(p.paces, image)
 			continue
+		case !here:
+			continue // the next task of the image begins as slowly
 		}
 		cost := 0.0
 		for _, s := range serving {
@@ -160,16 +170,33 @@
 			changed = true
 			continue
 		}
-		if cheapest == "" || cost < least || cost == least && image < cheapest {
-			cheapest, least = image, cost
+		if cheapest == "" || cost*asked.Asked < least || cost*asked.Asked == least && image < cheapest {
+			cheapest, least = image, cost*asked.Asked
 		}
 	}
 	if cheapest != "" && !changed {
-		p.paces[cheapest] = min(p.paces[cheapest]+raiseMost, fullPace)
-		changed = true
+		if step := p.step(cheapest, serving, filling[cheapest].Asked); step > 0 {
+			p.paces[cheapest] = min(p.paces[cheapest]+step, fullPace)
+			changed = true
+		}
 	}
 	if changed {
 		p.changed = now
 	}
 	return changed
 }
+
+// step is how far, in percent points, an image's pace can go up until a serving task is
+// expected to leave its calm.
+func (p *Pacer) step(image string, serving []Serving, asked float64) int {
+	step := float64(raiseMost)
+	for _, s := range serving {
+		if rise := p.pairs.Cost(s.Image, image) * asked; rise > 0 {
+			step = min(step, 100*(calmAt-s.Tail)/rise)
+		}
+	}
+	if step < raiseLeast {
+		return 0
+	}
+	return int(step)
+}
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -85,6 +85,7 @@
 	Payload string            `json:"payload,omitempty"`
 	Saved   string            `json:"saved,omitempty"`
 	Image   string            `json:"image,omitempty"` // what it runs: tasks of one image behave alike
+	Cores   int               `json:"cores,omitempty"` // asked for, in thousandths
 	Fills   bool              `json:"fills,omitempty"`
 	Target  int64             `json:"target,omitempty"` // ms of tail latency
 }
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -122,7 +122,7 @@
 func startOrder(s dispatch.Start) link.StartOrder {
 	return link.StartOrder{
 		Task: s.Task, Run: s.Run, Payload: s.Payload, Saved: s.Saved,
-		Image: s.Step.Image, Fills: s.Step.Fills, Target: s.Step.Target,
+		Image: s.Step.Image, Cores: s.Step.Need.Processors, Fills: s.Step.Fills, Target: s.Step.Target,
 	}
 }
 
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -22,7 +22,7 @@
 	grantWait = grantTTL + grantTTL/40 + 50*time.Millisecond
 	// confirmTTL is how long an owner goes on granting without the table having
 	// confirmed its epoch, so that work goes on while the table is away.
-	confirmTTL = 9 * time.Second
+	confirmTTL = 4500 * time.Millisecond
 	// doubtWait is the time from a claim until nothing that an earlier owner granted
 	// lasts.
 	doubtWait = confirmTTL + confirmTTL/40 + grantWait
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -10,6 +10,9 @@
 	"go.uber.org/zap"
 )
 
+// warmUp is how long a serving task's tail is that of its start.
+const warmUp = 1500 * time.Millisecond
+
 // fullPace is the pace, in percent, of a run that nobody slows.
 const fullPace = 100
 
@@ -36,7 +39,7 @@
 // observe takes a list of what runs and adjusts the paces.
 func (p *pacer) observe(r *Runner, running []Listed, now time.Time) {
 	var serving []interference.Serving
-	cores := map[string]float64{}
+	filling := map[string]interference.Filling{}
 	p.figures = p.figures[:0]
 	for _, l := range running {
 		known := r.runs[l.Task]
@@ -44,17 +47,23 @@
 		case known == nil || known.number != l.Run:
 			continue
 		case known.order.Target > 0:
+			if now.Sub(known.settled) < warmUp {
+				continue
+			}
 			serving = append(serving, interference.Serving{Image: known.order.Image, Tail: l.Figure / float64(known.order.Target)})
 		case known.order.Fills:
-			cores[known.order.Image] += l.Figure / 1000
+			of := filling[known.order.Image]
+			of.Cores += l.Figure / 1000
+			of.Asked += float64(known.order.Cores) / 1000
+			filling[known.order.Image] = of
 		default:
 			continue
 		}
 		p.figures = append(p.figures, dispatch.Figure{Task: l.Task, Value: l.Figure})
 	}
-	if p.decides.Observe(now, serving, cores) {
-		for image := range cores {
-			r.log.Info("pace", zap.String("image", image), zap.Int("percent", p.decides.Pace(image)), zap.Float64("cores", cores[image]), zap.Float64("tail", worstTail(serving)))
+	if p.decides.Observe(now, serving, filling) {
+		for image, of := range filling {
+			r.log.Info("pace", zap.String("image", image), zap.Int("percent", p.decides.Pace(image)), zap.Float64("cores", of.Cores), zap.Float64("tail", worstTail(serving)))
 		}
 	}
 	p.apply(r, running)
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -70,7 +70,8 @@
 	r.forget(orders.Kept)
 	for _, trait := range orders.Traits {
 		if known := r.runs[trait.Task]; known != nil && known.number == trait.Run {
-			known.order.Image, known.order.Fills, known.order.Target = trait.Image, trait.Fills, trait.Target
+			known.order.Image, known.order.Cores = trait.Image, trait.Cores
+			known.order.Fills, known.order.Target = trait.Fills, trait.Target
 		}
 	}
 	for _, order := range orders.Starts {
