--- a/cmd/apricotwind/main.go
+++ b/cmd/apricotwind/main.go
@@ -23,6 +23,8 @@
 		<-signals
 		cancel()
 	}()
-	streams := verb.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Drain: drain, HTTP: http.DefaultTransport}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	streams := verb.Streams{Reload: reload, In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Drain: drain, HTTP: http.DefaultTransport}
 	os.Exit(verb.Main(ctx, streams, os.Args[1:]))
 }
--- a/internal/decision/dispatch/book.go
+++ b/internal/decision/dispatch/book.go
@@ -22,7 +22,7 @@
 	runsAnEpoch = 1_000_000
 	// avoidAfter is how many failed ends in a row, of different jobs, make an
 	// instance one to avoid.
-	avoidAfter = 3
+	avoidAfter = 2
 	// avoidFor is how long it is avoided.
 	avoidFor = 4 * time.Second
 	// restartPause is the wait before a lasting task that failed starts again.
--- a/internal/decision/dispatch/lists.go
+++ b/internal/decision/dispatch/lists.go
@@ -242,6 +242,7 @@
 		b.taskDone(t)
 	case EndFailed:
 		b.noteFailure(now, in, t)
+		t.failedOn = append(t.failedOn, in.offer.Life.ID)
 		if t.step.Lasting {
 			t.notBefore = now.Add(restartPause)
 			return
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -22,6 +22,7 @@
 // filling tasks find others on which they disturb nobody.
 const (
 	pointsFar     = 1000 // away from the rack of the data, where tasks take longer
+	pointsFailed  = 600  // where the task has failed before
 	pointsLoad    = 100  // an instance whose processors are all taken
 	pointsServing = 100  // a filling task beside one that serves
 	pointsSlow    = 400  // a filling task that would stand still
@@ -279,7 +280,11 @@
 		if rack != "" && in.offer.Rack != rack || !p.book.suits(p.now, w, t, in) {
 			continue
 		}
-		if points := p.book.points(p.now, t.step, in); best == nil || points < least {
+		points := p.book.points(p.now, t.step, in)
+		if slices.Contains(t.failedOn, in.offer.Life.ID) {
+			points += pointsFailed
+		}
+		if best == nil || points < least {
 			best, least = in, points
 		}
 	}
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -15,8 +15,9 @@
 	run      int64  // number of the run placed now
 	lastRun  int64  // highest run number given out or seen
 	since    time.Time
-	saved    string  // last checkpoint
-	failed   []int64 // runs that ended as failed
+	saved    string   // last checkpoint
+	failed   []int64  // runs that ended as failed
+	failedOn []string // instances on which they did
 	done     bool
 	// doubted: an earlier owner may have started it on an instance that has not
 	// been heard of yet.
--- a/internal/owner/seat.go
+++ b/internal/owner/seat.go
@@ -23,7 +23,7 @@
 	// gone, beyond the time that reading it takes.
 	silentAfter = 1100 * time.Millisecond
 	// slownessFactor adds so many times a read's duration to silentAfter.
-	slownessFactor = 4
+	slownessFactor = 8
 	// callLeast is how long a call to the table may take, beyond slowCalls what reads
 	// take lately, and callMost at most.
 	callLeast = time.Second
@@ -110,7 +110,7 @@
 	case s.term == nil && s.holder.Name == s.settings.Name:
 		// A claim whose answer was lost, or an earlier incarnation of this process.
 		s.claim("own earlier claim")
-	case s.term == nil && s.reads >= 2 && silent > silentAfter+slownessFactor*took:
+	case s.term == nil && s.reads >= 2 && silent > silentAfter+slownessFactor*max(took, s.health.Slowness()):
 		s.claim("owner silent", zap.Duration("silent", silent), zap.Uint64("epoch", s.holder.Epoch))
 	}
 }
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -139,6 +139,7 @@
 
 // load reads what earlier owners left, again until that works.
 func (t *term) load() {
+	t.run(alivePeriod, t.keepAlive)
 	t.seat.loop.Go(func() {
 		for t.ctx.Err() == nil {
 			began := time.Now()
@@ -179,7 +180,6 @@
 	t.takeRows(jobs)
 	t.feed, t.loaded, t.confirmed = version, true, began
 	t.log.Info("term", zap.Int("instances", len(instances)), zap.Int("rows", len(jobs)), zap.Duration("took", time.Since(t.claimed)))
-	t.run(alivePeriod, t.keepAlive)
 	t.run(catchUpPeriod, t.catchUp)
 	t.run(tickPeriod, t.tick)
 	t.wake()
--- a/internal/rig/shard.go
+++ b/internal/rig/shard.go
@@ -164,3 +164,6 @@
 	}
 	return failed
 }
+
+// EntryName is the name of an entry.
+func (s *Shard) EntryName(i int) string { return s.Entries[i].name }
--- a/internal/rig/store.go
+++ b/internal/rig/store.go
@@ -24,6 +24,7 @@
 	Lost   bool          // done, no answer
 	Late   time.Duration // with Lost: done only so much later
 	Slow   time.Duration // done and answered so much later
+	InTurn bool          // with Slow: writes are done one after another, and refused when a second of them waits
 }
 
 // Store is a stand-in of the partitioned store, in memory.
@@ -34,13 +35,15 @@
 	first   uint64 // oldest version from which a feed can go on
 	version uint64
 	changed chan struct{}
+	writing chan struct{} // holds one while a write in turn is under way
+	waiting int           // writes in turn
 	// Fault tells what befalls a call of the process named; nil is none.
 	Fault func(process string, write bool) StoreFault
 }
 
 // NewStore makes an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[table.Place]table.Cell{}, changed: make(chan struct{})}
+	return &Store{rows: map[table.Place]table.Cell{}, changed: make(chan struct{}), writing: make(chan struct{}, 1)}
 }
 
 // View is the store as the process named sees it.
@@ -149,6 +152,13 @@
 		<-ctx.Done()
 		return table.Applied{}, ctx.Err()
 	}
+	if fault.InTurn {
+		release, err := s.turn(ctx, fault.Slow)
+		if err != nil {
+			return table.Applied{}, err
+		}
+		defer release()
+	}
 	if err := sleepOrDone(ctx, storeApply/2+fault.Slow); err != nil {
 		return table.Applied{}, err
 	}
@@ -156,6 +166,31 @@
 	return applied, sleepOrDone(ctx, storeApply/2)
 }
 
+// turn waits until no other write is under way.
+func (s *Store) turn(ctx context.Context, slow time.Duration) (release func(), err error) {
+	s.mu.Lock()
+	full := time.Duration(s.waiting)*slow > time.Second
+	if !full {
+		s.waiting++
+	}
+	s.mu.Unlock()
+	if full {
+		return nil, errors.Mark(errors.New("too many writes wait"), table.ErrRefused)
+	}
+	leave := func() {
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+	}
+	select {
+	case s.writing <- struct{}{}:
+		return func() { <-s.writing; leave() }, nil
+	case <-ctx.Done():
+		leave()
+		return nil, ctx.Err()
+	}
+}
+
 // do applies a change if its conditions hold.
 func (s *Store) do(change table.Change) table.Applied {
 	s.mu.Lock()
--- a/internal/rig/worker.go
+++ b/internal/rig/worker.go
@@ -95,6 +95,13 @@
 	return w.life, !w.down
 }
 
+// Running counts what runs on the worker.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
 // Calls is how the agent beside the worker calls it.
 func (w *Worker) Calls() runner.Worker {
 	return runner.Worker{
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -204,7 +204,7 @@
 	if r.offer == nil || r.fence == 0 {
 		return HoldCall{}, false
 	}
-	call = HoldCall{Life: r.offer.Life, Fence: r.fence, Until: r.until(), Seen: r.kept, Wait: wait.Milliseconds()}
+	call = HoldCall{Life: r.offer.Life, Fence: r.fence, Until: r.lease(), Seen: r.kept, Wait: wait.Milliseconds()}
 	if r.unsure || time.Since(r.answered) > seenFor {
 		// It may be another life under the same ID, whose ends are counted anew.
 		call.Seen = 0
@@ -212,13 +212,16 @@
 	return call, true
 }
 
-// until is the granted deadline on the worker's clock: 0 when the clock is not known or
-// the deadline is over. A reading is older than its answer, so the result is never
+// lease is the granted deadline on the worker's clock, for a call that is about to be
+// sent: 0 when there is none to give. A silent worker gets no longer lease, so that what it
+// has can run out. A reading of the clock is older than its answer, so the result is never
 // later than the deadline.
-func (r *Runner) until() int64 {
-	if r.clockAt.IsZero() || !time.Now().Before(r.deadline) {
+func (r *Runner) lease() int64 {
+	if r.silent || r.clockAt.IsZero() || !time.Now().Before(r.deadline) {
 		return 0
 	}
+	left := time.Until(r.deadline)
+	r.lapse = latest(r.lapse, r.deadline.Add(left/clockSlack+lapseExtra))
 	return r.clock + r.deadline.Sub(r.clockAt).Milliseconds()
 }
 
@@ -356,7 +359,6 @@
 	if deadline := sent.Add(ttl); deadline.After(r.deadline) {
 		r.deadline = deadline
 	}
-	r.lapse = latest(r.lapse, sent.Add(ttl+ttl/clockSlack+lapseExtra))
 }
 
 func latest(a, b time.Time) time.Time {
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -111,7 +111,7 @@
 func (r *Runner) tryStart(known *run, try int) {
 	order := known.order
 	call := StartCall{
-		Life: r.offer.Life, Fence: r.fence, Until: r.until(),
+		Life: r.offer.Life, Fence: r.fence, Until: r.lease(),
 		Task: order.Task, Run: order.Run, Payload: order.Payload, Saved: order.Saved,
 	}
 	sent := time.Now()
--- a/internal/verb/agent.go
+++ b/internal/verb/agent.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	return untilDrained(streams, node)
+	return untilDrained(streams, node, reloader(c.flags, agentVerb().Build, log))
 }
 
 // capacityFlags say what an instance offers.
--- a/internal/verb/common.go
+++ b/internal/verb/common.go
@@ -2,12 +2,16 @@
 
 import (
 	"flag"
+	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/identity"
+	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/operator"
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 )
 
 // commonFlags are the flags that both long-running roles have.
@@ -36,15 +40,45 @@
 	Wait() error
 }
 
-// untilDrained waits for the end of a role, or drains it when told to.
-func untilDrained(streams Streams, running node) error {
+// untilDrained waits for the end of a role, or drains it when told to. It calls reloaded
+// when the settings file may have changed.
+func untilDrained(streams Streams, running node, reloaded func()) error {
 	ended := make(chan error, 1)
 	go func() { ended <- running.Wait() }()
-	select {
-	case err := <-ended:
-		return err
-	case <-streams.Drain:
-		return running.Drain()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-streams.Drain:
+			return running.Drain()
+		case <-streams.Reload:
+			reloaded()
+		}
+	}
+}
+
+// reloader looks at a verb's settings file again. What has changed takes effect at the
+// next start, and is named until then; the process goes on as it is.
+func reloader(flags *flag.FlagSet, build func(*flag.FlagSet) Run, log *zap.Logger) func() {
+	return func() {
+		again := flag.NewFlagSet(flags.Name(), flag.ContinueOnError)
+		again.SetOutput(io.Discard)
+		build(again)
+		var arguments []string
+		if path := flags.Lookup(settingsFlag).Value.String(); path != "" {
+			arguments = []string{"--" + settingsFlag, path}
+		}
+		if err := parse(again, arguments); err != nil {
+			log.Warn("reload-refused", logs.Error(err))
+			return
+		}
+		var changed []string
+		again.Visit(func(f *flag.Flag) {
+			if old := flags.Lookup(f.Name); f.Name != settingsFlag && old.Value.String() != f.Value.String() {
+				changed = append(changed, f.Name)
+			}
+		})
+		log.Info("reload", zap.Int("changed", len(changed)), zap.String("at-next-start", strings.Join(changed, ",")))
 	}
 }
 
--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	return untilDrained(streams, node)
+	return untilDrained(streams, node, reloader(c.flags, entryVerb().Build, log))
 }
 
 func (c *entryCommand) settings() (process.EntrySettings, error) {
--- a/internal/verb/main.go
+++ b/internal/verb/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 
 	"github.com/apricotwind/apricotwind/pkg/document/schema"
@@ -25,13 +26,16 @@
 )
 
 // Streams are where a verb reads and writes, and the signals that reach it. Drain
-// is closed when the process should end gracefully. HTTP is how entries are called.
+// is closed when the process should end gracefully; Reload says that the settings file
+// may have changed. HTTP is how entries are called.
 type Streams struct {
 	In    io.Reader
 	Out   io.Writer
 	Err   io.Writer
 	Drain <-chan struct{}
-	HTTP  http.RoundTripper
+	// Reload is nil where nothing says so.
+	Reload <-chan os.Signal
+	HTTP   http.RoundTripper
 }
 
 // Run does what a verb does, with the arguments left after the flags.
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	return untilDrained(streams, running)
+	return untilDrained(streams, running, reloader(c.flags, platformEntryVerb().Build, log))
 }
 
 func platformAgentVerb() Verb {
@@ -137,5 +137,5 @@
 	if err != nil {
 		return err
 	}
-	return untilDrained(streams, running)
+	return untilDrained(streams, running, reloader(c.flags, platformAgentVerb().Build, log))
 }
