Races of the test stand-ins mended

All of it is in internal/rig and the tests; no race was reported in the product. Faults are set through SetFault, dice are guarded, nodes are behind a mutex.

Ruled out: a race between the product's goroutines (each report names a line of rig or of a test).

--- a/internal/process/shard_faults_test.go
+++ b/internal/process/shard_faults_test.go
@@ -79,12 +79,12 @@
 func TestASlowStoreReplacesNobody(t *testing.T) {
 	onShard(t, 3, 2, func(t *testing.T, system *rig.Shard) {
 		before := holder(t, system)
-		system.Store.Fault = func(_ string, write bool) rig.StoreFault {
+		system.Store.SetFault(func(_ string, write bool) rig.StoreFault {
 			if write {
 				return rig.StoreFault{Slow: 470 * time.Millisecond, InTurn: true}
 			}
 			return rig.StoreFault{Slow: 236 * time.Millisecond}
-		}
+		})
 		for i := range 80 { // ten jobs a second, as on a busy day
 			go submit(t, system, i%3, jobOf(fmt.Sprint("busy", i), 1, 100))
 			time.Sleep(100 * time.Millisecond)
@@ -93,7 +93,7 @@
 			t.Errorf("a job handed in to a slow store: %v", verdict)
 		}
 		time.Sleep(4 * time.Second)
-		system.Store.Fault = nil
+		system.Store.SetFault(nil)
 		time.Sleep(time.Second)
 		if after := holder(t, system); after.Epoch != before.Epoch {
 			t.Errorf("epoch %d became %d", before.Epoch, after.Epoch)
@@ -107,7 +107,7 @@
 func TestASlowStoreStillLosesADeadOwner(t *testing.T) {
 	onShard(t, 3, 2, func(t *testing.T, system *rig.Shard) {
 		before := holder(t, system)
-		system.Store.Fault = func(string, bool) rig.StoreFault { return rig.StoreFault{Slow: 236 * time.Millisecond} }
+		system.Store.SetFault(func(string, bool) rig.StoreFault { return rig.StoreFault{Slow: 236 * time.Millisecond} })
 		time.Sleep(3 * time.Second)
 		killOwner(t, system)
 		time.Sleep(6 * time.Second)
@@ -165,9 +165,9 @@
 // refused and never runs.
 func TestEntriesDoEachOthersCalls(t *testing.T) {
 	onShard(t, 3, 2, func(t *testing.T, system *rig.Shard) {
-		system.Store.Fault = func(process string, _ bool) rig.StoreFault {
+		system.Store.SetFault(func(process string, _ bool) rig.StoreFault {
 			return rig.StoreFault{Refuse: process == "e1"}
-		}
+		})
 		for _, wait := range []time.Duration{0, 2 * time.Second} { // before and after it is noticed
 			time.Sleep(wait)
 			id := "away" + wait.String()
@@ -179,12 +179,12 @@
 				t.Errorf("cancelled at an entry that is turned away: %v, %v", verdict, err)
 			}
 		}
-		system.Store.Fault = func(string, bool) rig.StoreFault { return rig.StoreFault{Refuse: true} }
+		system.Store.SetFault(func(string, bool) rig.StoreFault { return rig.StoreFault{Refuse: true} })
 		time.Sleep(2 * time.Second)
 		if verdict := submit(t, system, 0, jobOf("nowhere", 1, 100)); verdict != queue.Refused {
 			t.Errorf("handed in without a store: %v", verdict)
 		}
-		system.Store.Fault = nil
+		system.Store.SetFault(nil)
 		time.Sleep(10 * time.Second)
 		if system.Watch.Started("nowhere") {
 			t.Error("a refused job has started")
--- a/internal/process/shard_test.go
+++ b/internal/process/shard_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -163,35 +164,49 @@
 		})
 	case 6:
 		seed := s.random.Uint64()
-		lost := rand.New(rand.NewPCG(seed, 0))
+		lost := newDice(seed)
 		s.storeFault(lasts, func(_ string, write bool) rig.StoreFault {
-			if !write || lost.IntN(3) > 0 {
+			if !write || lost.roll(3) > 0 {
 				return rig.StoreFault{}
 			}
-			return rig.StoreFault{Lost: true, Late: time.Duration(lost.IntN(4000)) * time.Millisecond}
+			return rig.StoreFault{Lost: true, Late: time.Duration(lost.roll(4000)) * time.Millisecond}
 		})
 	case 7:
 		system.Store.Compact()
 	case 8:
-		late := rand.New(rand.NewPCG(s.random.Uint64(), 0))
+		late := newDice(s.random.Uint64())
 		of := system.Workers[worker]
-		of.Fault = func() rig.OrderFault {
-			if late.IntN(5) > 0 {
+		of.SetFault(func() rig.OrderFault {
+			if late.roll(5) > 0 {
 				return rig.OrderFault{}
 			}
-			return rig.OrderFault{Lost: true, Late: time.Duration(late.IntN(8000)) * time.Millisecond}
-		}
-		time.AfterFunc(lasts, func() { of.Fault = nil })
+			return rig.OrderFault{Lost: true, Late: time.Duration(late.roll(8000)) * time.Millisecond}
+		})
+		time.AfterFunc(lasts, func() { of.SetFault(nil) })
 	}
 }
 
+// dice are numbers by chance for many goroutines.
+type dice struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func newDice(seed uint64) *dice { return &dice{random: rand.New(rand.NewPCG(seed, 0))} }
+
+func (d *dice) roll(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.random.IntN(n)
+}
+
 func storeFaultOf(kind int, slow time.Duration) rig.StoreFault {
 	return []rig.StoreFault{{Silent: true}, {Refuse: true}, {Slow: slow / 4}, {Slow: slow}}[kind]
 }
 
 func (s *schedule) storeFault(lasts time.Duration, fault func(string, bool) rig.StoreFault) {
-	s.system.Store.Fault = fault
-	time.AfterFunc(lasts, func() { s.system.Store.Fault = nil })
+	s.system.Store.SetFault(fault)
+	time.AfterFunc(lasts, func() { s.system.Store.SetFault(nil) })
 }
 
 func (s *schedule) agentUp(i int) bool { return s.system.AgentUp(i) }
--- a/internal/rig/shard.go
+++ b/internal/rig/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,7 @@
 	Workers []*Worker
 	Entries []*ShardEntry
 	agents  []*shardAgent
+	mu      sync.Mutex // guards the nodes of entries and agents and what stops them
 	ctx     context.Context
 	log     *zap.Logger
 }
@@ -61,10 +63,11 @@
 		}
 	}
 	for i := range workers {
-		worker := NewWorker(fmt.Sprintf("w%d", i), s.Watch)
-		s.Workers = append(s.Workers, worker)
+		s.Workers = append(s.Workers, NewWorker(fmt.Sprintf("w%d", i), s.Watch))
 		s.agents = append(s.agents, &shardAgent{name: fmt.Sprintf("a%d", i)})
-		go worker.Run(ctx)
+	}
+	for i := range workers {
+		go s.Workers[i].Run(ctx)
 		go s.register(i)
 		if err := s.StartAgent(i); err != nil {
 			return nil, err
@@ -88,6 +91,8 @@
 
 // StartEntry starts an entry that is down.
 func (s *Shard) StartEntry(i int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	e := s.Entries[i]
 	ctx, stop := context.WithCancel(s.ctx)
 	address := fmt.Sprintf("10.0.0.%d:1", i+1)
@@ -113,13 +118,18 @@
 // KillEntry ends an entry without a word.
 func (s *Shard) KillEntry(i int) error {
 	e := s.Entries[i]
+	s.mu.Lock()
+	stop, node := e.stop, e.node
+	s.mu.Unlock()
 	e.desk.Store(nil)
-	e.stop()
-	return e.node.Wait()
+	stop()
+	return node.Wait()
 }
 
 // StartAgent starts an agent that is down.
 func (s *Shard) StartAgent(i int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	a := s.agents[i]
 	ctx, stop := context.WithCancel(s.ctx)
 	node, err := process.NewQueueAgent(ctx, process.QueueAgentSettings{Name: a.name, Control: "control-" + a.name}, process.AgentParts{
@@ -140,10 +150,13 @@
 // KillAgent ends an agent without a word.
 func (s *Shard) KillAgent(i int) error {
 	a := s.agents[i]
+	s.mu.Lock()
+	stop, node := a.stop, a.node
+	s.mu.Unlock()
 	a.of.Store(nil)
-	a.stop()
+	stop()
 	s.Workers[i].AgentDied()
-	return a.node.Wait()
+	return node.Wait()
 }
 
 // Desk is the desk of an entry, nil while it is down.
@@ -155,6 +168,8 @@
 // Stop ends everything that runs. The context that the system was made with must be
 // over.
 func (s *Shard) Stop() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var failed error
 	for _, e := range s.Entries {
 		failed = errors.CombineErrors(failed, e.node.Wait())
--- a/internal/rig/store.go
+++ b/internal/rig/store.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
@@ -37,8 +38,7 @@
 	changed chan struct{}
 	writing chan struct{} // holds one while a write in turn is under way
 	waiting int           // writes in turn
-	// Fault tells what befalls a call of the process named; nil is none.
-	Fault func(process string, write bool) StoreFault
+	fault   atomic.Pointer[func(process string, write bool) StoreFault]
 }
 
 // NewStore makes an empty store.
@@ -68,16 +68,19 @@
 	}
 }
 
-func (s *Store) fault(process string, write bool) StoreFault {
-	if s.Fault == nil {
-		return StoreFault{}
+// SetFault sets what befalls a call of the process named; nil is nothing.
+func (s *Store) SetFault(fault func(process string, write bool) StoreFault) { s.fault.Store(&fault) }
+
+func (s *Store) faultOf(process string, write bool) StoreFault {
+	if fault := s.fault.Load(); fault != nil && *fault != nil {
+		return (*fault)(process, write)
 	}
-	return s.Fault(process, write)
+	return StoreFault{}
 }
 
 // befall spends the time of a read, or fails it.
 func (s *Store) befall(ctx context.Context, process string) error {
-	fault := s.fault(process, false)
+	fault := s.faultOf(process, false)
 	switch {
 	case fault.Refuse:
 		return errors.Mark(errors.New("turned away"), table.ErrRefused)
@@ -140,7 +143,7 @@
 }
 
 func (s *Store) apply(ctx context.Context, process string, change table.Change) (table.Applied, error) {
-	fault := s.fault(process, true)
+	fault := s.faultOf(process, true)
 	switch {
 	case fault.Refuse:
 		return table.Applied{}, errors.Mark(errors.New("turned away"), table.ErrRefused)
--- a/internal/rig/worker.go
+++ b/internal/rig/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
@@ -46,8 +47,7 @@
 	ended  []dispatch.End
 	count  int64
 	news   chan struct{}
-	// Fault tells what befalls an order; nil is none.
-	Fault func() OrderFault
+	fault  atomic.Pointer[func() OrderFault]
 }
 
 type workerRun struct {
@@ -95,6 +95,16 @@
 	return w.life, !w.down
 }
 
+// SetFault sets what befalls an order; nil is nothing.
+func (w *Worker) SetFault(fault func() OrderFault) { w.fault.Store(&fault) }
+
+func (w *Worker) faultOf() OrderFault {
+	if fault := w.fault.Load(); fault != nil && *fault != nil {
+		return (*fault)()
+	}
+	return OrderFault{}
+}
+
 // Running counts what runs on the worker.
 func (w *Worker) Running() int {
 	w.mu.Lock()
@@ -177,10 +187,7 @@
 // that is ofLife is not carried out by a later life under the same ID: a hold would make
 // that forget ends which nobody has seen, and nothing in the protocol prevents it.
 func (w *Worker) order(ctx context.Context, life dispatch.Life, fence uint64, ofLife bool, do func() runner.Answer) (runner.Answer, error) {
-	var fault OrderFault
-	if w.Fault != nil {
-		fault = w.Fault()
-	}
+	fault := w.faultOf()
 	obey := func() (runner.Answer, error) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -248,9 +255,12 @@
 			lists = w.lists(call)
 			return runner.Answer{}
 		})
+		if err != nil {
+			return runner.Lists{}, err // a late order may still write its lists
+		}
 		lists.Answer = answer
-		if err != nil || answer.Kind != runner.Obeyed || len(lists.Ended) > 0 || call.Wait == 0 {
-			return lists, err
+		if answer.Kind != runner.Obeyed || len(lists.Ended) > 0 || call.Wait == 0 {
+			return lists, nil
 		}
 		w.mu.Lock()
 		news := w.news
