Costs of image pairs are learned in headroom, by a filter over all instances

The old learner worked on the tail itself, from one instance at a time, and took the swing of the load for costs.

Change: headroom (target over tail) is what costs are counted in; a Kalman filter for each serving image estimates the costs of all filling images and the headroom that each job would have alone; placements leave room for the lowest headroom of the last 12 s; light images go beside serving tasks, heavy ones where nothing serves.

--- a/internal/decision/dispatch/book_test.go
+++ b/internal/decision/dispatch/book_test.go
@@ -110,9 +110,7 @@
 	filling := Step{Count: 9, Need: Need{Processors: 2000}, Fills: true, Image: "f"}
 	b.Accept(began, jobOf("j", serving), nil)
 	expect(t, "serving", len(b.Plan(at(0))), 1)
-	for range 20 {
-		b.pairs.Observe(interference.Sample{Serving: "s", Tail: 0.3, Cores: map[string]float64{"f": 4}})
-	}
+	b.pairs.Set(interference.Weight{Pair: interference.Pair{Serving: "s", Filling: "f"}})
 	b.Accept(began, jobOf("k", filling), nil)
 	if got := len(b.Plan(at(0))); got < 2 || got > 3 {
 		t.Errorf("%d filling tasks of 2 cores beside a serving one of 8 that uses half", got)
--- a/internal/decision/dispatch/figures.go
+++ b/internal/decision/dispatch/figures.go
@@ -9,9 +9,9 @@
 const (
 	// warmUp is how long a serving task's figures say nothing of those beside it.
 	warmUp = 2 * time.Second
-	// wildTail is the multiple of the target from which on a tail has other causes than
-	// filling tasks: a start, an instance that hangs.
-	wildTail = 6
+	// samplePeriod is the least time between two samples of an instance: a figure is of
+	// the last half second.
+	samplePeriod = 250 * time.Millisecond
 )
 
 // Measured takes the figures of an instance and learns from them what filling images
@@ -22,25 +22,49 @@
 		return
 	}
 	cores := map[string]float64{}
-	in.tails = map[TaskName]float64{}
+	in.headrooms = map[TaskName]float64{}
 	for _, figure := range figures {
 		p := in.placements[figure.Task]
 		switch {
 		case p == nil || p.step == nil:
 		case p.serves && figure.Value > 0:
-			in.tails[figure.Task] = figure.Value / float64(p.step.Target)
+			in.headrooms[figure.Task] = interference.Headroom(float64(p.step.Target), figure.Value)
 		case p.fills:
 			cores[p.step.Image] += figure.Value / 1000
 			p.measured(now, figure.Value)
 		}
 	}
-	for name, tail := range in.tails {
-		p := in.placements[name]
-		if now.Sub(p.since) < warmUp || tail > wildTail {
-			continue
+	if now.Sub(in.sampled) < samplePeriod {
+		return
+	}
+	in.sampled = now
+	for _, sample := range in.samples(now) {
+		sample.Cores = cores
+		b.pairs.Observe(sample)
+	}
+}
+
+// samples are the mean headrooms of the serving tasks of each job on an instance.
+func (in *instance) samples(now time.Time) []interference.Sample {
+	type job struct{ image, id string }
+	sums := map[job][]float64{}
+	for name, headroom := range in.headrooms {
+		if p := in.placements[name]; now.Sub(p.since) >= warmUp {
+			of := job{p.step.Image, name.Job}
+			sums[of] = append(sums[of], headroom)
+		}
+	}
+	samples := make([]interference.Sample, 0, len(sums))
+	for of, headrooms := range sums {
+		sum := 0.0
+		for _, headroom := range headrooms {
+			sum += headroom
 		}
-		b.pairs.Observe(interference.Sample{Serving: p.step.Image, Tail: tail, Cores: cores})
+		samples = append(samples, interference.Sample{
+			At: now, Serving: of.image, Job: of.id, Headroom: sum / float64(len(headrooms)),
+		})
 	}
+	return samples
 }
 
 // measured notes since when a filling task has hardly worked.
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -95,7 +95,8 @@
 	filled     int                  // thousandths of a core that filling tasks ask for
 	served     int                  // thousandths of a core that serving tasks ask for, part of used
 	serving    int                  // placements that serve users of their own
-	tails      map[TaskName]float64 // of serving tasks, as a share of their targets
+	headrooms  map[TaskName]float64 // of serving tasks, as last measured
+	sampled    time.Time            // when the last sample was taken of them
 	fails      int                  // failed ends in a row, of distinct jobs
 	failedJob  string
 	avoidUntil time.Time
@@ -109,7 +110,7 @@
 // renew takes that another life has begun under the same ID.
 func (in *instance) renew() {
 	in.renewed, in.registered, in.asked, in.synced = true, false, false, false
-	in.tails = nil
+	in.headrooms = nil
 }
 
 func (in *instance) usable(now time.Time) bool {
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -24,7 +24,8 @@
 	pointsFar     = 1000 // away from the rack of the data, where tasks take longer
 	pointsFailed  = 600  // where the task has failed before
 	pointsLoad    = 100  // an instance whose processors are all taken
-	pointsServing = 100  // a filling task beside one that serves
+	pointsDisturb = 300  // a filling task that takes all the headroom of a serving one
+	pointsSpare   = 60   // a filling task where nothing serves, which others may need more
 	pointsSlow    = 400  // a filling task that would stand still
 	pointsApart   = 300  // a serving task where none serves yet
 	pointsMixed   = 60   // a serving task beside one of another image
@@ -152,10 +153,10 @@
 	var best *instance
 	var least int
 	for _, in := range p.usable {
-		if rack != "" && in.offer.Rack != rack || !p.book.suits(p.now, w, t, in) {
+		if rack != "" && in.offer.Rack != rack || !p.book.suits(w, t, in) {
 			continue
 		}
-		points := p.book.points(p.now, t.step, in)
+		points := p.book.points(t.step, in)
 		if slices.Contains(t.failedOn, in.offer.Life.ID) {
 			points += pointsFailed
 		}
@@ -175,7 +176,7 @@
 		if !fits(w, t, in) {
 			continue
 		}
-		rate := p.book.rate(p.now, t.step, in)
+		rate := p.book.rate(t.step, in)
 		if best == nil || rate > most || rate == most && in.fillRoom() > best.fillRoom() {
 			best, most = in, rate
 		}
@@ -185,8 +186,8 @@
 
 // suits tells whether a task may run on an instance, fits there and, if it fills, is
 // expected to get on there.
-func (b *Book) suits(now time.Time, w *work, t *task, in *instance) bool {
-	return fits(w, t, in) && (!t.step.Fills || b.rate(now, t.step, in) >= rateLeast)
+func (b *Book) suits(w *work, t *task, in *instance) bool {
+	return fits(w, t, in) && (!t.step.Fills || b.rate(t.step, in) >= rateLeast)
 }
 
 // fits tells whether a task may run on an instance and fits there.
@@ -211,7 +212,7 @@
 	return step.MostOnOne == 0 || in.of(t.name) < step.MostOnOne
 }
 
-func (b *Book) points(now time.Time, step *Step, in *instance) int {
+func (b *Book) points(step *Step, in *instance) int {
 	capacity := max(in.offer.Capacity.Processors, 1)
 	load := pointsLoad * in.used.Processors / capacity
 	points := pointsLoad * in.filled / capacity
@@ -220,9 +221,11 @@
 	}
 	switch {
 	case step.Fills:
-		points += load + int(pointsSlow*(1-b.rate(now, step, in)))
-		if in.serving > 0 {
-			points += pointsServing
+		points += load + int(pointsSlow*(1-b.rate(step, in)))
+		if in.serving == 0 {
+			points += pointsSpare
+		} else {
+			points += int(pointsDisturb * b.disturbance(step, in))
 		}
 	case step.Target > 0:
 		points -= 2 * load // the fullest that has room
--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -1,69 +1,69 @@
 package dispatch
 
-import "time"
-
 const (
-	// quietAt is the share of its target up to which a serving task's tail may be
-	// expected to rise beside a filling task that works at full pace.
-	quietAt = 0.6
-	// harmless is the rise of a tail, as a share of its target, that no placement depends
-	// on, as long as the tail is below loudAt.
-	harmless = 0.05
-	loudAt   = 0.8
+	// quietAt is the headroom that placements leave a serving task at the worst moment of
+	// its load.
+	quietAt = 1.15
+	// harmless is the loss of headroom that no placement depends on, as long as the task
+	// has loudAt at least.
+	harmless = 0.08
+	loudAt   = 1.05
 	// rateLeast is the share of its speed below which a filling task is not placed.
 	rateLeast = 0.75
-	// unmeasured is how long a filling task does not show in the figures of those beside
-	// it.
-	unmeasured = 900 * time.Millisecond
 )
 
 // rate is the share of its speed, 0 to 1, at which a filling task of a step is expected
 // to work on an instance: as far as processors are left, and as the serving tasks there
 // stay below their targets.
-func (b *Book) rate(now time.Time, step *Step, in *instance) float64 {
+func (b *Book) rate(step *Step, in *instance) float64 {
 	rate := 1.0
 	if need := step.Need.Processors; need > 0 {
 		rate = min(rate, float64(in.fillRoom())/float64(need))
 	}
-	if in.serving == 0 {
-		return max(rate, 0)
-	}
 	for name, p := range in.placements {
 		if !p.serves {
 			continue
 		}
-		more := b.rise(p.step.Image, step)
-		limit := quietAt
-		if more < harmless {
-			limit = loudAt
+		loss := b.loss(p.step.Image, step)
+		headroom, measured := in.headrooms[name]
+		if loss <= harmless && (!measured || headroom >= loudAt) {
+			continue
 		}
-		slack := limit - b.expectedTail(now, in, name, p)
-		if more > slack {
-			rate = min(rate, slack/max(more, harmless))
+		if slack := b.slack(in, name, p); loss > slack {
+			rate = min(rate, slack/max(loss, harmless))
 		}
 	}
 	return max(rate, 0)
 }
 
-// rise is what one task of a filling step adds to a serving image's tail, as a share of
-// its target.
-func (b *Book) rise(serving string, filling *Step) float64 {
+// loss is the headroom that one task of a filling step takes from a serving image.
+func (b *Book) loss(serving string, filling *Step) float64 {
 	return b.pairs.Cost(serving, filling.Image) * float64(filling.Need.Processors) / 1000
 }
 
-// expectedTail is the tail of a serving task as last measured, with what the filling
-// tasks add that were placed since.
-func (b *Book) expectedTail(now time.Time, in *instance, name TaskName, p *placement) float64 {
-	tail, measured := in.tails[name]
-	if !measured {
-		tail = b.pairs.Tail(p.step.Image)
-	}
+// slack is the headroom that a serving task can still lose, with the filling tasks beside
+// it at full pace and its load at its worst.
+func (b *Book) slack(in *instance, name TaskName, p *placement) float64 {
+	slack := b.pairs.Trough(p.step.Image, name.Job) - quietAt
 	for _, other := range in.placements {
-		if other.fills && now.Sub(other.since) < unmeasured {
-			tail += b.rise(p.step.Image, other.step)
+		if other.fills {
+			slack -= b.loss(p.step.Image, other.step)
+		}
+	}
+	return slack
+}
+
+// disturbance is the largest part of its slack that a filling task would take from a
+// serving one on an instance, 1 at most.
+func (b *Book) disturbance(step *Step, in *instance) float64 {
+	most := 0.0
+	for name, p := range in.placements {
+		if p.serves {
+			loss := b.loss(p.step.Image, step)
+			most = max(most, min(1, loss/max(b.slack(in, name, p), loss, harmless)))
 		}
 	}
-	return tail
+	return most
 }
 
 // otherImages counts the serving placements of other images.
--- a/internal/decision/interference/pacer.go
+++ b/internal/decision/interference/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -9,12 +10,12 @@
 const (
 	// fullPace is the pace, in percent, of a task that nobody slows.
 	fullPace = 100
-	// slowAt is the share of its target at which a serving task's tail makes filling
-	// tasks give way; they give way until it is expected at aimAt, and get more again as
-	// far as it is expected to stay below calmAt.
-	slowAt = 0.85
-	aimAt  = 0.65
-	calmAt = 0.75
+	// slowAt is the headroom below which filling tasks give way; they give way until it
+	// is expected at aimAt, and get more again as far as it is expected to stay above
+	// aimAt, once it is over calmAt.
+	slowAt = 1.15
+	aimAt  = 1.35
+	calmAt = 1.45
 	// patience is how long a serving task may be over its target until all filling
 	// tasks stand still, whatever is known of their images.
 	patience = 1200 * time.Millisecond
@@ -22,17 +23,17 @@
 	settleTime = 550 * time.Millisecond
 	// raiseMost is the most that a pace goes up at a time, in percent points, for an
 	// image that is known to cost something.
-	raiseMost = 25
+	raiseMost = 50
 	// raiseLeast is the least step that is worth an order.
 	raiseLeast = 4
 	// lightCost is the cost below which an image counts as harmless.
-	lightCost = 0.012
+	lightCost = 0.02
 )
 
 // Serving is a serving task's state.
 type Serving struct {
-	Image string
-	Tail  float64 // over the last moment, as a share of the target
+	Image    string
+	Headroom float64 // over the last moment
 }
 
 // Filling is what the filling tasks of one image use and ask for.
@@ -64,11 +65,8 @@
 // Observe takes the state of the serving tasks and of the filling ones by image, and
 // adjusts the paces. It tells whether any has changed.
 func (p *Pacer) Observe(now time.Time, serving []Serving, filling map[string]Filling) bool {
-	worst := 0.0
-	for _, s := range serving {
-		worst = max(worst, s.Tail)
-	}
-	if worst < 1 {
+	worst := Worst(serving)
+	if worst > 1 {
 		p.over = time.Time{}
 	} else if p.over.IsZero() {
 		p.over = now
@@ -82,14 +80,23 @@
 		return p.standStill(now, filling)
 	case now.Sub(p.changed) < settleTime:
 		return false
-	case worst >= slowAt:
+	case worst <= slowAt:
 		return p.lower(now, serving, filling)
-	case worst < calmAt:
+	case worst > calmAt:
 		return p.raise(now, serving, filling)
 	}
 	return false
 }
 
+// Worst is the least headroom of serving tasks.
+func Worst(serving []Serving) float64 {
+	worst := math.Inf(1)
+	for _, s := range serving {
+		worst = min(worst, s.Headroom)
+	}
+	return worst
+}
+
 func (p *Pacer) standStill(now time.Time, filling map[string]Filling) bool {
 	changed := false
 	for image := range filling {
@@ -107,13 +114,13 @@
 func (p *Pacer) lower(now time.Time, serving []Serving, filling map[string]Filling) bool {
 	changed := false
 	for _, s := range serving {
-		if s.Tail < slowAt {
+		if s.Headroom > slowAt {
 			continue
 		}
-		excess := s.Tail - aimAt
+		excess := aimAt - s.Headroom
 		for _, image := range p.byCost(s.Image, filling) {
 			pace := p.Pace(image)
-			share := p.pairs.Cost(s.Image, image) * filling[image].Cores // of the tail
+			share := p.pairs.Cost(s.Image, image) * filling[image].Cores // of the headroom
 			if excess <= 0 || share <= 0 || pace == 0 {
 				continue
 			}
@@ -191,8 +198,8 @@
 func (p *Pacer) step(image string, serving []Serving, asked float64) int {
 	step := float64(raiseMost)
 	for _, s := range serving {
-		if rise := p.pairs.Cost(s.Image, image) * asked; rise > 0 {
-			step = min(step, 100*(calmAt-s.Tail)/rise)
+		if loss := p.pairs.Cost(s.Image, image) * asked; loss > 0 {
+			step = min(step, 100*(s.Headroom-aimAt)/loss)
 		}
 	}
 	if step < raiseLeast {
--- a/internal/decision/interference/pairs.go
+++ b/internal/decision/interference/pairs.go
@@ -1,30 +1,52 @@
 package interference
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Headroom is a serving task's target as a multiple of its tail latency: 1 at the target,
+// 2 where the tail is half of it. As in a queue whose response time is 1/(1-load), it falls
+// by the same amount with each core that a filling image uses, so that costs add up.
+//
+//	in:  target 18 ms, tail 9 ms
+//	out: headroom 2
+func Headroom(target, tail float64) float64 { return target / max(tail, tailLeast) }
+
+// tailLeast is the shortest tail that is told from none, in ms.
+const tailLeast = 0.5
 
 const (
-	// unknownCost is what a filling image costs a serving one until it is learned, as a
-	// share of the target for each core.
-	unknownCost = 0.025
-	// unknownTail is the tail of a serving image on its own until it is learned, as a
-	// share of its target.
-	unknownTail = 0.45
-	// costRate and tailRate are the parts of an error that one sample corrects.
-	costRate = 0.3
-	tailRate = 0.05
-	// blameLeast is the part of the target by which a tail must be higher than expected
-	// until anything is blamed for it: the load of serving tasks swings.
-	blameLeast = 0.15
-	// blameMost bounds what is learned from one sample, since tails rise steeply near the
-	// limit.
-	blameMost = 1.0
-	// blameFloor is the cost that even an image known as harmless has when blame is
-	// shared, so that it can be found guilty later.
-	blameFloor = 0.002
+	// unknownCost is what a filling image costs a serving one until it is learned, in
+	// headroom for each core; costVariance is how far off that may be.
+	unknownCost  = 0.06
+	costVariance = 0.15 * 0.15
+	// unknownCalm is the headroom of a serving task alone until it is learned.
+	unknownCalm  = 2.2
+	calmVariance = 0.8 * 0.8
+	// calmDrift is the variance by which the headroom of a serving job alone changes in a
+	// second, since its load does; driftMost bounds it after a longer time.
+	calmDrift = 0.15
+	driftMost = calmVariance
+	// costDrift is the variance by which costs change with each sample.
+	costDrift = 1e-5
+	// sampleNoise is the variance of one sample's error: figures are rough and late.
+	sampleNoise = 0.08
+	// wildLimit is from how many standard deviations on a sample counts no further: a
+	// tail has other causes too, such as an instance that hangs.
+	wildLimit = 3
+	// choked is the headroom from which down samples say only that it is low.
+	choked = 0.2
 	// coresLeast is how much of an image must work for a sample to say something of it.
-	coresLeast = 0.5
-	// costMost bounds a cost.
-	costMost = 1.0
+	coresLeast = 0.3
+	// calmWindow is how long the lowest headroom of a job alone is remembered, in
+	// calmBuckets parts; loads swing up and down.
+	calmWindow  = 12 * time.Second
+	calmBuckets = 6
+	// unknownTrough is the lowest headroom that a job alone is expected to have until
+	// some of its swing has been seen.
+	unknownTrough = 1.6
 )
 
 // Pair is a serving image and a filling one that run on one instance.
@@ -33,118 +55,199 @@
 	Filling string `json:"f"`
 }
 
-// Weight is what a pair costs: the share of its target by which the serving image's
-// tail latency rises for each core that the filling image uses.
+// Weight is what a pair costs: the headroom that the serving image loses for each core
+// that the filling image uses.
 type Weight struct {
 	Pair
 	Cost float64 `json:"w"`
 }
 
-// Sample is the tail latency of a serving task over a moment, with the cores that each
-// filling image beside it used then.
+// Sample is the headroom of a serving job's tasks on one instance over a moment, with the
+// cores that each filling image beside them used then.
 type Sample struct {
-	Serving string
-	Tail    float64 // as a share of the target
-	Cores   map[string]float64
+	At       time.Time
+	Serving  string // image
+	Job      string
+	Headroom float64
+	Cores    map[string]float64
 }
 
-// Pairs learns what pairs of images cost. Each sample corrects the costs of what ran by
-// a part of the error, shared by what each image is believed to add (the exponentiated
-// gradient method, with a floor), since most pairs cost nothing and few cost much.
+// Pairs learns what pairs of images cost. The tasks of one serving job share their load,
+// which swings, so what differs between instances shows the costs: for each serving image
+// a filter estimates the costs of all filling images along with what each job would have
+// alone.
 type Pairs struct {
-	costs map[Pair]float64
-	tails map[string]float64
+	serving map[string]*servingImage
+}
+
+// servingImage is what is known of one serving image.
+type servingImage struct {
+	filter  filter
+	filling map[string]int // index of each filling image's cost
+	jobs    map[string]*calm
+	unused  []int // indexes of jobs that are over
+}
+
+// calm is a job's headroom without filling tasks.
+type calm struct {
+	index   int
+	seen    time.Time
+	bucket  int64                // the newest, by its number since the epoch
+	lowest  [calmBuckets]float64 // by number modulo calmBuckets
+	buckets int                  // that have been seen
 }
 
 // NewPairs makes a learner that knows nothing.
-func NewPairs() *Pairs { return &Pairs{costs: map[Pair]float64{}, tails: map[string]float64{}} }
+func NewPairs() *Pairs { return &Pairs{serving: map[string]*servingImage{}} }
+
+func (p *Pairs) of(serving string) *servingImage {
+	s := p.serving[serving]
+	if s == nil {
+		s = &servingImage{filling: map[string]int{}, jobs: map[string]*calm{}}
+		p.serving[serving] = s
+	}
+	return s
+}
 
 // Cost is what a pair costs, as far as is known.
 func (p *Pairs) Cost(serving, filling string) float64 {
-	if cost, known := p.costs[Pair{serving, filling}]; known {
-		return cost
+	if s := p.serving[serving]; s != nil {
+		if i, known := s.filling[filling]; known {
+			return max(s.filter.mean[i], 0)
+		}
 	}
 	return unknownCost
 }
 
-// Tail is the tail latency of a serving image on its own, as a share of its target.
-func (p *Pairs) Tail(serving string) float64 {
-	if tail, known := p.tails[serving]; known {
-		return tail
+// Trough is the lowest headroom that a serving job is expected to have alone over the
+// next seconds.
+func (p *Pairs) Trough(serving, job string) float64 {
+	s := p.serving[serving]
+	if s == nil || s.jobs[job] == nil {
+		return unknownTrough
+	}
+	c := s.jobs[job]
+	lowest := c.lowest[0]
+	if c.buckets < calmBuckets {
+		lowest = unknownTrough
+	}
+	for i, low := range c.lowest {
+		if c.buckets >= calmBuckets || int64(i) <= c.bucket%calmBuckets && int64(i) > c.bucket%calmBuckets-int64(c.buckets) {
+			lowest = min(lowest, low)
+		}
 	}
-	return unknownTail
+	return lowest
 }
 
 // Observe learns from a sample.
-func (p *Pairs) Observe(s Sample) {
-	expected, believed := p.Tail(s.Serving), 0.0
-	for filling, cores := range s.Cores {
-		if cores < coresLeast {
-			continue
+func (p *Pairs) Observe(sample Sample) {
+	s := p.of(sample.Serving)
+	c := s.job(sample.Job, sample.At)
+	parts := []part{{c.index, 1}}
+	for filling, cores := range sample.Cores {
+		if cores >= coresLeast {
+			index := s.cost(filling)
+			s.filter.spread(index, costDrift)
+			parts = append(parts, part{index, -cores})
 		}
-		expected += p.Cost(s.Serving, filling) * cores
-		believed += (p.Cost(s.Serving, filling) + blameFloor) * cores
 	}
-	wrong := min(s.Tail-expected, blameMost)
-	if believed == 0 {
-		p.tails[s.Serving] = min(max(p.Tail(s.Serving)+tailRate*wrong, 0), 1)
-		return
+	expected := s.filter.predict(parts)
+	if sample.Headroom > choked || expected > choked {
+		s.filter.observe(parts, sample.Headroom, sampleNoise, wildLimit)
 	}
-	if wrong > 0 {
-		wrong = max(wrong-blameLeast, 0)
+	for _, index := range s.filling {
+		s.filter.mean[index] = max(s.filter.mean[index], 0)
 	}
-	for filling, cores := range s.Cores {
-		if cores < coresLeast {
-			continue
+	c.note(sample.At, s.filter.mean[c.index])
+}
+
+// cost is the index of a filling image's cost.
+func (s *servingImage) cost(filling string) int {
+	index, known := s.filling[filling]
+	if !known {
+		index = s.filter.add(unknownCost, costVariance)
+		s.filling[filling] = index
+	}
+	return index
+}
+
+// job finds a job's estimate and lets it drift until now. Jobs that are over make room.
+func (s *servingImage) job(id string, now time.Time) *calm {
+	c := s.jobs[id]
+	if c != nil {
+		s.filter.spread(c.index, min(calmDrift*now.Sub(c.seen).Seconds(), driftMost))
+		c.seen = now
+		return c
+	}
+	for other, old := range s.jobs {
+		if now.Sub(old.seen) > calmWindow {
+			delete(s.jobs, other)
+			s.unused = append(s.unused, old.index)
 		}
-		cost := p.Cost(s.Serving, filling)
-		share := (cost + blameFloor) / believed // of the error, for each core
-		p.costs[Pair{s.Serving, filling}] = min(max(cost+costRate*wrong*share, 0), costMost)
 	}
+	c = &calm{seen: now}
+	if last := len(s.unused) - 1; last >= 0 {
+		c.index = s.unused[last]
+		s.unused = s.unused[:last]
+		s.filter.reset(c.index, unknownCalm, calmVariance)
+	} else {
+		c.index = s.filter.add(unknownCalm, calmVariance)
+	}
+	s.jobs[id] = c
+	return c
 }
 
-// Set takes a weight that was learned elsewhere.
-func (p *Pairs) Set(w Weight) { p.costs[w.Pair] = w.Cost }
+// note remembers the lowest headroom of each part of the window.
+func (c *calm) note(now time.Time, headroom float64) {
+	bucket := now.UnixNano() / int64(calmWindow/calmBuckets)
+	slot := &c.lowest[bucket%calmBuckets]
+	if bucket != c.bucket {
+		c.bucket = bucket
+		c.buckets = min(c.buckets+1, calmBuckets)
+		*slot = headroom
+	}
+	*slot = min(*slot, headroom)
+}
+
+// Set takes a weight that was learned elsewhere as certain.
+func (p *Pairs) Set(w Weight) {
+	s := p.of(w.Serving)
+	s.filter.reset(s.cost(w.Filling), w.Cost, costDrift)
+}
 
 // Learn takes a weight that was learned elsewhere, unless one is known.
 func (p *Pairs) Learn(w Weight) {
-	if _, known := p.costs[w.Pair]; !known {
-		p.Set(w)
+	s := p.of(w.Serving)
+	if _, known := s.filling[w.Filling]; !known {
+		s.filter.reset(s.cost(w.Filling), w.Cost, costVariance/learnedTrust)
 	}
 }
 
-// All lists all weights, in no order.
+// learnedTrust is how much less a weight learned elsewhere may be off than an unknown one.
+const learnedTrust = 4
+
+// All lists all weights, in order.
 func (p *Pairs) All() []Weight {
-	weights := make([]Weight, 0, len(p.costs))
-	for pair, cost := range p.costs {
-		weights = append(weights, Weight{pair, cost})
+	images := make([]string, 0, len(p.serving))
+	for image := range p.serving {
+		images = append(images, image)
 	}
-	return weights
+	return p.Of(images)
 }
 
 // Of lists the weights known of serving images, in order.
 func (p *Pairs) Of(serving []string) []Weight {
 	var weights []Weight
-	for pair, cost := range p.costs {
-		if slices.Contains(serving, pair.Serving) {
-			weights = append(weights, Weight{pair, cost})
+	for image, s := range p.serving {
+		if !slices.Contains(serving, image) {
+			continue
+		}
+		for filling, index := range s.filling {
+			weights = append(weights, Weight{Pair{image, filling}, max(s.filter.mean[index], 0)})
 		}
 	}
 	slices.SortFunc(weights, func(a, b Weight) int {
-		if a.Serving != b.Serving {
-			return compareText(a.Serving, b.Serving)
-		}
-		return compareText(a.Filling, b.Filling)
+		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filling, b.Filling))
 	})
 	return weights
 }
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/internal/decision/interference/pairs_test.go
+++ b/internal/decision/interference/pairs_test.go
@@ -1,53 +1,105 @@
 package interference
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 )
 
-// On a made instance, up to two tasks of four cores run of each of four images. Image h
-// costs image s a tenth of its target for each core, the others nothing.
+// Four instances with a task each of one serving job, whose load swings as the others'
+// does, and up to two filling tasks of four cores of each of four images, which come and
+// go. Image h costs 0.14 of the headroom for each core, the others nothing.
 func TestPairsTellHeavyFromLight(t *testing.T) {
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		pairs := NewPairs()
-		for range 80 {
-			cores := map[string]float64{}
-			for _, image := range []string{"h", "l", "m", "n"} {
-				cores[image] = 4 * float64(random.IntN(3))
+		cores := make([]map[string]float64, 4)
+		for step := range 40 { // ten seconds
+			now := time.Unix(0, 0).Add(time.Duration(step) * 250 * time.Millisecond)
+			alone := 2.6 + 0.9*math.Sin(2*math.Pi*float64(step)/40+float64(seed))
+			for i := range cores {
+				if (step+i)%8 == 0 {
+					cores[i] = map[string]float64{}
+					for _, image := range []string{"h", "l", "m", "n"} {
+						cores[i][image] = 4 * float64(random.IntN(3))
+					}
+				}
+				headroom := max(alone-0.14*cores[i]["h"]+0.2*(random.Float64()-0.5), 0.1)
+				pairs.Observe(Sample{At: now, Serving: "s", Job: "j", Headroom: headroom, Cores: cores[i]})
 			}
-			tail := 0.45 + 0.1*cores["h"] + 0.2*(random.Float64()-0.5)
-			pairs.Observe(Sample{Serving: "s", Tail: tail, Cores: cores})
+		}
+		if h := pairs.Cost("s", "h"); h < 0.1 || h > 0.18 {
+			t.Errorf("seed %d: the heavy image costs %.3f, 0.14 is true", seed, h)
 		}
 		for _, light := range []string{"l", "m", "n"} {
-			if h, l := pairs.Cost("s", "h"), pairs.Cost("s", light); h < 0.05 || l > 0.02 {
-				t.Errorf("seed %d: heavy costs %.3f and %s %.3f of the target for each core; 0.1 and 0 are true", seed, h, light, l)
+			if l := pairs.Cost("s", light); l > 0.03 {
+				t.Errorf("seed %d: the harmless image %s costs %.3f", seed, light, l)
+			}
+		}
+	}
+}
+
+// The lowest headroom of a swinging load is remembered over the swing, and forgotten
+// afterwards.
+func TestTroughFollowsTheSwing(t *testing.T) {
+	pairs := NewPairs()
+	now := time.Unix(0, 0)
+	feed := func(seconds int, headroom func(second float64) float64) {
+		for step := range seconds * 4 {
+			now = now.Add(250 * time.Millisecond)
+			pairs.Observe(Sample{At: now, Serving: "s", Job: "j", Headroom: headroom(float64(step) / 4)})
+		}
+	}
+	feed(20, func(second float64) float64 { return 2.6 + 0.9*math.Sin(2*math.Pi*second/10) })
+	if low := pairs.Trough("s", "j"); low < 1.5 || low > 2 {
+		t.Errorf("trough of a load that swings down to 1.7: %.2f", low)
+	}
+	feed(16, func(float64) float64 { return 3 })
+	if low := pairs.Trough("s", "j"); low < 2.7 {
+		t.Errorf("trough 16 s after the swing ended at 3: %.2f", low)
+	}
+}
+
+// One instance that hangs does not make a filling image on the others look heavy.
+func TestAHangingInstanceTeachesLittle(t *testing.T) {
+	pairs := NewPairs()
+	for step := range 40 {
+		now := time.Unix(0, 0).Add(time.Duration(step) * 250 * time.Millisecond)
+		for i := range 4 {
+			headroom, cores := 2.5, map[string]float64{"f": float64(4 * (i % 2))}
+			if i == 3 && step > 20 {
+				headroom = 0.05
 			}
+			pairs.Observe(Sample{At: now, Serving: "s", Job: "j", Headroom: headroom, Cores: cores})
 		}
 	}
+	// The image ran on the one that hangs and on one that does not.
+	if cost := pairs.Cost("s", "f"); cost > 0.35 {
+		t.Errorf("the image is believed to cost %.3f", cost)
+	}
 }
 
-// An instance whose serving task has a tail of 0.45 of its target and 0.15 more for each
-// core of the heavy image that works.
-func tailWith(pacer *Pacer, heavyCores float64) float64 {
-	return 0.45 + 0.15*heavyCores*float64(pacer.Pace("h"))/100
+// An instance whose serving task has a headroom of 2.2 and 0.3 less for each core of the
+// heavy image that works.
+func headroomWith(pacer *Pacer, heavyCores float64) float64 {
+	return max(2.2-0.3*heavyCores*float64(pacer.Pace("h"))/100, 0.05)
 }
 
 func TestPacerSlowsWhatIsHeavyOnly(t *testing.T) {
 	pairs := NewPairs()
-	pairs.Set(Weight{Pair{"s", "h"}, 0.15})
+	pairs.Set(Weight{Pair{"s", "h"}, 0.3})
 	pairs.Set(Weight{Pair{"s", "l"}, 0})
 	pacer := NewPacer(pairs)
 	now := time.Unix(0, 0)
 	over := time.Duration(0)
 	for range 40 {
 		now = now.Add(250 * time.Millisecond)
-		tail := tailWith(pacer, 7)
-		if tail > 1 {
+		headroom := headroomWith(pacer, 7)
+		if headroom < 1 {
 			over += 250 * time.Millisecond
 		}
-		pacer.Observe(now, []Serving{{"s", tail}}, map[string]Filling{"h": {7 * float64(pacer.Pace("h")) / 100, 7}, "l": {7, 7}})
+		pacer.Observe(now, []Serving{{"s", headroom}}, map[string]Filling{"h": {7 * float64(pacer.Pace("h")) / 100, 7}, "l": {7, 7}})
 	}
 	if over > time.Second {
 		t.Errorf("over the target for %v", over)
@@ -69,12 +121,12 @@
 	over, longest := time.Duration(0), time.Duration(0)
 	for range 40 {
 		now = now.Add(250 * time.Millisecond)
-		tail := tailWith(pacer, 7)
-		if over += 250 * time.Millisecond; tail <= 1 {
+		headroom := headroomWith(pacer, 7)
+		if over += 250 * time.Millisecond; headroom >= 1 {
 			over = 0
 		}
 		longest = max(longest, over)
-		pacer.Observe(now, []Serving{{"s", tail}}, map[string]Filling{"h": {7, 7}})
+		pacer.Observe(now, []Serving{{"s", headroom}}, map[string]Filling{"h": {7, 7}})
 	}
 	if longest > 2*time.Second {
 		t.Errorf("over the target for %v on end", longest)
@@ -84,7 +136,7 @@
 func TestPacerGivesBackWhatNobodyNeeds(t *testing.T) {
 	pacer := NewPacer(NewPairs())
 	now := time.Unix(0, 0)
-	pacer.Observe(now.Add(time.Second), []Serving{{"s", 1.6}}, map[string]Filling{"h": {7, 7}})
+	pacer.Observe(now.Add(time.Second), []Serving{{"s", 0.6}}, map[string]Filling{"h": {7, 7}})
 	if pacer.Pace("h") == 100 {
 		t.Fatal("nothing is slowed")
 	}
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -91,8 +91,8 @@
 	return link.Reported{Grant: t.grant(s, now).Milliseconds(), Kept: s.kept, Weights: s.news(t.book.Weights(id))}, nil
 }
 
-// weightNews is the change of a weight that an agent is told of.
-const weightNews = 0.01
+// weightNews is the change of a weight that an agent is told of, in headroom for each core.
+const weightNews = 0.02
 
 // news picks the weights that differ from what the agent was told.
 func (s *session) news(weights []interference.Weight) []interference.Weight {
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -50,7 +50,9 @@
 			if now.Sub(known.settled) < warmUp {
 				continue
 			}
-			serving = append(serving, interference.Serving{Image: known.order.Image, Tail: l.Figure / float64(known.order.Target)})
+			serving = append(serving, interference.Serving{
+				Image: known.order.Image, Headroom: interference.Headroom(float64(known.order.Target), l.Figure),
+			})
 		case known.order.Fills:
 			of := filling[known.order.Image]
 			of.Cores += l.Figure / 1000
@@ -63,20 +65,12 @@
 	}
 	if p.decides.Observe(now, serving, filling) {
 		for image, of := range filling {
-			r.log.Info("pace", zap.String("image", image), zap.Int("percent", p.decides.Pace(image)), zap.Float64("cores", of.Cores), zap.Float64("tail", worstTail(serving)))
+			r.log.Info("pace", zap.String("image", image), zap.Int("percent", p.decides.Pace(image)), zap.Float64("cores", of.Cores), zap.Float64("headroom", interference.Worst(serving)))
 		}
 	}
 	p.apply(r, running)
 }
 
-func worstTail(serving []interference.Serving) float64 {
-	worst := 0.0
-	for _, s := range serving {
-		worst = max(worst, s.Tail)
-	}
-	return worst
-}
-
 // apply orders the paces that runs do not have yet.
 func (p *pacer) apply(r *Runner, running []Listed) {
 	present := make(map[dispatch.TaskName]bool, len(running))
