A stop is repeated in the agent's next session

Reading the path of a stop shows one way to that: an order sent in a session that ends is void, and the list of the next session found the run marked as stopping already, so nothing was sent again. A test of the book fails before and passes after.

Ruled out: the cancellation itself (the row was read and the job's other tasks stopped).

--- a/internal/decision/dispatch/book_test.go
+++ b/internal/decision/dispatch/book_test.go
@@ -363,3 +363,19 @@
 		}
 	}
 }
+
+// Orders of a session that has ended may be lost, so a run that is to stop and is listed
+// in the next session is stopped again.
+func TestAStopIsRepeatedInTheNextSession(t *testing.T) {
+	b := bookWith(offerOf("a", 8))
+	b.Accept(began, jobOf("j", stepOf(1, 1)), nil)
+	expect(t, "starts", len(b.Plan(at(0))), 1)
+	b.Cancel("j")
+	expect(t, "stops", len(b.TakeStops()), 1)
+	for _, c := range b.Dirty(10) {
+		b.Kept(c)
+	}
+	b.Attach(at(1), offerOf("a", 8))
+	b.List(at(1), Life{"a", 1}, []Listed{{Task: TaskName{"j", 0, 0, 0}, Run: 1}})
+	expect(t, "stops after the next list", len(b.TakeStops()), 1)
+}
--- a/internal/decision/dispatch/lists.go
+++ b/internal/decision/dispatch/lists.go
@@ -132,6 +132,11 @@
 func (b *Book) seen(now time.Time, in *instance, r Listed) {
 	if p, ok := in.placements[r.Task]; ok && p.run == r.Run {
 		p.process = in.offer.Process
+		if p.stopping { // the order may have been lost with the last session
+			p.stopping = false
+			b.stop(in, p)
+			return
+		}
 		if t := b.find(r.Task); t != nil && t.instance == in.offer.Life.ID && t.run == r.Run && r.Saved != "" {
 			t.saved = r.Saved
 		}
