Costs of pairs: cores lag as tails do, surely known costs, room kept for others

Lists read one by one show that a filling task's cores appear in full 60 ms after its start while the tail beside it takes 0.3 to 1.5 s to rise and fall, so the filter saw effects without causes.

Change: the cores of a sample follow the measured ones with a lag of 400 ms; the error of a sample has the part that whole milliseconds make; costs are used less their standard deviation; troughs are means of 2 s, and at least 1.2; a filling task that disturbs nobody leaves instances alone that are open to images which others would disturb; serving tasks of several images share an instance less often.

Ruled out: leaving samples out while something has just started (busy instances would have none).

What is learned is lost when all processes die: next.

--- a/internal/decision/dispatch/figures.go
+++ b/internal/decision/dispatch/figures.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/interference"
@@ -12,6 +13,9 @@
 	// samplePeriod is the least time between two samples of an instance: a figure is of
 	// the last half second.
 	samplePeriod = 250 * time.Millisecond
+	// tailLag is how long a tail takes to follow the cores that filling tasks use: it is
+	// taken over a moment, and queues have to drain.
+	tailLag = 400 * time.Millisecond
 )
 
 // Measured takes the figures of an instance and learns from them what filling images
@@ -34,24 +38,47 @@
 			p.measured(now, figure.Value)
 		}
 	}
-	if now.Sub(in.sampled) < samplePeriod {
+	since := now.Sub(in.sampled)
+	if since < samplePeriod {
 		return
 	}
 	in.sampled = now
+	in.smooth(cores, since)
 	for _, sample := range in.samples(now) {
-		sample.Cores = cores
+		sample.Cores = in.cores
 		b.pairs.Observe(sample)
 	}
 }
 
+// smooth has the cores of each filling image follow those that were measured, as slowly as
+// tails do.
+func (in *instance) smooth(measured map[string]float64, since time.Duration) {
+	part := 1 - math.Exp(-since.Seconds()/tailLag.Seconds())
+	smoothed := map[string]float64{}
+	for image, cores := range in.cores {
+		if left := cores * (1 - part); left > coresLeast {
+			smoothed[image] = left
+		}
+	}
+	for image, cores := range measured {
+		smoothed[image] += cores * part
+	}
+	in.cores = smoothed
+}
+
+// coresLeast is how many cores of an image count as none.
+const coresLeast = 0.1
+
 // samples are the mean headrooms of the serving tasks of each job on an instance.
 func (in *instance) samples(now time.Time) []interference.Sample {
 	type job struct{ image, id string }
 	sums := map[job][]float64{}
+	targets := map[job]float64{}
 	for name, headroom := range in.headrooms {
 		if p := in.placements[name]; now.Sub(p.since) >= warmUp {
 			of := job{p.step.Image, name.Job}
 			sums[of] = append(sums[of], headroom)
+			targets[of] = float64(p.step.Target)
 		}
 	}
 	samples := make([]interference.Sample, 0, len(sums))
@@ -60,8 +87,9 @@
 		for _, headroom := range headrooms {
 			sum += headroom
 		}
+		headroom := sum / float64(len(headrooms))
 		samples = append(samples, interference.Sample{
-			At: now, Serving: of.image, Job: of.id, Headroom: sum / float64(len(headrooms)),
+			At: now, Serving: of.image, Job: of.id, Headroom: headroom, Step: headroom * headroom / targets[of],
 		})
 	}
 	return samples
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -97,6 +97,7 @@
 	serving    int                  // placements that serve users of their own
 	headrooms  map[TaskName]float64 // of serving tasks, as last measured
 	sampled    time.Time            // when the last sample was taken of them
+	cores      map[string]float64   // that filling images used then, smoothed
 	fails      int                  // failed ends in a row, of distinct jobs
 	failedJob  string
 	avoidUntil time.Time
@@ -110,7 +111,7 @@
 // renew takes that another life has begun under the same ID.
 func (in *instance) renew() {
 	in.renewed, in.registered, in.asked, in.synced = true, false, false, false
-	in.headrooms = nil
+	in.headrooms, in.cores = nil, nil
 }
 
 func (in *instance) usable(now time.Time) bool {
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -25,17 +25,17 @@
 	pointsFailed  = 600  // where the task has failed before
 	pointsLoad    = 100  // an instance whose processors are all taken
 	pointsDisturb = 300  // a filling task that takes all the headroom of a serving one
-	pointsSpare   = 60   // a filling task where nothing serves, which others may need more
+	pointsOpen    = 100  // a filling task where any other would disturb nobody either
 	pointsSlow    = 400  // a filling task that would stand still
 	pointsApart   = 300  // a serving task where none serves yet
-	pointsMixed   = 60   // a serving task beside one of another image
+	pointsMixed   = 120  // a serving task beside one of another image
 )
 
 // Plan decides what starts now. The room is taken at once; what turns out not to
 // have started gives it back by its end.
 func (b *Book) Plan(now time.Time) []Start {
 	b.evacuate(now)
-	p := planner{book: b, now: now}
+	p := planner{book: b, now: now, open: map[*instance]float64{}}
 	for _, in := range b.instances {
 		if in.usable(now) {
 			p.usable = append(p.usable, in)
@@ -45,6 +45,10 @@
 		return nil
 	}
 	slices.SortFunc(p.usable, func(a, c *instance) int { return cmp.Compare(a.offer.Life.ID, c.offer.Life.ID) })
+	p.filling = b.pairs.Filling()
+	for _, in := range p.usable {
+		p.open[in] = p.openness(in)
+	}
 	p.rescue()
 	for _, w := range b.byUrgency(now) {
 		for _, o := range w.occurrences {
@@ -62,6 +66,10 @@
 	now    time.Time
 	usable []*instance
 	starts []Start
+	// filling are the filling images known, and open the share of them that disturbs
+	// nothing on an instance.
+	filling []string
+	open    map[*instance]float64
 }
 
 func (p *planner) occurrence(w *work, o *occurrence) {
@@ -156,7 +164,7 @@
 		if rack != "" && in.offer.Rack != rack || !p.book.suits(w, t, in) {
 			continue
 		}
-		points := p.book.points(t.step, in)
+		points := p.points(t.step, in)
 		if slices.Contains(t.failedOn, in.offer.Life.ID) {
 			points += pointsFailed
 		}
@@ -212,7 +220,8 @@
 	return step.MostOnOne == 0 || in.of(t.name) < step.MostOnOne
 }
 
-func (b *Book) points(step *Step, in *instance) int {
+func (p *planner) points(step *Step, in *instance) int {
+	b := p.book
 	capacity := max(in.offer.Capacity.Processors, 1)
 	load := pointsLoad * in.used.Processors / capacity
 	points := pointsLoad * in.filled / capacity
@@ -222,11 +231,7 @@
 	switch {
 	case step.Fills:
 		points += load + int(pointsSlow*(1-b.rate(step, in)))
-		if in.serving == 0 {
-			points += pointsSpare
-		} else {
-			points += int(pointsDisturb * b.disturbance(step, in))
-		}
+		points += int(pointsDisturb*b.disturbance(step, in) + pointsOpen*p.open[in])
 	case step.Target > 0:
 		points -= 2 * load // the fullest that has room
 		if in.serving == 0 {
--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -66,6 +66,30 @@
 	return most
 }
 
+// openness is the share of the filling images that would disturb nothing on an instance.
+func (p *planner) openness(in *instance) float64 {
+	if in.serving == 0 {
+		return 1
+	}
+	images := map[string]bool{}
+	for _, placed := range in.placements {
+		if placed.serves {
+			images[placed.step.Image] = true
+		}
+	}
+	open := 0
+	for _, filling := range p.filling {
+		harmless := true
+		for serving := range images {
+			harmless = harmless && p.book.pairs.Harmless(serving, filling)
+		}
+		if harmless {
+			open++
+		}
+	}
+	return float64(open) / float64(max(len(p.filling), 1))
+}
+
 // otherImages counts the serving placements of other images.
 func (in *instance) otherImages(image string) int {
 	count := 0
--- a/internal/decision/interference/pairs.go
+++ b/internal/decision/interference/pairs.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,8 +33,11 @@
 	driftMost = calmVariance
 	// costDrift is the variance by which costs change with each sample.
 	costDrift = 1e-5
-	// sampleNoise is the variance of one sample's error: figures are rough and late.
-	sampleNoise = 0.08
+	// sampleNoise is the variance of one sample's error, beside that of its resolution:
+	// figures are rough and late.
+	sampleNoise = 0.03
+	// stepVariance is the square of a step over the variance of rounding to it.
+	stepVariance = 12
 	// wildLimit is from how many standard deviations on a sample counts no further: a
 	// tail has other causes too, such as an instance that hangs.
 	wildLimit = 3
@@ -42,11 +47,14 @@
 	coresLeast = 0.3
 	// calmWindow is how long the lowest headroom of a job alone is remembered, in
 	// calmBuckets parts; loads swing up and down.
-	calmWindow  = 12 * time.Second
-	calmBuckets = 6
+	calmWindow  = 14 * time.Second
+	calmBuckets = 7
 	// unknownTrough is the lowest headroom that a job alone is expected to have until
 	// some of its swing has been seen.
 	unknownTrough = 1.6
+	// troughLeast is the lowest headroom that a job is taken to have alone: targets are
+	// such that they can be met.
+	troughLeast = 1.2
 )
 
 // Pair is a serving image and a filling one that run on one instance.
@@ -69,7 +77,9 @@
 	Serving  string // image
 	Job      string
 	Headroom float64
-	Cores    map[string]float64
+	// Step is the change of the headroom that the tail's unit makes, as tails are whole ms.
+	Step  float64
+	Cores map[string]float64
 }
 
 // Pairs learns what pairs of images cost. The tasks of one serving job share their load,
@@ -90,11 +100,46 @@
 
 // calm is a job's headroom without filling tasks.
 type calm struct {
-	index   int
-	seen    time.Time
-	bucket  int64                // the newest, by its number since the epoch
-	lowest  [calmBuckets]float64 // by number modulo calmBuckets
-	buckets int                  // that have been seen
+	index  int
+	seen   time.Time
+	parts  [calmBuckets]mean // of the window, by their number modulo calmBuckets
+	bucket int64             // number of the newest part
+}
+
+// mean is the mean of some values.
+type mean struct {
+	sum   float64
+	count int
+}
+
+func (m mean) value() float64 { return m.sum / float64(m.count) }
+
+// note takes the headroom of a moment into its part of the window.
+func (c *calm) note(now time.Time, headroom float64) {
+	bucket := now.UnixNano() / int64(calmWindow/calmBuckets)
+	for ; c.bucket < bucket; c.bucket++ {
+		if bucket-c.bucket > calmBuckets {
+			c.bucket = bucket - calmBuckets
+		}
+		c.parts[(c.bucket+1)%calmBuckets] = mean{}
+	}
+	part := &c.parts[bucket%calmBuckets]
+	part.sum += headroom
+	part.count++
+}
+
+// trough is the lowest mean of the parts of the window, and no higher than what is
+// expected of an unknown job until all of it has been seen.
+func (c *calm) trough() float64 {
+	lowest := math.Inf(1)
+	for _, part := range c.parts {
+		if part.count == 0 {
+			lowest = min(lowest, unknownTrough)
+			continue
+		}
+		lowest = min(lowest, part.value())
+	}
+	return max(lowest, troughLeast)
 }
 
 // NewPairs makes a learner that knows nothing.
@@ -109,34 +154,47 @@
 	return s
 }
 
-// Cost is what a pair costs, as far as is known.
+// Cost is what a pair costs, as far as is known: at least so much, once it is learned,
+// since most pairs cost nothing.
 func (p *Pairs) Cost(serving, filling string) float64 {
 	if s := p.serving[serving]; s != nil {
-		if i, known := s.filling[filling]; known {
-			return max(s.filter.mean[i], 0)
+		if index, known := s.filling[filling]; known {
+			return s.surely(index)
 		}
 	}
 	return unknownCost
 }
 
+// Harmless tells whether a filling image is known to cost a serving one next to nothing.
+func (p *Pairs) Harmless(serving, filling string) bool { return p.Cost(serving, filling) < lightCost }
+
+// Filling lists the filling images of which something is known, in order.
+func (p *Pairs) Filling() []string {
+	known := map[string]bool{}
+	for _, s := range p.serving {
+		for image := range s.filling {
+			known[image] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(known))
+}
+
+// surely is a cost less its standard deviation, the more so the more is known of it.
+func (s *servingImage) surely(index int) float64 {
+	variance := s.filter.cov[index][index]
+	learned := max(1-variance/costVariance, 0)
+	return max(s.filter.mean[index]-learned*math.Sqrt(variance), 0)
+}
+
 // Trough is the lowest headroom that a serving job is expected to have alone over the
 // next seconds.
 func (p *Pairs) Trough(serving, job string) float64 {
-	s := p.serving[serving]
-	if s == nil || s.jobs[job] == nil {
-		return unknownTrough
-	}
-	c := s.jobs[job]
-	lowest := c.lowest[0]
-	if c.buckets < calmBuckets {
-		lowest = unknownTrough
-	}
-	for i, low := range c.lowest {
-		if c.buckets >= calmBuckets || int64(i) <= c.bucket%calmBuckets && int64(i) > c.bucket%calmBuckets-int64(c.buckets) {
-			lowest = min(lowest, low)
+	if s := p.serving[serving]; s != nil {
+		if c := s.jobs[job]; c != nil {
+			return c.trough()
 		}
 	}
-	return lowest
+	return unknownTrough
 }
 
 // Observe learns from a sample.
@@ -153,7 +211,7 @@
 	}
 	expected := s.filter.predict(parts)
 	if sample.Headroom > choked || expected > choked {
-		s.filter.observe(parts, sample.Headroom, sampleNoise, wildLimit)
+		s.filter.observe(parts, sample.Headroom, sampleNoise+sample.Step*sample.Step/stepVariance, wildLimit)
 	}
 	for _, index := range s.filling {
 		s.filter.mean[index] = max(s.filter.mean[index], 0)
@@ -197,18 +255,6 @@
 	return c
 }
 
-// note remembers the lowest headroom of each part of the window.
-func (c *calm) note(now time.Time, headroom float64) {
-	bucket := now.UnixNano() / int64(calmWindow/calmBuckets)
-	slot := &c.lowest[bucket%calmBuckets]
-	if bucket != c.bucket {
-		c.bucket = bucket
-		c.buckets = min(c.buckets+1, calmBuckets)
-		*slot = headroom
-	}
-	*slot = min(*slot, headroom)
-}
-
 // Set takes a weight that was learned elsewhere as certain.
 func (p *Pairs) Set(w Weight) {
 	s := p.of(w.Serving)
@@ -243,7 +289,7 @@
 			continue
 		}
 		for filling, index := range s.filling {
-			weights = append(weights, Weight{Pair{image, filling}, max(s.filter.mean[index], 0)})
+			weights = append(weights, Weight{Pair{image, filling}, s.surely(index)})
 		}
 	}
 	slices.SortFunc(weights, func(a, b Weight) int {
