What is known of image pairs is kept in the table

Change: one row, written with a commit at most every 2 s and only when it changed, read at the begin of a term. Agents no longer carry weights to a new owner: one path less.

Ruled out: a row for each pair (700 pairs fit in one).

--- a/internal/decision/dispatch/figures.go
+++ b/internal/decision/dispatch/figures.go
@@ -105,12 +105,11 @@
 	}
 }
 
-// Learn takes weights that were learned under an earlier owner.
-func (b *Book) Learn(weights []interference.Weight) {
-	for _, weight := range weights {
-		b.pairs.Learn(weight)
-	}
-}
+// Learn takes what was learned of the costs of image pairs under earlier owners.
+func (b *Book) Learn(estimates []interference.Estimate) { b.pairs.Learn(estimates) }
+
+// Estimates are what is known of the costs of at most so many image pairs.
+func (b *Book) Estimates(most int) []interference.Estimate { return b.pairs.Estimates(most) }
 
 // Weights are what is known of the serving images on an instance.
 func (b *Book) Weights(id string) []interference.Weight {
--- a/internal/decision/interference/pairs.go
+++ b/internal/decision/interference/pairs.go
@@ -261,24 +261,35 @@
 	s.filter.reset(s.cost(w.Filling), w.Cost, costDrift)
 }
 
-// Learn takes a weight that was learned elsewhere, unless one is known.
-func (p *Pairs) Learn(w Weight) {
-	s := p.of(w.Serving)
-	if _, known := s.filling[w.Filling]; !known {
-		s.filter.reset(s.cost(w.Filling), w.Cost, costVariance/learnedTrust)
-	}
+// Estimate is all that is known of a pair, to be kept and learned again.
+type Estimate struct {
+	Pair
+	Mean      float64 `json:"m"` // headroom for each core
+	Deviation float64 `json:"d"` // standard deviation of the mean's error
 }
 
-// learnedTrust is how much less a weight learned elsewhere may be off than an unknown one.
-const learnedTrust = 4
+// Estimates lists what is known of at most so many pairs, the surest first.
+func (p *Pairs) Estimates(most int) []Estimate {
+	var known []Estimate
+	for image, s := range p.serving {
+		for filling, index := range s.filling {
+			known = append(known, Estimate{Pair{image, filling}, s.filter.mean[index], math.Sqrt(max(s.filter.cov[index][index], 0))})
+		}
+	}
+	slices.SortFunc(known, func(a, b Estimate) int {
+		return cmp.Or(cmp.Compare(a.Deviation, b.Deviation), cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filling, b.Filling))
+	})
+	return known[:min(len(known), most)]
+}
 
-// All lists all weights, in order.
-func (p *Pairs) All() []Weight {
-	images := make([]string, 0, len(p.serving))
-	for image := range p.serving {
-		images = append(images, image)
+// Learn takes estimates that were made before, of pairs of which nothing is known yet.
+func (p *Pairs) Learn(estimates []Estimate) {
+	for _, e := range estimates {
+		s := p.of(e.Serving)
+		if _, known := s.filling[e.Filling]; !known {
+			s.filter.reset(s.cost(e.Filling), e.Mean, min(e.Deviation*e.Deviation, costVariance))
+		}
 	}
-	return p.Of(images)
 }
 
 // Of lists the weights known of serving images, in order.
--- a/internal/decision/interference/pairs_test.go
+++ b/internal/decision/interference/pairs_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// What one owner has learned serves the next as it did the first.
+func TestEstimatesAreLearnedAgain(t *testing.T) {
+	first := NewPairs()
+	for step := range 80 {
+		now := time.Unix(0, 0).Add(time.Duration(step) * 250 * time.Millisecond)
+		cores := float64(4 * (step / 8 % 2))
+		first.Observe(Sample{At: now, Serving: "s", Job: "j", Headroom: 3 - 0.2*cores, Cores: map[string]float64{"h": cores, "l": 4 - cores}})
+	}
+	next := NewPairs()
+	next.Learn(first.Estimates(10))
+	for _, image := range []string{"h", "l"} {
+		if had, has := first.Cost("s", image), next.Cost("s", image); math.Abs(had-has) > 1e-9 {
+			t.Errorf("image %s cost %.3f and costs %.3f now", image, had, has)
+		}
+	}
+	if known := first.Estimates(1); len(known) != 1 {
+		t.Errorf("%d estimates of at most 1", len(known))
+	}
+}
+
 // An instance whose serving task has a headroom of 2.2 and 0.3 less for each core of the
 // heavy image that works.
 func headroomWith(pacer *Pacer, heavyCores float64) float64 {
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -38,8 +38,6 @@
 type Attach struct {
 	Offer   dispatch.Offer `json:"offer"`
 	Session uint64         `json:"session"` // grows with each attach of this agent
-	// Weights are what earlier owners have told the agent, for one that knows nothing.
-	Weights []interference.Weight `json:"weights,omitempty"`
 }
 
 // Attached answers an Attach. Epoch is the fencing token of the owner's orders.
--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -29,6 +29,7 @@
 	}
 	b := &batch{change: table.Change{Expected: []table.Expected{t.guard()}}}
 	t.putAlive(b)
+	t.putCosts(b)
 	change := b.change
 	began := time.Now()
 	t.seat.loop.Go(func() {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -102,6 +102,7 @@
 	}
 	t.putSubmits(b)
 	t.putAlive(b)
+	t.putCosts(b)
 	t.apply(b)
 }
 
@@ -183,7 +184,7 @@
 	t.commitTrouble.Note(nil)
 	t.confirmed = maxTime(t.confirmed, b.began)
 	for _, set := range b.change.Sets {
-		if set.Place != alivePlace() && !strings.HasSuffix(set.Key, suffixJob) {
+		if set.Place != alivePlace() && set.Place != costsPlace() && !strings.HasSuffix(set.Key, suffixJob) {
 			t.versions[set.Place] = version
 		}
 	}
--- /dev/null
+++ b/internal/owner/costs_test.go
@@ -0,0 +1,59 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/decision/interference"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+)
+
+func termOf(estimates []interference.Estimate) *term {
+	t := &term{book: dispatch.New(1, 1), log: zap.NewNop()}
+	t.book.Learn(estimates)
+	return t
+}
+
+// What one term writes of the costs of image pairs, the next one learns; a row that can't
+// be read changes nothing.
+func TestCostsPassFromTermToTerm(t *testing.T) {
+	known := []interference.Estimate{{Pair: interference.Pair{Serving: "s", Filling: "f"}, Mean: 0.1, Deviation: 0.01}}
+	first, b := termOf(known), &batch{}
+	first.putCosts(b)
+	if len(b.change.Sets) != 1 {
+		t.Fatalf("%d rows written, want 1", len(b.change.Sets))
+	}
+	next := termOf(nil)
+	next.takeCosts([]table.Cell{{Place: costsPlace(), Value: []byte("no list")}, {Place: costsPlace(), Value: b.change.Sets[0].Value}})
+	if diff := cmp.Diff(known, next.book.Estimates(costsMost)); diff != "" {
+		t.Errorf("learned (-want +got):\n%s", diff)
+	}
+}
+
+func TestCostsAreWrittenWhenTheyChangeAndNotTooOften(t *testing.T) {
+	estimate := func(filling string) []interference.Estimate {
+		return []interference.Estimate{{Pair: interference.Pair{Serving: "s", Filling: filling}, Mean: 0.1, Deviation: 0.01}}
+	}
+	of := termOf(estimate("f"))
+	steps := []struct {
+		name    string
+		prepare func()
+		want    int
+	}{
+		{"at first", func() {}, 1},
+		{"unchanged, later", func() { of.costsAt = time.Now().Add(-costsPeriod) }, 0},
+		{"changed, too early", func() { of.book.Learn(estimate("g")) }, 0},
+		{"changed, later", func() { of.costsAt = time.Now().Add(-costsPeriod) }, 1},
+	}
+	for _, step := range steps {
+		step.prepare()
+		b := &batch{}
+		of.putCosts(b)
+		if got := len(b.change.Sets); got != step.want {
+			t.Errorf("%s: %d rows written, want %d", step.name, got, step.want)
+		}
+	}
+}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -19,6 +19,7 @@
 	tableAlive     = "alive"     // key 0: written again and again by the owner
 	tableJobs      = "jobs"      // ID/job, ID/progress, ID/cancel
 	tableInstances = "instances" // life ID: what may run tasks
+	tableCosts     = "costs"     // key 0: what is known of the costs of image pairs
 	keyOwner       = "0"
 	suffixJob      = "/job"
 	suffixProgress = "/progress"
@@ -42,6 +43,8 @@
 
 func alivePlace() table.Place { return table.Place{Table: tableAlive, Part: shardPart, Key: keyOwner} }
 
+func costsPlace() table.Place { return table.Place{Table: tableCosts, Part: shardPart, Key: keyOwner} }
+
 func jobPlace(id, suffix string) table.Place {
 	return table.Place{Table: tableJobs, Part: shardPart, Key: id + suffix}
 }
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -27,7 +27,6 @@
 		t.risky[id] = time.Now().Add(link.RebornRisk)
 	}
 	t.book.Attach(time.Now(), a.Offer)
-	t.book.Learn(a.Weights)
 	t.book.Reachable(id, false) // until its list is here
 	s := &session{peer: peer, number: a.Session, life: a.Offer.Life, granted: time.Now(), told: map[interference.Pair]float64{}}
 	t.sessions[id] = s
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -91,6 +91,8 @@
 	planDue    bool
 	// commitTrouble logs commits that were not answered.
 	commitTrouble *logs.Trouble
+	costs         []interference.Estimate // as last written
+	costsAt       time.Time
 	feed          uint64
 	beat          uint64
 	stop          context.CancelFunc
@@ -143,9 +145,9 @@
 	t.seat.loop.Go(func() {
 		for t.ctx.Err() == nil {
 			began := time.Now()
-			instances, jobs, version, err := t.read()
+			left, err := t.read()
 			if err == nil {
-				t.post(func() { t.open(instances, jobs, version, began) })
+				t.post(func() { t.open(left, began) })
 				return
 			}
 			t.log.Warn("load-failed", logs.Error(err))
@@ -154,20 +156,30 @@
 	})
 }
 
-func (t *term) read() (instances, jobs []table.Cell, version uint64, err error) {
+// legacy is what earlier owners left in the table.
+type legacy struct {
+	instances, costs, jobs []table.Cell
+	version                uint64 // that the jobs were read at
+}
+
+func (t *term) read() (left legacy, err error) {
 	bounded, cancel := context.WithTimeout(t.ctx, callMost)
 	defer cancel()
-	instances, _, err = t.seat.store.Read(bounded, table.Range{Table: tableInstances, Part: shardPart})
-	if err != nil {
-		return nil, nil, 0, err
+	read := func(name string) (rows []table.Cell, version uint64) {
+		if err == nil {
+			rows, version, err = t.seat.store.Read(bounded, table.Range{Table: name, Part: shardPart})
+		}
+		return rows, version
 	}
-	jobs, version, err = t.seat.store.Read(bounded, table.Range{Table: tableJobs, Part: shardPart})
-	return instances, jobs, version, err
+	left.instances, _ = read(tableInstances)
+	left.costs, _ = read(tableCosts)
+	left.jobs, left.version = read(tableJobs)
+	return left, err
 }
 
 // open begins the work of the term with what the table holds.
-func (t *term) open(instances, jobs []table.Cell, version uint64, began time.Time) {
-	for _, row := range instances {
+func (t *term) open(left legacy, began time.Time) {
+	for _, row := range left.instances {
 		var offer dispatch.Offer
 		if err := json.Unmarshal(row.Value, &offer); err != nil {
 			t.log.Warn("row-ignored", zap.String("key", row.Key), logs.Error(err))
@@ -177,9 +189,10 @@
 		t.book.Doubt(offer)
 		t.lapses[offer.Life.ID] = t.claimed.Add(doubtWait)
 	}
-	t.takeRows(jobs)
-	t.feed, t.loaded, t.confirmed = version, true, began
-	t.log.Info("term", zap.Int("instances", len(instances)), zap.Int("rows", len(jobs)), zap.Duration("took", time.Since(t.claimed)))
+	t.takeCosts(left.costs)
+	t.takeRows(left.jobs)
+	t.feed, t.loaded, t.confirmed = left.version, true, began
+	t.log.Info("term", zap.Int("instances", len(left.instances)), zap.Int("rows", len(left.jobs)), zap.Duration("took", time.Since(t.claimed)))
 	t.run(catchUpPeriod, t.catchUp)
 	t.run(tickPeriod, t.tick)
 	t.wake()
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -117,7 +117,7 @@
 	err := r.loop.Do(func() {
 		r.endSession()
 		r.number++
-		request = link.Attach{Offer: *r.offer, Session: r.number, Weights: r.pacer.pairs.All()}
+		request = link.Attach{Offer: *r.offer, Session: r.number}
 	})
 	if err != nil {
 		return nil, err
