Serving tasks are moved off an instance for filling tasks that starve

Change: when tasks that are in time find no place, the instance that opens to most of them for the fewest serving tasks (three at most) gives these up, if they fit elsewhere without closing anything; one instance every 1.5 s, and none while a lasting task is on its way. Steps that bound how many of their tasks may be away are never touched.

Ruled out: moving along with the arrival of each job (costs are not known then).

--- a/internal/decision/dispatch/book.go
+++ b/internal/decision/dispatch/book.go
@@ -43,6 +43,7 @@
 	stops     []Stop
 	changes   []InstanceChange
 	pairs     *interference.Pairs
+	regrouped time.Time // when serving tasks were last moved for filling ones
 }
 
 // finished is a job whose last state is kept. Runs of it may still be stopping, so
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -35,7 +35,7 @@
 // have started gives it back by its end.
 func (b *Book) Plan(now time.Time) []Start {
 	b.evacuate(now)
-	p := planner{book: b, now: now, open: map[*instance]float64{}}
+	p := planner{book: b, now: now, open: map[*instance]float64{}, starving: map[string]int{}}
 	for _, in := range b.instances {
 		if in.usable(now) {
 			p.usable = append(p.usable, in)
@@ -57,6 +57,7 @@
 			}
 		}
 	}
+	p.regroup()
 	return p.starts
 }
 
@@ -70,6 +71,9 @@
 	// nothing on an instance.
 	filling []string
 	open    map[*instance]float64
+	// starving is what the tasks ask for, by filling image, that are in time and find no
+	// place, in thousandths of a core.
+	starving map[string]int
 }
 
 func (p *planner) occurrence(w *work, o *occurrence) {
@@ -91,6 +95,7 @@
 				in = p.squeeze(w, t)
 			}
 			if in == nil {
+				p.noteStarving(w, step, o.steps[s])
 				break // the tasks of a step are alike
 			}
 			p.place(w, t, in, t.lastRun+1)
@@ -98,6 +103,18 @@
 	}
 }
 
+// noteStarving takes that the tasks of a step find no place.
+func (p *planner) noteStarving(w *work, step *Step, tasks []*task) {
+	if !step.Fills || w.rank(p.now) != inTime {
+		return
+	}
+	for _, t := range tasks {
+		if p.startable(t) {
+			p.starving[step.Image] += step.Need.Processors
+		}
+	}
+}
+
 func (p *planner) startable(t *task) bool {
 	return t.waits() && !t.doubted && !p.now.Before(t.notBefore)
 }
