--- a/internal/verb/agent.go
+++ b/internal/verb/agent.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/link"
-	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/process"
-	"github.com/cockroachdb/errors"
 )
 
 func agentVerb() Verb {
@@ -76,10 +74,11 @@
 	if err != nil {
 		return err
 	}
-	log, err := logs.New(streams.Err, *c.common.level, "agent", *c.name)
+	log, endLog, err := processLog(streams.Err, *c.common.level, "agent", *c.name)
 	if err != nil {
-		return errors.Mark(err, errUsage)
+		return err
 	}
+	defer endLog()
 	node, err := process.NewAgent(ctx, process.AgentSettings{
 		Name: *c.name, Domain: *c.domain, Rack: *c.rack, Gate: c.gate.String(), Ops: c.ops.String(),
 		Upstream: c.upstream.String(), Platform: c.platform.String(), Entries: c.entries,
--- a/internal/verb/common.go
+++ b/internal/verb/common.go
@@ -95,3 +95,15 @@
 func (o *operatorFlags) client(streams Streams) *operator.Client {
 	return operator.NewClient(o.entry.String(), &http.Client{Timeout: callBound, Transport: streams.HTTP})
 }
+
+// processLog makes the logger of a process, which never waits for whoever reads w. The
+// function that it returns writes what waits, at the end of the process.
+func processLog(w io.Writer, level, role, name string) (*zap.Logger, func(), error) {
+	bounded := logs.NewBounded(w)
+	log, err := logs.New(bounded, level, role, name)
+	if err != nil {
+		bounded.Close()
+		return nil, nil, errors.Mark(err, errUsage)
+	}
+	return log, bounded.Close, nil
+}
--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -7,9 +7,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/caller"
-	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/process"
-	"github.com/cockroachdb/errors"
 )
 
 func entryVerb() Verb {
@@ -86,10 +84,11 @@
 	if err != nil {
 		return err
 	}
-	log, err := logs.New(streams.Err, *c.common.level, "entry", *c.name)
+	log, endLog, err := processLog(streams.Err, *c.common.level, "entry", *c.name)
 	if err != nil {
-		return errors.Mark(err, errUsage)
+		return err
 	}
+	defer endLog()
 	node, err := process.NewEntry(ctx, settings, process.NewNetwork(), log)
 	if err != nil {
 		return err
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -5,10 +5,8 @@
 	"flag"
 	"time"
 
-	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/process"
 	"github.com/apricotwind/apricotwind/platform"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -48,16 +46,15 @@
 }
 
 // logger checks how the verb was called and makes its logger, which writes to the
-// standard output.
-func (c *platformCommon) logger(streams Streams, role string, arguments []string) (*zap.Logger, error) {
+// standard output. The function that it returns ends the log.
+func (c *platformCommon) logger(streams Streams, role string, arguments []string) (*zap.Logger, func(), error) {
 	if len(arguments) > 0 {
-		return nil, usagef("takes no arguments: %q", arguments[0])
+		return nil, nil, usagef("takes no arguments: %q", arguments[0])
 	}
 	if err := requireValues(c.flags); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	log, err := logs.New(streams.Out, *c.level, role, *c.name)
-	return log, errors.Mark(err, errUsage)
+	return processLog(streams.Out, *c.level, role, *c.name)
 }
 
 // platformEntryCommand holds the flags of the entry.
@@ -80,10 +77,11 @@
 }
 
 func (c *platformEntryCommand) run(ctx context.Context, streams Streams, arguments []string) error {
-	log, err := c.logger(streams, "entry", arguments)
+	log, endLog, err := c.logger(streams, "entry", arguments)
 	if err != nil {
 		return err
 	}
+	defer endLog()
 	running, err := platform.NewEntry(ctx, c.store.String(), process.QueueEntrySettings{
 		Name: *c.name, Domain: *c.domain, Front: c.front.String(), Ready: c.ready.String(),
 		Link: c.link.String(), Metrics: c.metrics.String(), Keep: *c.keep,
@@ -127,10 +125,11 @@
 }
 
 func (c *platformAgentCommand) run(ctx context.Context, streams Streams, arguments []string) error {
-	log, err := c.logger(streams, "agent", arguments)
+	log, endLog, err := c.logger(streams, "agent", arguments)
 	if err != nil {
 		return err
 	}
+	defer endLog()
 	running, err := platform.NewAgent(ctx, c.store.String(), c.worker.String(), process.QueueAgentSettings{
 		Name: *c.name, Control: c.control.String(), Metrics: c.metrics.String(),
 	}, process.NewNetwork(), log)
