While the table is slow, one known job no longer spoils a commit of many

The log shows the owner's commits end after 0.7 to 1.6 s each with one new job or none: an entry's own write, sent before the table was seen to be slow, had put a job into the table that the owner then had in its commit too, so that all of it conflicted. Ten jobs a commit were also less than arrive in that time.

Change: jobs that the book has from the feed are answered and left out of commits; a commit takes up to 25 jobs, and progress in what room is left of the table's 100 entries.

Ruled out: writing jobs without the condition that there is none (a takeover would trust a job that an earlier owner may have started).

--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -67,6 +67,7 @@
 			if after == t.feed {
 				t.feed = feed.Version
 				t.takeRows(feed.Rows)
+				t.answerKnown()
 			}
 		})
 	})
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -14,9 +14,14 @@
 )
 
 const (
-	// jobsACommit and instancesACommit keep a commit below the 100 entries that the
-	// table takes: each row stands in it as a condition and as a write.
-	jobsACommit      = 30
+	// entriesACommit is how many conditions and writes the table takes in one change;
+	// entriesAlways are those that each commit may have: the condition on the owner's row,
+	// the alive row and the row of costs.
+	entriesACommit = 100
+	entriesAlways  = 3
+	// entriesARow are a row's: its condition and its write.
+	entriesARow = 2
+	// instancesACommit bounds the rows of instances in a commit.
 	instancesACommit = 6
 	removalsACommit  = 4 // jobs, with three rows each
 )
@@ -81,29 +86,38 @@
 	}
 }
 
-// commit writes the progress that is not kept yet.
-func (t *term) commit() {
+// commit writes the progress that is not kept yet, along with what else waits.
+func (t *term) commit() { t.apply(t.nextBatch()) }
+
+// nextBatch takes what waits into a commit, as far as it fits.
+func (t *term) nextBatch() *batch {
 	b := &batch{began: time.Now(), change: table.Change{Expected: []table.Expected{t.guard()}}}
-	b.jobs = t.book.Dirty(jobsACommit + 1)
-	if len(b.jobs) > jobsACommit {
-		b.jobs = b.jobs[:jobsACommit]
-	} else {
-		b.acks = t.allSeen()
-	}
-	for _, change := range b.jobs {
-		if err := t.put(b, jobPlace(change.Job, suffixProgress), change.Progress); err != nil {
-			t.log.Error("commit-left-out", zap.String("job", change.Job), logs.Error(err))
-		}
-	}
 	b.instances = t.changes[:min(len(t.changes), instancesACommit)]
 	t.changes = t.changes[len(b.instances):]
 	for _, change := range b.instances {
 		t.putInstance(b, change)
 	}
 	t.putSubmits(b)
+	t.putProgress(b, (entriesACommit-entriesAlways)/entriesARow-len(b.instances)-len(b.submits))
 	t.putAlive(b)
 	t.putCosts(b)
-	t.apply(b)
+	return b
+}
+
+// putProgress writes the progress of at most so many jobs. If that is all that is not
+// kept, the ends seen so far are in the table afterwards.
+func (t *term) putProgress(b *batch, most int) {
+	b.jobs = t.book.Dirty(most + 1)
+	if len(b.jobs) > most {
+		b.jobs = b.jobs[:most]
+	} else {
+		b.acks = t.allSeen()
+	}
+	for _, change := range b.jobs {
+		if err := t.put(b, jobPlace(change.Job, suffixProgress), change.Progress); err != nil {
+			t.log.Error("commit-left-out", zap.String("job", change.Job), logs.Error(err))
+		}
+	}
 }
 
 func (t *term) put(b *batch, place table.Place, value any) error {
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -12,7 +12,7 @@
 )
 
 // submitsACommit bounds the jobs that one commit takes in.
-const submitsACommit = 10
+const submitsACommit = 25
 
 // submission is a job that waits for a commit of the owner. While the table is slow, one
 // commit for many jobs gets through where a write for each would not.
@@ -83,8 +83,30 @@
 	return false
 }
 
+// inTable tells whether a job is in the table already, as far as the book knows. An entry
+// may have written it by a call without an answer before it handed the job on; one such job
+// in a commit would make all of it conflict.
+func (t *term) inTable(id string) bool {
+	_, done := t.book.Finished(id)
+	return done || t.book.Open(id)
+}
+
+// answerKnown answers the jobs that wait and turn out to be in the table.
+func (t *term) answerKnown() {
+	waiting := t.submits[:0]
+	for _, sub := range t.submits {
+		if t.inTable(sub.job.ID) {
+			sub.answer(table.Committed)
+			continue
+		}
+		waiting = append(waiting, sub)
+	}
+	t.submits = waiting
+}
+
 // putSubmits puts the jobs that wait into a commit.
 func (t *term) putSubmits(b *batch) {
+	t.answerKnown()
 	taken := map[string]bool{}
 	var later []*submission
 	for _, sub := range t.submits {
