Jobs wait longer for the owner's commit than one takes

One to three jobs got into a commit of 25. Change: a job waits up to 2.6 s, the entry that handed it on 0.1 s more; clients give up after 3 s. Ruled out: more commits at a time (the part does them one after another).

--- a/internal/queue/desk.go
+++ b/internal/queue/desk.go
@@ -26,7 +26,7 @@
 	// into commits of the owner then, many at a time.
 	slowTable = 40 * time.Millisecond
 	// submitBound is how long a job may wait for such a commit.
-	submitBound = 1800 * time.Millisecond
+	submitBound = 2600 * time.Millisecond
 	// ownerTries is how often an acceptance is tried when the owner has just changed.
 	ownerTries = 4
 	// finalMost is how many last states are kept in memory.
--- a/internal/queue/peers.go
+++ b/internal/queue/peers.go
@@ -23,7 +23,7 @@
 	// peersPeriod is the time between two looks at the other entries.
 	peersPeriod = 5 * time.Second
 	// peerBound is how long another entry may take to do a call for this one.
-	peerBound = 2 * time.Second
+	peerBound = submitBound + 100*time.Millisecond
 	// peerTries is how many other entries are asked.
 	peerTries = 2
 )
