--- a/internal/decision/dispatch/book.go
+++ b/internal/decision/dispatch/book.go
@@ -44,6 +44,7 @@
 	changes   []InstanceChange
 	pairs     *interference.Pairs
 	regrouped time.Time // when serving tasks were last moved for filling ones
+	looked    time.Time // when a reason for that was last looked for
 }
 
 // finished is a job whose last state is kept. Runs of it may still be stopping, so
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -35,7 +35,7 @@
 // have started gives it back by its end.
 func (b *Book) Plan(now time.Time) []Start {
 	b.evacuate(now)
-	p := planner{book: b, now: now, open: map[*instance]float64{}, starving: map[string]int{}}
+	p := newPlanner(b, now)
 	for _, in := range b.instances {
 		if in.usable(now) {
 			p.usable = append(p.usable, in)
@@ -46,9 +46,6 @@
 	}
 	slices.SortFunc(p.usable, func(a, c *instance) int { return cmp.Compare(a.offer.Life.ID, c.offer.Life.ID) })
 	p.filling = b.pairs.Filling()
-	for _, in := range p.usable {
-		p.open[in] = p.openness(in.servingImages())
-	}
 	p.rescue()
 	for _, w := range b.byUrgency(now) {
 		for _, o := range w.occurrences {
@@ -71,41 +68,80 @@
 	// nothing on an instance.
 	filling []string
 	open    map[*instance]float64
+	beside  map[*instance][]beside
+	// refused are needs that found no place, by what else decides over a place.
+	refused map[kind][]Need
 	// starving is what the tasks ask for, by filling image, that are in time and find no
 	// place, in thousandths of a core.
 	starving map[string]int
 }
 
-func (p *planner) occurrence(w *work, o *occurrence) {
+func newPlanner(b *Book, now time.Time) *planner {
+	return &planner{
+		book: b, now: now, open: map[*instance]float64{}, beside: map[*instance][]beside{},
+		refused: map[kind][]Need{}, starving: map[string]int{},
+	}
+}
+
+// kind is what tasks have in common that may run at the same places, but for their needs.
+type kind struct {
+	service, label, rack, image string
+	fills, serves               bool
+}
+
+func kindOf(w *work, step *Step) kind {
+	return kind{w.job.Policy.Service, step.Label, step.Rack, step.Image, step.Fills, step.Target > 0}
+}
+
+// refuses tells whether a task of the same kind that needs no more has found no place in
+// this plan, in which room only shrinks.
+func (p *planner) refuses(of kind, need Need) bool {
+	return slices.ContainsFunc(p.refused[of], func(refused Need) bool { return refused.fitsIn(need) })
+}
+
+func (p *planner) occurrence(w ranked, o *occurrence) {
 	for s := range o.steps {
 		step := &w.job.Steps[s]
 		if o.stepDone(s) || !o.ready(step) {
 			continue
 		}
 		if step.Gang {
-			p.gang(w, step, o.steps[s])
+			p.gang(w.work, step, o.steps[s])
 			continue
 		}
 		for _, t := range o.steps[s] {
 			if !p.startable(t) {
 				continue
 			}
-			in := p.choose(w, t, "")
-			if in == nil && step.Fills && !o.runs() {
-				in = p.squeeze(w, t)
-			}
+			in := p.find(w, t, o)
 			if in == nil {
 				p.noteStarving(w, step, o.steps[s])
 				break // the tasks of a step are alike
 			}
-			p.place(w, t, in, t.lastRun+1)
+			p.place(w.work, t, in, t.lastRun+1)
 		}
 	}
 }
 
+// find finds the place of a task, also a slow one if nothing else of its job runs.
+func (p *planner) find(w ranked, t *task, o *occurrence) *instance {
+	of := kindOf(w.work, t.step)
+	var in *instance
+	if !p.refuses(of, t.step.Need) {
+		in = p.choose(w.work, t, "")
+		if in == nil && t.step.MostOnOne == 0 {
+			p.refused[of] = append(p.refused[of], t.step.Need)
+		}
+	}
+	if in == nil && t.step.Fills && !o.runs() {
+		in = p.squeeze(w.work, t)
+	}
+	return in
+}
+
 // noteStarving takes that the tasks of a step find no place.
-func (p *planner) noteStarving(w *work, step *Step, tasks []*task) {
-	if !step.Fills || w.rank(p.now) != inTime {
+func (p *planner) noteStarving(w ranked, step *Step, tasks []*task) {
+	if !step.Fills || w.rank != inTime {
 		return
 	}
 	for _, t := range tasks {
@@ -167,6 +203,7 @@
 	for _, start := range p.starts[before:] {
 		in := p.book.instances[start.Instance]
 		in.remove(in.placements[start.Task])
+		p.changed(in, start.Step, false)
 		t := p.book.find(start.Task)
 		t.instance, t.run = "", 0
 	}
@@ -178,7 +215,7 @@
 	var best *instance
 	var least int
 	for _, in := range p.usable {
-		if rack != "" && in.offer.Rack != rack || !p.book.suits(w, t, in) {
+		if rack != "" && in.offer.Rack != rack || !p.suits(w, t, in) {
 			continue
 		}
 		points := p.points(t.step, in)
@@ -201,7 +238,7 @@
 		if !fits(w, t, in) {
 			continue
 		}
-		rate := p.book.rate(t.step, in)
+		rate := p.rate(t.step, in)
 		if best == nil || rate > most || rate == most && in.fillRoom() > best.fillRoom() {
 			best, most = in, rate
 		}
@@ -211,8 +248,11 @@
 
 // suits tells whether a task may run on an instance, fits there and, if it fills, is
 // expected to get on there.
-func (b *Book) suits(w *work, t *task, in *instance) bool {
-	return fits(w, t, in) && (!t.step.Fills || b.rate(t.step, in) >= rateLeast)
+func (p *planner) suits(w *work, t *task, in *instance) bool {
+	if !fits(w, t, in) {
+		return false
+	}
+	return !t.step.Fills || p.roomRate(t.step, in) >= rateLeast && p.rate(t.step, in) >= rateLeast
 }
 
 // fits tells whether a task may run on an instance and fits there.
@@ -238,7 +278,6 @@
 }
 
 func (p *planner) points(step *Step, in *instance) int {
-	b := p.book
 	capacity := max(in.offer.Capacity.Processors, 1)
 	load := pointsLoad * in.used.Processors / capacity
 	points := pointsLoad * in.filled / capacity
@@ -247,8 +286,8 @@
 	}
 	switch {
 	case step.Fills:
-		points += load + int(pointsSlow*(1-b.rate(step, in)))
-		points += int(pointsDisturb*b.disturbance(step, in) + pointsOpen*p.open[in])
+		points += load + int(pointsSlow*(1-p.rate(step, in)))
+		points += int(pointsDisturb*p.disturbance(step, in) + pointsOpen*p.openTo(in))
 	case step.Target > 0:
 		points -= 2 * load // the fullest that has room
 		if in.serving == 0 {
@@ -267,6 +306,7 @@
 	placed := &placement{name: t.name, run: run, since: p.now, process: in.offer.Process}
 	placed.of(t.step)
 	in.add(placed)
+	p.changed(in, t.step, true)
 	p.starts = append(p.starts, Start{
 		Instance: in.offer.Life.ID, Task: t.name, Run: run, Step: t.step,
 		Payload: w.job.Payload, Saved: t.saved,
--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -15,30 +15,75 @@
 	unknownCloses = 0.4
 )
 
-// rate is the share of its speed, 0 to 1, at which a filling task of a step is expected
-// to work on an instance: as far as processors are left, and as the serving tasks there
-// stay below their targets.
-func (b *Book) rate(step *Step, in *instance) float64 {
-	rate := 1.0
-	if need := step.Need.Processors; need > 0 {
-		rate = min(rate, float64(in.fillRoom())/float64(need))
+// beside is what a plan knows of the tasks of one serving job on an instance.
+type beside struct {
+	image string
+	slack float64 // headroom that they can still lose
+	loud  bool    // they have hardly any left now
+}
+
+// besides lists the serving jobs on an instance. It is kept as long as the plan lasts.
+func (p *planner) besides(in *instance) []beside {
+	if known, ok := p.beside[in]; ok {
+		return known
 	}
-	for name, p := range in.placements {
-		if !p.serves {
+	var list []beside
+	index := map[string]int{} // by job
+	for name, placed := range in.placements {
+		if !placed.serves {
 			continue
 		}
-		loss := b.loss(p.step.Image, step)
 		headroom, measured := in.headrooms[name]
-		if loss <= harmless && (!measured || headroom >= loudAt) {
+		loud := measured && headroom < loudAt
+		if i, known := index[name.Job]; known {
+			list[i].loud = list[i].loud || loud
+			continue
+		}
+		index[name.Job] = len(list)
+		list = append(list, beside{image: placed.step.Image, slack: p.book.slack(in, name, placed), loud: loud})
+	}
+	p.beside[in] = list
+	return list
+}
+
+// changed takes that a task was placed on an instance or taken off again.
+func (p *planner) changed(in *instance, step *Step, placed bool) {
+	if !step.Fills || !placed {
+		delete(p.beside, in)
+		delete(p.open, in)
+		return
+	}
+	list := p.beside[in]
+	for i := range list {
+		list[i].slack -= p.book.loss(list[i].image, step)
+	}
+}
+
+// rate is the share of its speed, 0 to 1, at which a filling task of a step is expected
+// to work on an instance: as far as processors are left, and as the serving tasks there
+// stay below their targets.
+func (p *planner) rate(step *Step, in *instance) float64 {
+	rate := p.roomRate(step, in)
+	for _, beside := range p.besides(in) {
+		loss := p.book.loss(beside.image, step)
+		if loss <= harmless && !beside.loud {
 			continue
 		}
-		if slack := b.slack(in, name, p); loss > slack {
-			rate = min(rate, slack/max(loss, harmless))
+		if loss > beside.slack {
+			rate = min(rate, beside.slack/max(loss, harmless))
 		}
 	}
 	return max(rate, 0)
 }
 
+// roomRate is the share of its speed for which processors are left.
+func (p *planner) roomRate(step *Step, in *instance) float64 {
+	if need := step.Need.Processors; need > 0 {
+		return min(float64(in.fillRoom())/float64(need), 1)
+	}
+	return 1
+}
+
 // loss is the headroom that one task of a filling step takes from a serving image.
 func (b *Book) loss(serving string, filling *Step) float64 {
 	return b.pairs.Cost(serving, filling.Image) * float64(filling.Need.Processors) / 1000
@@ -58,13 +103,11 @@
 
 // disturbance is the largest part of its slack that a filling task would take from a
 // serving one on an instance, 1 at most.
-func (b *Book) disturbance(step *Step, in *instance) float64 {
+func (p *planner) disturbance(step *Step, in *instance) float64 {
 	most := 0.0
-	for name, p := range in.placements {
-		if p.serves {
-			loss := b.loss(p.step.Image, step)
-			most = max(most, min(1, loss/max(b.slack(in, name, p), loss, harmless)))
-		}
+	for _, beside := range p.besides(in) {
+		loss := p.book.loss(beside.image, step)
+		most = max(most, min(1, loss/max(beside.slack, loss, harmless)))
 	}
 	return most
 }
@@ -80,6 +123,16 @@
 	return images
 }
 
+// openTo is the share of the filling images that disturb nothing on an instance.
+func (p *planner) openTo(in *instance) float64 {
+	open, known := p.open[in]
+	if !known {
+		open = p.openness(in.servingImages())
+		p.open[in] = open
+	}
+	return open
+}
+
 // openness is the share of the filling images known that would disturb none of some
 // serving images.
 func (p *planner) openness(serving map[string]bool) float64 {
--- a/internal/decision/dispatch/regroup.go
+++ b/internal/decision/dispatch/regroup.go
@@ -10,6 +10,8 @@
 	// regroupPeriod is the least time between two regroupings: what the last one opened
 	// has to fill first.
 	regroupPeriod = 1500 * time.Millisecond
+	// regroupLook is the least time between two looks for one.
+	regroupLook = 250 * time.Millisecond
 	// regroupMost is how many serving tasks are moved at a time.
 	regroupMost = 3
 	// regroupWorth is how many thousandths of a core a move must open to tasks that wait.
@@ -25,7 +27,11 @@
 //	in:  image f waits, it disturbs image s; a has tasks of s and t, b of s
 //	out: the tasks of s on a are stopped, and start on b
 func (p *planner) regroup() {
-	if len(p.starving) == 0 || p.now.Sub(p.book.regrouped) < regroupPeriod || p.book.unsettled() {
+	if len(p.starving) == 0 || p.now.Sub(p.book.regrouped) < regroupPeriod || p.now.Sub(p.book.looked) < regroupLook {
+		return
+	}
+	p.book.looked = p.now
+	if p.book.unsettled() {
 		return
 	}
 	var best []*placement
--- a/internal/decision/dispatch/regroup_test.go
+++ b/internal/decision/dispatch/regroup_test.go
@@ -26,7 +26,7 @@
 func place(b *Book, id string, step Step, on string) {
 	b.Accept(began, jobOf(id, step), nil)
 	t := b.find(TaskName{id, 0, 0, 0})
-	p := &planner{book: b, now: at(0)}
+	p := newPlanner(b, at(0))
 	p.place(t.work, t, b.instances[on], 1)
 }
 
--- a/internal/decision/dispatch/urgency.go
+++ b/internal/decision/dispatch/urgency.go
@@ -58,18 +58,24 @@
 	return inTime
 }
 
+// ranked is an open job with its rank.
+type ranked struct {
+	*work
+	rank int
+}
+
 // byUrgency orders the open jobs: what can be worth most first, then by priority, then
 // by the time at which it should be done.
-func (b *Book) byUrgency(now time.Time) []*work {
-	open := make([]*work, 0, len(b.jobs))
+func (b *Book) byUrgency(now time.Time) []ranked {
+	open := make([]ranked, 0, len(b.jobs))
 	for _, w := range b.jobs {
 		if !w.state.Final() {
-			open = append(open, w)
+			open = append(open, ranked{w, w.rank(now)})
 		}
 	}
-	slices.SortFunc(open, func(a, c *work) int {
+	slices.SortFunc(open, func(a, c ranked) int {
 		return cmp.Or(
-			cmp.Compare(a.rank(now), c.rank(now)),
+			cmp.Compare(a.rank, c.rank),
 			cmp.Compare(a.job.Policy.Priority, c.job.Policy.Priority),
 			a.accepted.Add(a.objective).Compare(c.accepted.Add(c.objective)),
 			cmp.Compare(a.job.ID, c.job.ID),
--- a/internal/decision/interference/pairs.go
+++ b/internal/decision/interference/pairs.go
@@ -93,6 +93,7 @@
 // servingImage is what is known of one serving image.
 type servingImage struct {
 	filter  filter
+	sure    []float64      // by index of a cost: what it costs surely
 	filling map[string]int // index of each filling image's cost
 	jobs    map[string]*calm
 	unused  []int // indexes of jobs that are over
@@ -159,7 +160,7 @@
 func (p *Pairs) Cost(serving, filling string) float64 {
 	if s := p.serving[serving]; s != nil {
 		if index, known := s.filling[filling]; known {
-			return s.surely(index)
+			return s.sure[index]
 		}
 	}
 	return unknownCost
@@ -215,6 +216,7 @@
 	}
 	for _, index := range s.filling {
 		s.filter.mean[index] = max(s.filter.mean[index], 0)
+		s.sure[index] = s.surely(index)
 	}
 	c.note(sample.At, s.filter.mean[c.index])
 }
@@ -225,10 +227,19 @@
 	if !known {
 		index = s.filter.add(unknownCost, costVariance)
 		s.filling[filling] = index
+		s.sure = append(s.sure, make([]float64, index+1-len(s.sure))...)
+		s.sure[index] = s.surely(index)
 	}
 	return index
 }
 
+// learn takes what is known of a cost.
+func (s *servingImage) learn(filling string, mean, variance float64) {
+	index := s.cost(filling)
+	s.filter.reset(index, mean, variance)
+	s.sure[index] = s.surely(index)
+}
+
 // job finds a job's estimate and lets it drift until now. Jobs that are over make room.
 func (s *servingImage) job(id string, now time.Time) *calm {
 	c := s.jobs[id]
@@ -258,7 +269,7 @@
 // Set takes a weight that was learned elsewhere as certain.
 func (p *Pairs) Set(w Weight) {
 	s := p.of(w.Serving)
-	s.filter.reset(s.cost(w.Filling), w.Cost, costDrift)
+	s.learn(w.Filling, w.Cost, costDrift)
 }
 
 // Estimate is all that is known of a pair, to be kept and learned again.
@@ -287,7 +298,7 @@
 	for _, e := range estimates {
 		s := p.of(e.Serving)
 		if _, known := s.filling[e.Filling]; !known {
-			s.filter.reset(s.cost(e.Filling), e.Mean, min(e.Deviation*e.Deviation, costVariance))
+			s.learn(e.Filling, e.Mean, min(e.Deviation*e.Deviation, costVariance))
 		}
 	}
 }
@@ -300,7 +311,7 @@
 			continue
 		}
 		for filling, index := range s.filling {
-			weights = append(weights, Weight{Pair{image, filling}, s.surely(index)})
+			weights = append(weights, Weight{Pair{image, filling}, s.sure[index]})
 		}
 	}
 	slices.SortFunc(weights, func(a, b Weight) int {
--- a/internal/logs/bounded.go
+++ b/internal/logs/bounded.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -13,6 +14,9 @@
 	linesAtOnce    = 6000
 	// bufferMost bounds the lines, in bytes, that wait for a reader who is slow.
 	bufferMost = 1 << 20
+	// writeMost bounds one write, in bytes, if its lines allow: a reader may take what comes
+	// in pieces, and a piece should be whole lines.
+	writeMost = 4096
 	// bufferKept is the size, in bytes, above which a buffer is not used again.
 	bufferKept = 64 << 10
 	// closeBound is how long the end of a process waits for its last lines.
@@ -85,14 +89,29 @@
 		lines := b.lines
 		b.lines = spare[:0]
 		b.mu.Unlock()
-		// The reader of the log may be gone. There is nowhere left to say so.
-		_, _ = b.to.Write(lines)
+		for rest := lines; len(rest) > 0; {
+			piece := wholeLines(rest)
+			rest = rest[len(piece):]
+			// The reader of the log may be gone. There is nowhere left to say so.
+			_, _ = b.to.Write(piece)
+		}
 		if spare = lines; cap(spare) > bufferKept {
 			spare = nil
 		}
 	}
 }
 
+// wholeLines is the begin of some lines, as many as fit one write and one at least.
+func wholeLines(lines []byte) []byte {
+	if len(lines) <= writeMost {
+		return lines
+	}
+	if end := bytes.LastIndexByte(lines[:writeMost], '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	return lines[:bytes.IndexByte(lines, '\n')+1]
+}
+
 // Close writes what waits, unless that takes too long. Later lines are left out.
 func (b *Bounded) Close() {
 	b.mu.Lock()
--- a/internal/logs/bounded_test.go
+++ b/internal/logs/bounded_test.go
@@ -86,6 +86,43 @@
 	})
 }
 
+// lineWriter notes writes that end within a line.
+type lineWriter struct {
+	gate    *stuck
+	partial int
+}
+
+func (l *lineWriter) Write(text []byte) (int, error) {
+	if text[len(text)-1] != '\n' {
+		l.partial++
+	}
+	return l.gate.Write(text)
+}
+
+// What has gathered is written in pieces of whole lines, also if a line is long.
+func TestWritesAreWholeLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		to := &lineWriter{gate: &stuck{released: make(chan struct{})}}
+		b := NewBounded(to)
+		want := 0
+		for i := range 200 {
+			line := strings.Repeat("x", 30*i) + "\n"
+			want += len(line)
+			if _, err := b.Write([]byte(line)); err != nil {
+				t.Fatal(err)
+			}
+			if i == 0 {
+				synctest.Wait()
+			}
+		}
+		close(to.gate.released)
+		b.Close()
+		if to.partial > 0 || len(to.gate.text()) != want {
+			t.Errorf("%d writes end within a line; %d bytes of %d written", to.partial, len(to.gate.text()), want)
+		}
+	})
+}
+
 func TestCloseWritesWhatWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		to := &stuck{released: make(chan struct{})}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -28,6 +28,9 @@
 	doubtWait = confirmTTL + confirmTTL/40 + grantWait
 	// tickPeriod is how often time alone makes the owner look at its book.
 	tickPeriod = 50 * time.Millisecond
+	// planRest is how many times as long as a plan took the owner does other things before
+	// the next.
+	planRest = 3
 	// commitPause is the wait before a commit that nobody waits for.
 	commitPause = 40 * time.Millisecond
 	// refusedPause is the wait after the table has turned a commit away.
@@ -89,6 +92,8 @@
 	pausedTill time.Time
 	confirmed  time.Time // when a call that confirmed the epoch was sent
 	planDue    bool
+	planned    time.Time     // when the last plan was made
+	planTook   time.Duration // and how long that took
 	// commitTrouble logs commits that were not answered.
 	commitTrouble *logs.Trouble
 	costs         []interference.Estimate // as last written
@@ -303,16 +308,23 @@
 	return link.Known{Known: t.book.Open(id), State: dispatch.Running}
 }
 
-// wake plans soon.
+// wake plans soon: at once, if the last plan is long enough ago for what it took.
 func (t *term) wake() {
 	if t.planDue || !t.loaded {
 		return
 	}
 	t.planDue = true
-	t.post(func() {
-		t.planDue = false
-		t.dispatch()
-	})
+	plan := func() {
+		t.post(func() {
+			t.planDue = false
+			t.dispatch()
+		})
+	}
+	if rest := time.Until(t.planned.Add(planRest * t.planTook)); rest > 0 {
+		time.AfterFunc(min(rest, tickPeriod), plan)
+		return
+	}
+	plan()
 }
 
 // tick does what time alone brings.
@@ -332,7 +344,11 @@
 		return orders[id]
 	}
 	now := time.Now()
-	for _, start := range t.book.Plan(now) {
+	starts := t.book.Plan(now)
+	t.planned = time.Now()
+	t.planTook = t.planned.Sub(now)
+	t.seat.set.Time("plan", t.planTook)
+	for _, start := range starts {
 		t.log.Info("start", zap.Stringer("task", start.Task), zap.Int64("run", start.Run), zap.String("instance", start.Instance))
 		of(start.Instance).Starts = append(of(start.Instance).Starts, startOrder(start))
 	}
