An instance that was back while its row was removed is not lost

It looked only whether the instance was silent then, not since when. One that came back, was granted 3.5 s more and parted again in between was given up at once, while its worker went on. An owner short of processor time parts from many at a time.

Change: the confirmation counts only for the silence that it was asked for. Ruled out: run numbers of another owner (the second run has the next number of the same one).

--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -160,12 +160,14 @@
 		t.putRemoval(&change, place)
 		t.seat.loop.Go(func() {
 			applied, err := t.seat.apply(change)
-			t.post(func() { t.lost(id, change, applied, err) })
+			t.post(func() { t.lost(id, over, change, applied, err) })
 		})
 	}
 }
 
-func (t *term) lost(id string, change table.Change, applied table.Applied, err error) {
+// lost takes the outcome of a removal that was begun since the grants of an instance were
+// over.
+func (t *term) lost(id string, over time.Time, change table.Change, applied table.Applied, err error) {
 	delete(t.losing, id)
 	switch applied.Outcome {
 	case table.Committed:
@@ -181,8 +183,10 @@
 	}
 	delete(t.versions, instancePlace(id))
 	delete(t.doubtful, id)
-	if _, silent := t.lapses[id]; !silent {
-		t.book.Unregister(id) // it is back; its row has to be written again
+	if lapse, silent := t.lapses[id]; !silent || lapse.After(over) {
+		// It is back, or has been meanwhile and was granted more. Its row has to be
+		// written again.
+		t.book.Unregister(id)
 		t.wake()
 		return
 	}
