Entries with more processors own first

Cause: the fronts of the grown sites have 0.192 to 0.8 of a core and links of 10 to 200 Mbit/s; which of them owns was decided by who reads the alive row first. Change: an entry's row tells its share of a core (setting cpu, from the platform's limits); an entry that is outmatched by half waits 0.9 s longer before it claims; where nobody has owned yet all wait 0.6 s, so that rows are there. No rule depends on it: only delays grow. Ruled out: a vote (needs agreement beyond the table), moving a running ownership (costs a takeover).

--- a/internal/owner/seat.go
+++ b/internal/owner/seat.go
@@ -22,6 +22,11 @@
 	// silentAfter is how long the alive row stays unchanged before the owner counts as
 	// gone, beyond the time that reading it takes.
 	silentAfter = 1100 * time.Millisecond
+	// yieldFor is how much longer a process waits to claim that is outmatched, and
+	// firstClaim how long after its start any waits where nobody has owned yet, since it
+	// does not know the others before.
+	yieldFor   = 900 * time.Millisecond
+	firstClaim = 600 * time.Millisecond
 	// slownessFactor adds so many times a read's duration to silentAfter.
 	slownessFactor = 8
 	// callLeast is how long a call to the table may take, beyond slowCalls what reads
@@ -36,6 +41,9 @@
 	Name    string        // of the process, unique among those that run
 	Address string        // of its link, host:port
 	Keep    time.Duration // how long a finished job's state is kept
+	// Outmatched tells whether another process is clearly better suited to own; nil: none
+	// is.
+	Outmatched func() bool
 }
 
 // Seat follows who owns the shard and owns it when that is its turn.
@@ -91,7 +99,9 @@
 // watched takes what a read showed.
 func (s *Seat) watched(rows []table.Cell, took time.Duration) {
 	if len(rows) == 0 {
-		s.claim("no owner yet")
+		if time.Since(s.changedAt) >= firstClaim+s.yield() {
+			s.claim("no owner yet")
+		}
 		return
 	}
 	if rows[0].Version < s.version {
@@ -103,17 +113,26 @@
 		s.reads++
 	}
 	silent := time.Since(s.changedAt)
+	bound := silentAfter + slownessFactor*max(took, s.health.Slowness()) + s.yield()
 	switch {
-	case s.holder.Name == "":
+	case s.holder.Name == "" && silent >= s.yield():
 		s.claim("handed over")
 	case s.term == nil && s.holder.Name == s.settings.Name:
 		// A claim whose answer was lost, or an earlier incarnation of this process.
 		s.claim("own earlier claim")
-	case s.term == nil && s.reads >= 2 && silent > silentAfter+slownessFactor*max(took, s.health.Slowness()):
+	case s.term == nil && s.holder.Name != "" && s.reads >= 2 && silent > bound:
 		s.claim("owner silent", zap.Duration("silent", silent), zap.Uint64("epoch", s.holder.Epoch))
 	}
 }
 
+// yield is how long this process lets others claim first.
+func (s *Seat) yield() time.Duration {
+	if s.settings.Outmatched != nil && s.settings.Outmatched() {
+		return yieldFor
+	}
+	return 0
+}
+
 func (s *Seat) sawHolder(row table.Cell) {
 	holder, err := ReadHolder(row)
 	if err != nil {
--- a/internal/process/queue_entry.go
+++ b/internal/process/queue_entry.go
@@ -35,6 +35,7 @@
 	Name, Domain                string
 	Front, Ready, Link, Metrics string        // addresses, host:port
 	Keep                        time.Duration // how long a finished job's state is kept
+	Processors                  float64       // share of a core that the process may use; 0: unknown
 }
 
 // QueueParts are the sides of an entry that depend on who is spoken to.
@@ -72,10 +73,11 @@
 	parts.Store, e.health = table.Watched(parts.Store)
 	e.parts = parts
 	e.line = owner.NewLine(e.dial, e.loop, log, e.set)
+	self := queue.Self{Name: settings.Name, Address: settings.Link, Processors: settings.Processors}
+	peers := queue.NewPeers(self, parts.Store, e.dial, e.loop, log, e.set)
 	e.seat = owner.New(owner.Settings{
-		Name: settings.Name, Address: settings.Link, Keep: settings.Keep,
+		Name: settings.Name, Address: settings.Link, Keep: settings.Keep, Outmatched: peers.Outmatched,
 	}, parts.Store, e.health, e.loop, log, e.set, steadyUnix(), e.line.SetHolder)
-	peers := queue.NewPeers(settings.Name, settings.Link, parts.Store, e.dial, e.loop, log, e.set)
 	e.desk = queue.New(parts.Store, e.health, e.line, peers, e.set)
 	if err := e.listen(); err != nil {
 		e.loop.Stop()
--- a/internal/queue/peers.go
+++ b/internal/queue/peers.go
@@ -18,8 +18,14 @@
 )
 
 const (
-	// tableEntries has a row for each entry: key name, value its address.
+	// tableEntries has a row for each entry, by name.
 	tableEntries = "entries"
+	// announcePause is the time after which entries that start together have announced
+	// themselves.
+	announcePause = 400 * time.Millisecond
+	// muchMore is from how many times the processors on another entry is better suited to
+	// own.
+	muchMore = 1.5
 	// peersPeriod is the time between two looks at the other entries.
 	peersPeriod = 5 * time.Second
 	// peerBound is how long another entry may take to do a call for this one.
@@ -34,23 +40,36 @@
 // Peers are the other entries, which do calls for this one while the table turns it
 // away.
 type Peers struct {
-	name, address string
-	store         *table.Store
-	dial          func(ctx context.Context, address string) (net.Conn, error)
-	loop          *loop.Loop
-	log           *zap.Logger
-	set           *metrics.Set
-
-	mu        sync.Mutex
-	addresses map[string]string // by name
-	conns     map[string]*link.Conn
+	self  Self
+	store *table.Store
+	dial  func(ctx context.Context, address string) (net.Conn, error)
+	loop  *loop.Loop
+	log   *zap.Logger
+	set   *metrics.Set
+
+	mu     sync.Mutex
+	others map[string]entryRow // by name
+	conns  map[string]*link.Conn
+}
+
+// Self is what an entry says of itself.
+type Self struct {
+	Name       string
+	Address    string  // of its link, host:port
+	Processors float64 // the share of a core that it may use
+}
+
+// entryRow is the value of an entry's row.
+type entryRow struct {
+	Address    string  `json:"address"`
+	Processors float64 `json:"cpu,omitempty"`
 }
 
-// NewPeers makes the peers of the entry with a name and a link address.
-func NewPeers(name, address string, store *table.Store, dial func(ctx context.Context, address string) (net.Conn, error), l *loop.Loop, log *zap.Logger, set *metrics.Set) *Peers {
+// NewPeers makes the peers of an entry.
+func NewPeers(self Self, store *table.Store, dial func(ctx context.Context, address string) (net.Conn, error), l *loop.Loop, log *zap.Logger, set *metrics.Set) *Peers {
 	return &Peers{
-		name: name, address: address, store: store, dial: dial, loop: l, log: log, set: set,
-		addresses: map[string]string{}, conns: map[string]*link.Conn{},
+		self: self, store: store, dial: dial, loop: l, log: log, set: set,
+		others: map[string]entryRow{}, conns: map[string]*link.Conn{},
 	}
 }
 
@@ -59,22 +78,27 @@
 	announced := false
 	trouble := logs.NewTrouble(p.log, "peers-unread")
 	p.loop.Repeat(peersPeriod, func(ctx context.Context) {
-		bounded, cancel := context.WithTimeout(ctx, writeBound)
-		defer cancel()
-		if !announced {
-			announced = p.announce(bounded)
+		trouble.Note(p.look(ctx))
+		if announced {
+			return
+		}
+		if announced = p.announce(ctx); announced {
+			loop.Sleep(ctx, announcePause)
+			trouble.Note(p.look(ctx))
 		}
-		trouble.Note(p.look(bounded))
 	})
 }
 
 func (p *Peers) announce(ctx context.Context) bool {
-	value, err := json.Marshal(p.address)
+	bounded, cancel := context.WithTimeout(ctx, writeBound)
+	defer cancel()
+	value, err := json.Marshal(entryRow{p.self.Address, p.self.Processors})
 	if err != nil {
+		p.log.Error("announce-failed", logs.Error(err))
 		return false
 	}
-	place := table.Place{Table: tableEntries, Key: p.name}
-	applied, err := p.store.Apply(ctx, table.Change{Sets: []table.Set{{Place: place, Value: value}}})
+	place := table.Place{Table: tableEntries, Key: p.self.Name}
+	applied, err := p.store.Apply(bounded, table.Change{Sets: []table.Set{{Place: place, Value: value}}})
 	if err != nil {
 		p.log.Warn("announce-failed", logs.Error(err))
 	}
@@ -82,25 +106,45 @@
 }
 
 func (p *Peers) look(ctx context.Context) error {
-	rows, _, err := p.store.Read(ctx, table.Range{Table: tableEntries})
+	bounded, cancel := context.WithTimeout(ctx, writeBound)
+	defer cancel()
+	rows, _, err := p.store.Read(bounded, table.Range{Table: tableEntries})
 	if err != nil {
 		return err
 	}
-	addresses := map[string]string{}
+	p.take(rows)
+	return nil
+}
+
+// take takes the rows of all entries.
+func (p *Peers) take(rows []table.Cell) {
+	others := map[string]entryRow{}
 	for _, row := range rows {
-		var address string
-		if err := json.Unmarshal(row.Value, &address); err != nil {
+		var other entryRow
+		if err := json.Unmarshal(row.Value, &other); err != nil {
 			p.log.Warn("row-ignored", zap.String("key", row.Key), logs.Error(err))
 			continue
 		}
-		if row.Key != p.name {
-			addresses[row.Key] = address
+		if row.Key != p.self.Name {
+			others[row.Key] = other
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.addresses = addresses
-	return nil
+	p.others = others
+}
+
+// Outmatched tells whether another entry has so many more processors that it should own
+// rather than this one.
+func (p *Peers) Outmatched() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.others {
+		if other.Processors >= muchMore*p.self.Processors && other.Processors > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // order lists the addresses to ask: the owner's first, then others by chance.
@@ -108,13 +152,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var others []string
-	for _, address := range p.addresses {
-		if address != first {
-			others = append(others, address)
+	for _, other := range p.others {
+		if other.Address != first {
+			others = append(others, other.Address)
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	if first != "" && first != p.address {
+	if first != "" && first != p.self.Address {
 		others = append([]string{first}, others...)
 	}
 	return others[:min(len(others), peerTries)]
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -63,6 +63,7 @@
 	domain             *string
 	front, ready, link *addressFlag
 	keep               *time.Duration
+	processors         *float64
 }
 
 func newPlatformEntryCommand(flags *flag.FlagSet) *platformEntryCommand {
@@ -72,6 +73,7 @@
 		front:          addressVar(flags, "front", "", "`address` for those who hand in jobs"),
 		ready:          addressVar(flags, "ready", "", "`address` of the readiness check"),
 		link:           addressVar(flags, "link", "", "`address` for agents and other entries"),
+		processors:     flags.Float64("cpu", 0, "`share` of a core that the process may use; entries with more own first (0: unknown)"),
 		keep:           flags.Duration("keep", 150*time.Second, "`time` for which a finished job's state is kept"),
 	}
 }
@@ -85,6 +87,7 @@
 	running, err := platform.NewEntry(ctx, c.store.String(), process.QueueEntrySettings{
 		Name: *c.name, Domain: *c.domain, Front: c.front.String(), Ready: c.ready.String(),
 		Link: c.link.String(), Metrics: c.metrics.String(), Keep: *c.keep,
+		Processors: *c.processors,
 	}, process.NewNetwork(), log)
 	if err != nil {
 		return err
