An owner that lived through an outage is not replaced; a fault soak of the real processes

Change: after reads have not been answered for a while the silence is counted anew, from the first answer, and 0.7 s longer. A test with ends to keep during outages of 2 to 6 s fails before (after 2.7 s epoch 1 became 2) and passes after; another shows that a dead owner is still replaced within 4 s of the end.

The formatter checks platform/ and test/ too.

Ruled out: shorter calls of the owner (a slow store needs them long).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SETTINGS := mkutano lechtal
 WEATHERS := calm bad
 
-.PHONY: build check race fmt lint docs generate traces tools demo clean kills capacity
+.PHONY: build check race fmt lint docs generate traces tools demo clean kills capacity soak
 
 build:
 	go build -o bin/apricotwind ./cmd/apricotwind
@@ -24,10 +24,10 @@
 	@test -x bin/stringer || go install golang.org/x/tools/cmd/stringer@v0.52.0
 
 fmt: tools
-	gofumpt -w cmd internal pkg
+	gofumpt -w cmd internal pkg platform test
 
 lint: tools
-	@test -z "$$(gofumpt -l cmd internal pkg)" || { gofumpt -l cmd internal pkg; echo 'run make fmt'; exit 1; }
+	@test -z "$$(gofumpt -l cmd internal pkg platform test)" || { gofumpt -l cmd internal pkg platform test; echo 'run make fmt'; exit 1; }
 	go vet work
 	@for module in $(MODULES); do (cd $$module && revive -set_exit_status ./...) || exit 1; done
 
@@ -48,6 +48,12 @@
 kills: build
 	test/kills/run
 
+# Faults from outside against the real processes: a fresh seed and those that ever failed.
+soak: build
+	go build -o bin/soak ./test/soak
+	bin/soak --seed 0 --length 8s
+	@for seed in $$(grep -o '^[0-9][0-9]*' test/soak/seeds); do bin/soak --seed $$seed --length 8s || exit 1; done
+
 # Measured slopes and what they come to at the size aimed at; takes two minutes.
 capacity: build
 	test/capacity/measure > bin/measured.txt
--- a/internal/owner/seat.go
+++ b/internal/owner/seat.go
@@ -22,6 +22,11 @@
 	// silentAfter is how long the alive row stays unchanged before the owner counts as
 	// gone, beyond the time that reading it takes.
 	silentAfter = 1100 * time.Millisecond
+	// outageFrom is how long the table leaves reads unanswered, beyond what they take, from
+	// which on that was an outage; afterOutage is how much longer than silentAfter an owner
+	// then has to renew, as a call that got no answer may hold it up.
+	outageFrom  = 700 * time.Millisecond
+	afterOutage = 700 * time.Millisecond
 	// yieldFor is how much longer a process waits to claim that is outmatched, and
 	// firstClaim how long after its start any waits where nobody has owned yet, since it
 	// does not know the others before.
@@ -60,7 +65,8 @@
 	holder    Holder // as last read
 	version   uint64 // of the alive row
 	changedAt time.Time
-	reads     int // since the row changed
+	reads     int       // since the row changed
+	answered  time.Time // when the last read was answered
 	claiming  bool
 	leaving   bool
 	term      *term
@@ -98,6 +104,12 @@
 
 // watched takes what a read showed.
 func (s *Seat) watched(rows []table.Cell, took time.Duration) {
+	now := time.Now()
+	if now.Sub(s.answered) > watchPeriod+outageFrom+max(took, s.health.Slowness()) && s.version > 0 {
+		// The row could not change meanwhile, or could not be seen to.
+		s.changedAt, s.reads = now.Add(afterOutage), 0
+	}
+	s.answered = now
 	if len(rows) == 0 {
 		if time.Since(s.changedAt) >= firstClaim+s.yield() {
 			s.claim("no owner yet")
--- a/internal/process/shard_faults_test.go
+++ b/internal/process/shard_faults_test.go
@@ -104,6 +104,52 @@
 	})
 }
 
+// An owner that lives through an outage of the store renews first: it isn't replaced.
+func TestAnOutageReplacesNobody(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault rig.StoreFault
+	}{
+		{"silent", rig.StoreFault{Silent: true}},
+		{"refuses", rig.StoreFault{Refuse: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for outage := 2000; outage <= 6000; outage += 350 {
+				onShard(t, 3, 2, func(t *testing.T, system *rig.Shard) {
+					for i := range 16 { // something ends, and is to be kept, all the time
+						submit(t, system, i%3, jobOf(fmt.Sprint("busy", i), 1, int64(400*(i+1))))
+					}
+					before := holder(t, system)
+					system.Store.SetFault(func(string, bool) rig.StoreFault { return c.fault })
+					time.Sleep(time.Duration(outage) * time.Millisecond)
+					system.Store.SetFault(nil)
+					time.Sleep(4 * time.Second)
+					if after := holder(t, system); after.Epoch != before.Epoch {
+						t.Errorf("after %d ms epoch %d became %d", outage, before.Epoch, after.Epoch)
+					}
+				})
+			}
+		})
+	}
+}
+
+// One that does not live through it is replaced soon after its end.
+func TestAnOutageStillLosesADeadOwner(t *testing.T) {
+	onShard(t, 3, 2, func(t *testing.T, system *rig.Shard) {
+		before := holder(t, system)
+		system.Store.SetFault(func(string, bool) rig.StoreFault { return rig.StoreFault{Silent: true} })
+		time.Sleep(time.Second)
+		killOwnerNamed(t, system, before.Name)
+		time.Sleep(3 * time.Second)
+		system.Store.SetFault(nil)
+		time.Sleep(4 * time.Second)
+		if after := holder(t, system); after.Epoch == before.Epoch {
+			t.Error("nobody took over within 4 s")
+		}
+	})
+}
+
 func TestASlowStoreStillLosesADeadOwner(t *testing.T) {
 	onShard(t, 3, 2, func(t *testing.T, system *rig.Shard) {
 		before := holder(t, system)
@@ -120,7 +166,11 @@
 // killOwner ends the entry that owns the shard.
 func killOwner(t *testing.T, system *rig.Shard) {
 	t.Helper()
-	name := holder(t, system).Name
+	killOwnerNamed(t, system, holder(t, system).Name)
+}
+
+func killOwnerNamed(t *testing.T, system *rig.Shard, name string) {
+	t.Helper()
 	for i := range system.Entries {
 		if system.EntryName(i) == name {
 			if err := system.KillEntry(i); err != nil {
--- a/internal/rig/worker.go
+++ b/internal/rig/worker.go
@@ -343,6 +343,24 @@
 	return w.begun[job]
 }
 
+// AllDone tells whether every task of a job without repetition has ended as done.
+func (w *Watch) AllDone(job string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	of := w.jobs[job]
+	if of == nil {
+		return false
+	}
+	for s, step := range of.Steps {
+		for i := range step.Count {
+			if !w.doneSeen[dispatch.TaskName{Job: job, Step: s, Index: i}] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Starts counts the starts.
 func (w *Watch) Starts() int {
 	w.mu.Lock()
--- /dev/null
+++ b/test/soak/stand.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/rig"
+	"github.com/apricotwind/apricotwind/internal/runner"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/cockroachdb/errors"
+)
+
+// Shapes of the platform's messages, as far as the stand-ins speak them.
+type (
+	row struct {
+		Table   string `json:"table"`
+		Part    string `json:"part"`
+		Key     string `json:"key"`
+		Value   []byte `json:"value"`
+		Version uint64 `json:"ver,omitempty"`
+		Removed bool   `json:"removed,omitempty"`
+	}
+	rowsAnswer struct {
+		Rows    []row  `json:"rows"`
+		Version uint64 `json:"ver"`
+	}
+	change struct {
+		Expected []row `json:"expected_rev"`
+		Writes   []row `json:"writes"`
+		Deletes  []row `json:"deletes"`
+	}
+	order struct {
+		Task    string `json:"task"`
+		Run     int64  `json:"run"`
+		Payload string `json:"spec"`
+		Until   int64  `json:"until_ms"`
+		Fence   uint64 `json:"fence"`
+		Saved   string `json:"checkpoint_data"`
+		Percent int    `json:"percent"`
+		Seen    int64  `json:"last_seen"`
+		Wait    int64  `json:"wait_ms"`
+	}
+)
+
+func (r row) place() table.Place { return table.Place{Table: r.Table, Part: r.Part, Key: r.Key} }
+
+func rowsOf(cells []table.Cell, version uint64) rowsAnswer {
+	answer := rowsAnswer{Rows: []row{}, Version: version}
+	for _, c := range cells {
+		answer.Rows = append(answer.Rows, row{c.Table, c.Part, c.Key, c.Value, c.Version, c.Removed})
+	}
+	return answer
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		status = http.StatusInternalServerError
+	}
+	w.WriteHeader(status)
+	// Whoever asked may be gone.
+	_, _ = w.Write(text)
+}
+
+// silence keeps a call without an answer until its caller gives up.
+func silence(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// storeHandler serves the store to one process over HTTP.
+func storeHandler(store *table.Store) http.Handler {
+	mux := http.NewServeMux()
+	fail := func(w http.ResponseWriter, r *http.Request, err error) {
+		switch {
+		case errors.Is(err, table.ErrRefused):
+			answer(w, http.StatusServiceUnavailable, struct{}{})
+		case errors.Is(err, table.ErrHistory):
+			answer(w, http.StatusGone, struct{}{})
+		default:
+			silence(r)
+		}
+	}
+	mux.HandleFunc("GET /api/rows-get", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		cells, version, err := store.Read(r.Context(), table.Range{Table: q.Get("table"), Part: q.Get("part"), From: q.Get("from"), To: q.Get("to")})
+		if err != nil {
+			fail(w, r, err)
+			return
+		}
+		answer(w, http.StatusOK, rowsOf(cells, version))
+	})
+	mux.HandleFunc("GET /api/rows-feed", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait_ms"))
+		feed, err := store.Follow(r.Context(), q.Get("table"), after, time.Duration(wait)*time.Millisecond)
+		if err != nil {
+			fail(w, r, err)
+			return
+		}
+		answer(w, http.StatusOK, rowsOf(feed.Rows, feed.Version))
+	})
+	mux.HandleFunc("POST /api/rows-tx", func(w http.ResponseWriter, r *http.Request) {
+		var c change
+		if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+			answer(w, http.StatusBadRequest, struct{}{})
+			return
+		}
+		var to table.Change
+		for _, e := range c.Expected {
+			to.Expected = append(to.Expected, table.Expected{Place: e.place(), Version: e.Version})
+		}
+		for _, s := range c.Writes {
+			to.Sets = append(to.Sets, table.Set{Place: s.place(), Value: s.Value})
+		}
+		for _, d := range c.Deletes {
+			to.Removes = append(to.Removes, d.place())
+		}
+		applied, err := store.Apply(r.Context(), to)
+		switch applied.Outcome {
+		case table.Committed:
+			answer(w, http.StatusOK, rowsOf(nil, applied.Version))
+		case table.Conflict:
+			answer(w, http.StatusPreconditionFailed, rowsOf(applied.Rows, applied.Version))
+		default:
+			fail(w, r, err)
+		}
+	})
+	return mux
+}
+
+// howOf spells the ends of runs as a worker does.
+func howOf(how dispatch.How) string { return how.String() }
+
+// statuses are the answers of a worker, by kind.
+var statuses = map[runner.Kind]int{
+	runner.Obeyed: http.StatusOK, runner.Rejected: http.StatusConflict,
+	runner.Unhealthy: http.StatusServiceUnavailable, runner.OtherLife: http.StatusMisdirectedRequest,
+}
+
+// workerHandler serves a worker to the agent beside it over HTTP.
+func workerHandler(worker *rig.Worker) http.Handler {
+	calls := worker.Calls()
+	mux := http.NewServeMux()
+	handle := func(path string, do func(ctx context.Context, life dispatch.Life, o order, name dispatch.TaskName) (runner.Lists, error)) {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+			var o order
+			if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+				answer(w, http.StatusBadRequest, struct{}{})
+				return
+			}
+			name, _ := dispatch.ParseTaskName(o.Task)
+			lists, err := do(r.Context(), dispatch.Life{ID: r.Header.Get("Expected-Instance")}, o, name)
+			if err != nil {
+				silence(r)
+			}
+			running, ended := [][]any{}, [][]any{}
+			for _, l := range lists.Running {
+				running = append(running, []any{l.Task.String(), l.Run, l.Saved, 100, 0})
+			}
+			for _, e := range lists.Ended {
+				ended = append(ended, []any{e.Sequence, e.Task.String(), e.Run, howOf(e.How), e.Saved})
+			}
+			answer(w, statuses[lists.Kind], map[string]any{
+				"clock_ms": lists.Clock, "born": lists.Born, "reason": lists.Reason, "running": running, "ended": ended,
+			})
+		})
+	}
+	handle("/api/run-start", func(ctx context.Context, life dispatch.Life, o order, name dispatch.TaskName) (runner.Lists, error) {
+		a, err := calls.Start(ctx, runner.StartCall{Life: life, Fence: o.Fence, Until: o.Until, Task: name, Run: o.Run, Payload: o.Payload, Saved: o.Saved})
+		return runner.Lists{Answer: a}, err
+	})
+	handle("/api/run-stop", func(ctx context.Context, life dispatch.Life, o order, name dispatch.TaskName) (runner.Lists, error) {
+		a, err := calls.Stop(ctx, runner.StopCall{Life: life, Fence: o.Fence, Task: name, Run: o.Run})
+		return runner.Lists{Answer: a}, err
+	})
+	handle("/api/pace", func(ctx context.Context, life dispatch.Life, o order, name dispatch.TaskName) (runner.Lists, error) {
+		a, err := calls.Pace(ctx, runner.PaceCall{Life: life, Fence: o.Fence, Task: name, Run: o.Run, Percent: o.Percent})
+		return runner.Lists{Answer: a}, err
+	})
+	handle("/api/hold", func(ctx context.Context, life dispatch.Life, o order, _ dispatch.TaskName) (runner.Lists, error) {
+		return calls.Hold(ctx, runner.HoldCall{Life: life, Fence: o.Fence, Until: o.Until, Seen: o.Seen, Wait: o.Wait})
+	})
+	return mux
+}
