Soak: each process has a port of its own

Change: processes get ports below those that the machine gives out, one after another. Ruled out: the agent (it ends with one line that names the setting, as it should).

--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -134,13 +135,18 @@
 // listen listens on a free port of this soak.
 func listen() (net.Listener, error) { return net.Listen("tcp", own()+":0") }
 
-// freeAddress finds an address that nobody listens on.
-func freeAddress() (string, error) {
-	listener, err := listen()
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
+// Ports of the processes, below those that the machine gives out by itself.
+const (
+	portFirst = 20000
+	portCount = 10000
+)
+
+// ports counts the ports given out.
+var ports atomic.Int64
+
+// freeAddress gives out an address that nobody else of this soak gets.
+func freeAddress() string {
+	return fmt.Sprintf("%s:%d", own(), portFirst+ports.Add(1)%portCount)
 }
 
 // serve serves a handler on loopback behind a proxy until ctx ends.
@@ -202,11 +208,7 @@
 func (f *fleet) addEntry(ctx context.Context, binary, name string) error {
 	var addresses [3]string
 	for i := range addresses {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		addresses[i] = address
+		addresses[i] = freeAddress()
 	}
 	_, err := f.add(ctx, binary, name, "entry", "--domain", "d", "--front", addresses[0], "--ready", addresses[1], "--link", addresses[2])
 	f.fronts = append(f.fronts, addresses[0])
@@ -214,10 +216,7 @@
 }
 
 func (f *fleet) addWorker(ctx context.Context, binary, name string) error {
-	control, err := freeAddress()
-	if err != nil {
-		return err
-	}
+	control := freeAddress()
 	worker := rig.NewWorker(name, f.watch)
 	behind, err := serve(ctx, workerHandler(worker))
 	if err != nil {
