A filling job is squeezed in only after 1.5 s without a place

Cause: a job of which nothing runs had one task placed at once where it would get on slowly, at the cost of the serving tasks there, though a better place was often free a moment later. Change: only after 1.5 s. Ruled out: never (a job must get on while capacity is left).

--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -133,7 +133,7 @@
 			p.refused[of] = append(p.refused[of], t.step.Need)
 		}
 	}
-	if in == nil && t.step.Fills && !o.runs() {
+	if in == nil && t.step.Fills && o.idleFor(p.now) >= squeezeAfter {
 		in = p.squeeze(w.work, t)
 	}
 	return in
--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 const (
 	// quietAt is the headroom that placements leave a serving task at the worst moment of
 	// its load.
@@ -10,6 +12,9 @@
 	loudAt   = 1.05
 	// rateLeast is the share of its speed below which a filling task is not placed.
 	rateLeast = 0.75
+	// squeezeAfter is how long nothing of a job may run until one of its filling tasks is
+	// placed where it gets on slowly.
+	squeezeAfter = 1500 * time.Millisecond
 	// unknownCloses is the share of the filling images that a serving image is taken to
 	// close an instance to until something is known.
 	unknownCloses = 0.4
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -33,7 +33,8 @@
 type occurrence struct {
 	number int
 	steps  [][]*task
-	left   int // tasks that have not ended as done
+	left   int       // tasks that have not ended as done
+	idle   time.Time // since when a plan has found nothing of it running; zero while it runs
 }
 
 // stepDone tells whether all tasks of a step have ended as done.
@@ -61,6 +62,18 @@
 	return false
 }
 
+// idleFor is how long nothing of the occurrence has run, as far as plans have seen.
+func (o *occurrence) idleFor(now time.Time) time.Duration {
+	switch {
+	case o.runs():
+		o.idle = time.Time{}
+		return 0
+	case o.idle.IsZero():
+		o.idle = now
+	}
+	return now.Sub(o.idle)
+}
+
 // ready tells whether the tasks of a step may start.
 func (o *occurrence) ready(step *Step) bool {
 	for _, before := range step.After {
