--- a/internal/decision/dispatch/regroup.go
+++ b/internal/decision/dispatch/regroup.go
@@ -14,8 +14,10 @@
 	regroupLook = 250 * time.Millisecond
 	// regroupMost is how many serving tasks are moved at a time.
 	regroupMost = 3
-	// regroupWorth is how many thousandths of a core a move must open to tasks that wait.
-	regroupWorth = 3000
+	// regroupWorth is how many cores a move must open to tasks that wait, over
+	// regroupHorizon, beside the work that it throws away.
+	regroupWorth   = 3
+	regroupHorizon = 10 * time.Second
 	// settledFor is how long a serving task runs until it may be moved.
 	settledFor = 3 * time.Second
 )
@@ -38,11 +40,8 @@
 	var on *instance
 	most := 0.0
 	for _, in := range p.usable {
-		moves, opened := p.opening(in)
-		if len(moves) == 0 || !p.placeable(in, moves) {
-			continue
-		}
-		if worth := float64(opened) / float64(len(moves)); worth >= regroupWorth && worth > most {
+		moves, worth := p.opening(in)
+		if worth > most && p.placeable(in, moves) {
 			best, on, most = moves, in, worth
 		}
 	}
@@ -78,14 +77,15 @@
 	return false
 }
 
-// opening finds the fewest serving tasks on an instance without which images that wait
-// would disturb nothing there, and how much of them, in thousandths of a core, gets on then.
-func (p *planner) opening(in *instance) (moves []*placement, opened int) {
-	most := 0.0
+// opening finds the serving tasks on an instance without which images that wait would
+// disturb nothing there, and what moving them is worth, in core-seconds: what gets on then
+// less the work thrown away. It is 0 when nothing is to be moved.
+func (p *planner) opening(in *instance) (moves []*placement, worth float64) {
 	for image := range p.starving {
 		var away []*placement
 		left := map[string]bool{}
 		movable := true
+		lost := 0.0
 		for _, placed := range in.placements {
 			switch {
 			case !placed.serves:
@@ -93,18 +93,20 @@
 				left[placed.step.Image] = true
 			default:
 				away = append(away, placed)
-				movable = movable && !placed.stopping && placed.step.MayMiss == 0 && p.now.Sub(placed.since) >= settledFor
+				age := p.now.Sub(placed.since)
+				lost += float64(placed.need.Processors) / 1000 * age.Seconds()
+				movable = movable && !placed.stopping && placed.step.MayMiss == 0 && age >= settledFor
 			}
 		}
 		if !movable || len(away) == 0 || len(away) > regroupMost {
 			continue
 		}
-		gain := min(p.waitingFor(left), p.spare(in, away))
-		if worth := float64(gain) / float64(len(away)); worth > most {
-			moves, opened, most = away, gain, worth
+		opened := float64(min(p.waitingFor(left), p.spare(in, away)))/1000 - regroupWorth*float64(len(away))
+		if gain := opened*regroupHorizon.Seconds() - lost; gain > worth {
+			moves, worth = away, gain
 		}
 	}
-	return moves, opened
+	return moves, worth
 }
 
 // waitingFor is what the images that wait and disturb none of some serving images ask for.
