Stand-in worker: only one that has crashed begins another life

Change: Restart does nothing for a worker that is up; the name of the fault says which worker. Ruled out: the system (the start came after another life had registered and listed nothing). Conclusion: a fault of the stand-in.

--- a/internal/rig/worker.go
+++ b/internal/rig/worker.go
@@ -80,10 +80,13 @@
 	w.runs = map[dispatch.TaskName]*workerRun{}
 }
 
-// Restart begins the next life of a crashed worker.
+// Restart begins the next life of a worker, if it has crashed.
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.down {
+		return
+	}
 	w.down = false
 	w.begin()
 }
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -104,8 +104,9 @@
 }
 
 func (f *fleet) workerCrash(random *rand.Rand) fault {
-	w := f.workers[random.IntN(len(f.workers))]
-	return fault{"worker crash", w.Crash, w.Restart}
+	i := random.IntN(len(f.workers))
+	w := f.workers[i]
+	return fault{fmt.Sprintf("crash of worker %d", i), w.Crash, w.Restart}
 }
 
 func (f *fleet) ordersLate(random *rand.Rand) fault {
