--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -146,17 +146,23 @@
 	}
 	open := 0
 	for _, filling := range p.filling {
-		harmless := true
-		for image := range serving {
-			harmless = harmless && p.book.pairs.Harmless(image, filling)
-		}
-		if harmless {
+		if p.book.disturbsNone(filling, serving) {
 			open++
 		}
 	}
 	return float64(open) / float64(max(len(p.filling), 1))
 }
 
+// disturbsNone tells whether a filling image costs none of some serving images anything.
+func (b *Book) disturbsNone(filling string, serving map[string]bool) bool {
+	for image := range serving {
+		if !b.pairs.Harmless(image, filling) {
+			return false
+		}
+	}
+	return true
+}
+
 // closes is the share of the filling images that would find an instance closed, and do
 // not now, if a serving image came to it. As long as nothing is known of costs, each other
 // image there counts as much as an empty instance does.
--- a/internal/decision/dispatch/regroup.go
+++ b/internal/decision/dispatch/regroup.go
@@ -113,11 +113,7 @@
 func (p *planner) waitingFor(serving map[string]bool) int {
 	sum := 0
 	for image, cores := range p.starving {
-		harmless := true
-		for each := range serving {
-			harmless = harmless && p.book.pairs.Harmless(each, image)
-		}
-		if harmless {
+		if p.book.disturbsNone(image, serving) {
 			sum += cores
 		}
 	}
--- a/internal/owner/sessions_test.go
+++ b/internal/owner/sessions_test.go
@@ -42,3 +42,28 @@
 		}
 	}
 }
+
+// Another life of a worker shows that the life before is over: nobody waits for its grants,
+// and its row is removed once.
+func TestAReplacedLifeIsGivenUpOnce(t *testing.T) {
+	of := termOf(nil)
+	before := dispatch.Offer{Life: dispatch.Life{ID: "a", Born: 1}, Agent: "p", Service: "s"}
+	of.book.Doubt(before)
+	of.lapses = map[string]time.Time{"a": time.Now().Add(doubtWait)}
+	after := before
+	after.Life = dispatch.Life{ID: "b", Born: 2}
+	of.book.Attach(time.Now(), after)
+	of.takeChanges()
+	if len(of.lapses) != 0 {
+		t.Errorf("still waits for %v", of.lapses)
+	}
+	removed := 0
+	for _, change := range of.changes {
+		if change.Gone && change.Offer.Life.ID == "a" {
+			removed++
+		}
+	}
+	if removed != 1 {
+		t.Errorf("the row of the life before is removed %d times", removed)
+	}
+}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -359,10 +359,21 @@
 	for id, order := range orders {
 		t.send(id, order)
 	}
-	t.changes = append(t.changes, t.book.TakeChanges()...)
+	t.takeChanges()
 	t.scheduleCommit()
 }
 
+// takeChanges takes the rows of instances that are to be written or removed. For one that
+// is given up already nobody waits any more.
+func (t *term) takeChanges() {
+	for _, change := range t.book.TakeChanges() {
+		t.changes = append(t.changes, change)
+		if change.Gone {
+			delete(t.lapses, change.Offer.Life.ID)
+		}
+	}
+}
+
 // send gives an instance's agent its orders. If that fails the session ends; the
 // agent's next full list tells what has become of them.
 func (t *term) send(id string, orders *link.Orders) {
