A task is not forgotten where another run of it is listed

The book put the listed run in the place of the ordered one and forgot that, so that the end of run 1 did not free the task, and the room of run 2 was never given back.

Change: the ordered run ends as lapsed with the life before, as absent if its agent says so; if it was ordered through an agent that is gone, it is stopped once the listed run is over.

Ruled out: the agent (its list was as it should be); the store. Tests: both ways fail before (no third start; room of two runs) and pass after.

--- a/internal/decision/dispatch/book_test.go
+++ b/internal/decision/dispatch/book_test.go
@@ -379,3 +379,44 @@
 	b.List(at(1), Life{"a", 1}, []Listed{{Task: TaskName{"j", 0, 0, 0}, Run: 1}})
 	expect(t, "stops after the next list", len(b.TakeStops()), 1)
 }
+
+// An instance may list another run of a task than the one that was ordered there: a late
+// order of before. The task must get on nevertheless.
+func TestAnotherRunOfTheTaskIsListed(t *testing.T) {
+	task := TaskName{"j", 0, 0, 0}
+	prepare := func() *Book {
+		b := bookWith(offerOf("a", 8))
+		b.Accept(began, jobOf("j", stepOf(1, 1)), nil)
+		expect(t, "first start", startsOf(b.Plan(at(0))), []string{"j.0.0.0 1 a"})
+		b.Ended(at(1), Life{"a", 1}, []End{{Task: task, Run: 1, How: EndAbsent}})
+		expect(t, "second start", startsOf(b.Plan(at(1))), []string{"j.0.0.0 2 a"})
+		return b
+	}
+	t.Run("by another life", func(t *testing.T) {
+		b := prepare()
+		next := offerOf("a", 8)
+		next.Life.Born = 2
+		b.Attach(at(2), next)
+		b.Registered(next.Life)
+		b.Reachable("a", true)
+		b.List(at(2), next.Life, []Listed{{Task: task, Run: 1}})
+		expect(t, "stop", b.TakeStops(), []Stop{{"a", task, 1}})
+		b.Ended(at(3), next.Life, []End{{Task: task, Run: 1, How: EndAbsent}})
+		expect(t, "third start", startsOf(b.Plan(at(3))), []string{"j.0.0.0 3 a"})
+		expect(t, "room taken", b.instances["a"].used, stepOf(1, 1).Need)
+	})
+	t.Run("by another agent", func(t *testing.T) {
+		b := prepare()
+		next := offerOf("a", 8)
+		next.Process = "next"
+		b.Attach(at(2), next)
+		b.List(at(2), next.Life, []Listed{{Task: task, Run: 1}})
+		expect(t, "stop of what is there", b.TakeStops(), []Stop{{"a", task, 1}})
+		b.Ended(at(3), next.Life, []End{{Sequence: 1, Task: task, Run: 1, How: EndStopped}})
+		expect(t, "stop of what was ordered", b.TakeStops(), []Stop{{"a", task, 2}})
+		expect(t, "before that is settled", startsOf(b.Plan(at(3))), []string(nil))
+		b.Ended(at(4), next.Life, []End{{Task: task, Run: 2, How: EndAbsent}})
+		expect(t, "third start", startsOf(b.Plan(at(4))), []string{"j.0.0.0 3 a"})
+		expect(t, "room taken", b.instances["a"].used, stepOf(1, 1).Need)
+	})
+}
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -79,6 +79,9 @@
 	process  string // incarnation of the agent that was given the order
 	stopping bool
 	stalled  time.Time // since when it has hardly worked; zero while it does
+	// ordered is a run of the task that was ordered where this one was found; its order
+	// may still be on its way.
+	ordered *placement
 }
 
 // instance is one life of a worker as the owner knows it.
--- a/internal/decision/dispatch/lists.go
+++ b/internal/decision/dispatch/lists.go
@@ -144,6 +144,7 @@
 	}
 	p := &placement{name: r.Task, run: r.Run, since: now, process: in.offer.Process}
 	p.of(b.stepOf(r.Task))
+	b.supersede(now, in, p)
 	in.add(p)
 	t := b.find(r.Task)
 	if t == nil || t.done || t.instance != "" || r.Run < t.lastRun && !t.doubted {
@@ -158,6 +159,37 @@
 	}
 }
 
+// supersede takes that an instance lists another run of a task than the one ordered there,
+// such as a late order of before. The run ordered is gone with the life before, or its
+// agent knows that it is not there; an order of an agent that is gone may still come, and
+// is settled once the listed run is over.
+func (b *Book) supersede(now time.Time, in *instance, by *placement) {
+	ordered, there := in.placements[by.name]
+	if !there {
+		return
+	}
+	switch {
+	case ordered.process != in.offer.Process:
+		in.remove(ordered)
+		by.ordered = ordered
+	case in.renewed:
+		b.end(now, in, End{Task: ordered.name, Run: ordered.run, How: EndLapsed})
+	default:
+		b.end(now, in, End{Task: ordered.name, Run: ordered.run, How: EndAbsent})
+	}
+}
+
+// settleOrdered stops the run that was ordered where another one was found, which is over.
+func (b *Book) settleOrdered(in *instance, over *placement) {
+	if over.ordered == nil {
+		return
+	}
+	ordered := over.ordered
+	ordered.process, ordered.stopping = in.offer.Process, false
+	in.add(ordered)
+	b.stop(in, ordered)
+}
+
 // stepOf finds the step of a task of any job that is known, nil for others.
 func (b *Book) stepOf(name TaskName) *Step {
 	var job *Job
@@ -197,6 +229,7 @@
 	p, placed := in.placements[end.Task]
 	if placed && p.run == end.Run {
 		in.remove(p)
+		b.settleOrdered(in, p)
 	}
 	t := b.find(end.Task)
 	if t == nil || t.done {
@@ -303,8 +336,10 @@
 
 // drop takes everything off an instance.
 func (b *Book) drop(now time.Time, in *instance, how How) {
-	for name, p := range in.placements {
-		b.end(now, in, End{Task: name, Run: p.run, How: how})
+	for _, p := range in.placements {
+		for ; p != nil; p = p.ordered {
+			b.end(now, in, End{Task: p.name, Run: p.run, How: how})
+		}
 	}
 	delete(b.instances, in.offer.Life.ID)
 	b.settleDoubt(in.offer.Life.ID)
