A task found running starts again only when all have told of its failures

Change: the doubt about a task stays until all instances have told, also where it is found running; tasks that last have no such limit and start at once.

Tests: fails before, passes after.

--- a/internal/decision/dispatch/lists.go
+++ b/internal/decision/dispatch/lists.go
@@ -151,7 +151,10 @@
 		b.stop(in, p)
 		return
 	}
-	t.instance, t.run, t.since, t.doubted = in.offer.Life.ID, r.Run, now, false
+	t.instance, t.run, t.since = in.offer.Life.ID, r.Run, now
+	if t.step.Lasting {
+		t.doubted = false // others may know of its failures still, but those have no limit
+	}
 	t.lastRun = max(t.lastRun, r.Run)
 	t.work.started = true
 	if r.Saved != "" {
