A write to a link is bounded by a timeout

Cause: the JSON-RPC library ignores a call's context while it writes. A peer that reads nothing (frozen, or behind a silent cut with full buffers) blocked the caller for ever, whatever the timeout of the call, and with it every later call on the link; the owner then never closed that agent's session.

Change: each write has a deadline of WriteTimeout (2 s); a write that fails closes the connection.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,7 +7,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"net"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
@@ -34,6 +34,9 @@
 	GrantTTL = 4 * time.Second
 	// CallTimeout bounds one call over a link.
 	CallTimeout = 2 * time.Second
+	// WriteTimeout bounds one write to a link. A peer that reads nothing for so long, because
+	// it hangs or its machine is gone, counts as disconnected, and the link closes.
+	WriteTimeout = 2 * time.Second
 )
 
 // Config is a configuration document with its version. Text is empty if the message
@@ -154,29 +157,39 @@
 	peer string
 }
 
-// countingStream adds the bytes of a stream to metrics.
-type countingStream struct {
-	io.ReadWriteCloser
+// stream is the connection of a link. It counts bytes in metrics, and bounds each write: the
+// JSON-RPC library ignores the context of a call while it writes, so that a peer which reads
+// nothing would block the caller for ever.
+type stream struct {
+	net.Conn
 	registry *metrics.Registry
 }
 
-// Read reads from the stream and counts the bytes received.
-func (c countingStream) Read(p []byte) (int, error) {
-	n, err := c.ReadWriteCloser.Read(p)
-	c.registry.Add("link-bytes-in", int64(n))
+// Read reads from the connection and counts the bytes received.
+func (s stream) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	s.registry.Add("link-bytes-in", int64(n))
 	return n, err
 }
 
-// Write writes to the stream and counts the bytes sent.
-func (c countingStream) Write(p []byte) (int, error) {
-	n, err := c.ReadWriteCloser.Write(p)
-	c.registry.Add("link-bytes-out", int64(n))
-	return n, err
+// Write writes to the connection and counts the bytes sent. If the write fails or takes longer
+// than WriteTimeout, it closes the connection, since the peer has received part of a message.
+func (s stream) Write(p []byte) (int, error) {
+	err := s.Conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
+	n := 0
+	if err == nil {
+		n, err = s.Conn.Write(p)
+	}
+	s.registry.Add("link-bytes-out", int64(n))
+	if err != nil {
+		return n, errors.CombineErrors(err, s.Conn.Close())
+	}
+	return n, nil
 }
 
-// New runs the protocol with the named peer over stream and counts the bytes in registry.
+// New runs the protocol with the named peer over conn and counts the bytes in registry.
 // Each incoming call runs handler on its own goroutine. The link closes when ctx ends.
-func New(ctx context.Context, stream io.ReadWriteCloser, peer string, registry *metrics.Registry, handler Handler) *Conn {
+func New(ctx context.Context, conn net.Conn, peer string, registry *metrics.Registry, handler Handler) *Conn {
 	serve := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		var params json.RawMessage
 		if r.Params != nil {
@@ -186,7 +199,7 @@
 	}
 	async := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(serve))
 	noLog := jsonrpc2.SetLogger(discardLogger{})
-	return &Conn{rpc: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(countingStream{stream, registry}), async, noLog), peer: peer}
+	return &Conn{rpc: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(stream{conn, registry}), async, noLog), peer: peer}
 }
 
 // discardLogger drops the log lines of the JSON-RPC library; callers receive its errors.
