A peer whose link turns silent without a close is given up

Cause: neither the owner of jobs nor an entry of the product ended a session without a closed link. A link that only turns silent (half-open, or the agent's process frozen) kept the agent linked for ever: nothing started elsewhere, and the entry went on reporting the agent's old configuration. The test network hid it, since the other end of a partitioned connection still saw its close.

Change: the owner ends a session without a report for 2.5 s and counts the lease from its last grant as before; an entry of the product closes the link of an agent without a call for the duration of a grant, announced or not. The test network's partitions are half-open now, and the schedules cut an agent from all entries as a tenth kind of fault.

--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -30,6 +30,11 @@
 	Disconnected func(link.Announce)
 }
 
+// silenceTimeout is the time without a call of the agent after which its link is closed,
+// announced or not: a link may turn silent without a close. An agent that is alive sends a
+// heartbeat every link.HeartbeatInterval, and its grants last no longer than this.
+const silenceTimeout = link.GrantTTL
+
 // linkedAgent is one agent with an open link. It is owned by the loop.
 type linkedAgent struct {
 	announce         link.Announce
@@ -74,19 +79,46 @@
 	links *Links
 	conn  *link.Conn
 	ready chan struct{}
-	agent *linkedAgent // owned by the loop
+	heard chan struct{} // signalled at each call of the agent
+	agent *linkedAgent  // owned by the loop
 }
 
 func (l *Links) serve(stream net.Conn) {
-	s := &session{links: l, ready: make(chan struct{})}
+	s := &session{links: l, ready: make(chan struct{}), heard: make(chan struct{}, 1)}
 	s.conn = link.New(l.loop.Context(), stream, stream.RemoteAddr().String(), l.metrics, s.handle)
 	close(s.ready)
+	s.waitForEnd()
+	l.loop.Post(func() { l.removeAgent(s) })
+}
+
+// waitForEnd returns when the link has closed. It closes the link when the loop ends, and when
+// the agent has been silent for silenceTimeout.
+func (s *session) waitForEnd() {
+	silence := time.NewTimer(silenceTimeout)
+	defer silence.Stop()
+	for {
+		select {
+		case <-s.conn.Done():
+			return
+		case <-s.heard:
+			silence.Reset(silenceTimeout)
+		case <-silence.C:
+			s.links.log.Warn("agent-silent", zap.Duration("silent", silenceTimeout))
+			s.conn.Close()
+			return
+		case <-s.links.loop.Context().Done():
+			s.conn.Close()
+			return
+		}
+	}
+}
+
+// noteCall restarts the time of silence.
+func (s *session) noteCall() {
 	select {
-	case <-s.conn.Done():
-	case <-l.loop.Context().Done():
-		s.conn.Close()
+	case s.heard <- struct{}{}:
+	default:
 	}
-	l.loop.Post(func() { l.removeAgent(s) })
 }
 
 // removeAgent removes the agent of a closed connection, unless the agent has opened a
@@ -106,6 +138,7 @@
 
 func (s *session) handle(_ context.Context, method string, params json.RawMessage) (any, error) {
 	<-s.ready
+	s.noteCall()
 	switch method {
 	case link.MethodAnnounce:
 		announce, err := link.Decode[link.Announce](params)
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -28,7 +28,7 @@
 	}
 	t.scheduler.Register(time.Now(), a.Registration)
 	t.scheduler.SetReachable(id, false) // until the agent has sent its full run list
-	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, leaseCountedFrom: time.Now(), sentCost: map[interference.Pair]float64{}}
+	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}}
 	t.sessions[id] = s
 	delete(t.leaseExpiry, id)
 	if t.removing[id] || t.removalUncertain[id] {
@@ -49,8 +49,19 @@
 	return link.AttachReply{Epoch: t.epoch}
 }
 
-// disconnected ends a session whose link has closed and sets the time at which the last
-// lease of its instance expires.
+// endSilentSessions ends the sessions without a report for sessionTimeout.
+func (t *term) endSilentSessions(now time.Time) {
+	for id, s := range t.sessions {
+		if silence := now.Sub(s.lastReportAt); silence > sessionTimeout {
+			t.log.Warn("session-silent", zap.String("instance", id), zap.Uint64("session", s.number), zap.Duration("silent", silence))
+			s.conn.link.Close()
+			t.disconnected(id, s)
+		}
+	}
+}
+
+// disconnected ends a session whose link has closed or is silent, and sets the time at which
+// the last lease of its instance expires.
 func (t *term) disconnected(id string, s *session) {
 	if t.sessions[id] != s {
 		return
@@ -72,6 +83,7 @@
 		return link.ReportReply{}, errNoSession
 	}
 	now := time.Now()
+	s.lastReportAt = now
 	t.scheduler.Register(now, r.Registration)
 	t.recordEnds(now, s, r.Ends)
 	if r.Full {
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -16,10 +16,9 @@
 
 const (
 	// leaseTTL is the duration of the lease granted for a report, from the time at which the
-	// agent sent it. After the link of an instance has closed, its tasks start elsewhere no
+	// agent sent it. After the session of an instance has ended, its tasks start elsewhere no
 	// earlier than leaseExpiryWait after the instance's last grant or attach, unless its
-	// agent reports that the leases have expired or a later incarnation replaces it. A link
-	// that stays open without reports starts no timer.
+	// agent reports that the leases have expired or a later incarnation replaces it.
 	leaseTTL = 3500 * time.Millisecond
 	// leaseExpiryWait is the time on the owner's clock after which a lease has certainly
 	// expired: the clocks may run at rates that differ by 2 %, so a fortieth (2.5 %) of
@@ -28,6 +27,10 @@
 	// epochConfirmationTTL is how long the owner grants leases after the table last
 	// confirmed its epoch. Tasks therefore continue during a short outage of the table.
 	epochConfirmationTTL = 4500 * time.Millisecond
+	// sessionTimeout is the time without a report after which a session ends, although its link
+	// is open: a link may turn silent without a close. An agent that reports has by then given
+	// the session up itself, since it waits for at most one second for a reply.
+	sessionTimeout = 2500 * time.Millisecond
 	// takeoverWait is the time from a claim until every lease that an earlier owner granted
 	// has expired. A fortieth of epochConfirmationTTL is added for the clocks' rates too.
 	takeoverWait = epochConfirmationTTL + epochConfirmationTTL/40 + leaseExpiryWait
@@ -71,6 +74,7 @@
 	// leaseCountedFrom is the time of the last grant, or of the attach before the first one:
 	// leases of the previous session were granted before the attach.
 	leaseCountedFrom time.Time
+	lastReportAt     time.Time                     // of the last report, or of the attach before the first one
 	sentCost         map[interference.Pair]float64 // costs that the agent was last sent
 }
 
@@ -344,10 +348,11 @@
 	plan()
 }
 
-// tick does the work that depends on the time alone: recurring jobs that are due, expired
-// leases and a new plan.
+// tick does the work that depends on the time alone: recurring jobs that are due, silent
+// sessions, expired leases and a new plan.
 func (t *term) tick() {
 	t.scheduler.Trigger(t.elector.nowMillis())
+	t.endSilentSessions(time.Now())
 	t.removeExpired()
 	t.dispatch()
 }
--- a/internal/process/shard_faults_test.go
+++ b/internal/process/shard_faults_test.go
@@ -270,6 +270,31 @@
 	})
 }
 
+// An agent whose link turns silent without a close, and which cannot connect again, is given up:
+// its tasks start on another worker once its leases have expired.
+func TestTasksBehindASilentLinkRestart(t *testing.T) {
+	withJobCluster(t, 2, 2, func(t *testing.T, system *testcluster.JobCluster) {
+		longRunning := newJob("lasting", 4, 1_000_000)
+		longRunning.Steps[0].LongRunning = true
+		if outcome := submit(t, system, 0, longRunning); outcome != submission.Accepted {
+			t.Fatal(outcome)
+		}
+		time.Sleep(time.Second)
+		starts := system.Checker.Starts()
+		lost := system.Workers[0].Running()
+		if lost == 0 {
+			t.Fatal("no task runs on the worker")
+		}
+		for i := range system.Entries {
+			system.Net.SetPartition("a0", system.EntryName(i), true)
+		}
+		time.Sleep(6 * time.Second)
+		if got := system.Checker.Starts() - starts; got != lost {
+			t.Errorf("%d of %d tasks have restarted after 6 s", got, lost)
+		}
+	})
+}
+
 // After all processes were killed and restarted, all tasks run again within 4 s.
 func TestRecoveryOfAll(t *testing.T) {
 	withJobCluster(t, 3, 3, func(t *testing.T, system *testcluster.JobCluster) {
--- a/internal/process/shard_test.go
+++ b/internal/process/shard_test.go
@@ -131,7 +131,7 @@
 func (s *scenario) fault() {
 	system, duration := s.system, time.Duration(300+s.random.IntN(6000))*time.Millisecond
 	entry, worker := s.random.IntN(len(system.Entries)), s.random.IntN(len(system.Workers))
-	switch s.random.IntN(9) {
+	switch s.random.IntN(10) {
 	case 0:
 		if system.Service(entry) != nil {
 			s.noError(system.KillEntry(entry))
@@ -184,6 +184,13 @@
 			return testcluster.OrderFault{DropReply: true, Late: time.Duration(random.intN(8000)) * time.Millisecond}
 		})
 		time.AfterFunc(duration, func() { of.SetFault(nil) })
+	case 9: // the links of an agent to all entries turn silent, and new ones do not open
+		agent := fmt.Sprintf("a%d", worker)
+		for i := range system.Entries {
+			name := system.EntryName(i)
+			system.Net.SetPartition(agent, name, true)
+			time.AfterFunc(duration, func() { system.Net.SetPartition(agent, name, false) })
+		}
 	}
 }
 
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -87,6 +87,9 @@
 			_ = s.Close()
 		}
 		c.Client.CloseIdleConnections()
+		if err := c.Net.Close(); err != nil {
+			t.Error(err)
+		}
 	})
 	return c
 }
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -179,7 +179,7 @@
 	for _, a := range c.agents {
 		failed = errors.CombineErrors(failed, a.proc.Wait())
 	}
-	return failed
+	return errors.CombineErrors(failed, c.Net.Close())
 }
 
 // EntryName returns the name of entry i.
--- a/internal/testcluster/network.go
+++ b/internal/testcluster/network.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/apricotwind/apricotwind/internal/process"
+	"github.com/cockroachdb/errors"
 )
 
 // Network is an in-memory network, so that tests can use the fake clock of synctest. Each
@@ -34,8 +36,8 @@
 }
 
 // memoryConn is one end of a connection. After a partition its writes are discarded and its
-// reads return nothing, as on a half-open connection. Unlike there, the other end still notices
-// when this end closes the connection.
+// reads return nothing, as on a half-open connection: the other end does not notice either when
+// this end closes the connection.
 type memoryConn struct {
 	net.Conn
 	from, to    string
@@ -126,6 +128,17 @@
 	}
 }
 
+// Close closes all connections, as the end of all processes does.
+func (n *Network) Close() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var failed error
+	for _, c := range n.conns {
+		failed = errors.CombineErrors(failed, c.Conn.Close())
+	}
+	return failed
+}
+
 func (c *memoryConn) isPartitioned() bool {
 	select {
 	case <-c.partitioned:
@@ -150,6 +163,15 @@
 	return n, err
 }
 
+// Close closes this end. After a partition only the reads of this end return; the other end
+// learns nothing.
+func (c *memoryConn) Close() error {
+	if c.isPartitioned() {
+		return c.Conn.SetReadDeadline(time.Now())
+	}
+	return c.Conn.Close()
+}
+
 func (l *memoryListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.accept:
