A run that is being stopped stays known until the worker has carried the stop out

Cause: while a stop was in flight, the late answer to the run's start, or a list that showed the run once more, set the time from which its absence counts.

Change: only the answer to the stop settles a run that is being stopped.

--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -160,3 +160,43 @@
 		})
 	})
 }
+
+// While a run is being stopped, the worker's lists may not show it although it still holds its
+// resources. Neither the late answer to its start nor a list that shows it once more shortens the
+// time for which it counts as present.
+func TestARunThatIsBeingStoppedStaysKnown(t *testing.T) {
+	cases := []struct {
+		name string
+		seen func(r *Runner) // happens while the stop is in flight
+	}{
+		{"the start is answered late", func(r *Runner) {
+			call := StartCall{Incarnation: r.registration.Incarnation, Task: task, Run: 1}
+			r.startAnswered(r.runs[task], call, 1, Answer{}, nil)
+		}},
+		{"a list shows it once more", func(r *Runner) {
+			r.reconcile(pollResultOf(200, task), time.Now())
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			unanswered := Worker{
+				Start: func(ctx context.Context, _ StartCall) (Answer, error) { <-ctx.Done(); return Answer{}, ctx.Err() },
+				Stop:  func(ctx context.Context, _ StopCall) (Answer, error) { <-ctx.Done(); return Answer{}, ctx.Err() },
+			}
+			withRunner(t, unanswered, func(t *testing.T, r *Runner) {
+				onLoop(t, r, func() {
+					r.applyOrders(link.Orders{Session: 1, Starts: []link.StartOrder{{Task: task, Run: 1}}})
+					r.applyOrders(link.Orders{Session: 1, Stops: []link.StopOrder{{Task: task, Run: 1}}})
+					c.seen(r)
+				})
+				time.Sleep(6 * time.Millisecond)
+				onLoop(t, r, func() {
+					r.reconcile(pollResultOf(210), time.Now())
+					if r.runs[task] == nil || len(r.session.notStarted) > 0 {
+						t.Errorf("reported as not started: %v", r.session.notStarted)
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -39,6 +39,14 @@
 	settledAt time.Time
 }
 
+// settleStart records that the start has reached the worker. A stop that is in flight settles
+// the run later: until the worker has carried it out, its lists may omit the run.
+func (k *run) settleStart() {
+	if !k.stopping && k.settledAt.IsZero() {
+		k.settledAt = time.Now()
+	}
+}
+
 // runsByTask holds the runs of a worker, at most one for each task.
 type runsByTask map[dispatch.TaskName]*run
 
@@ -56,9 +64,7 @@
 	if known.number != l.Run {
 		return false
 	}
-	if known.settledAt.IsZero() {
-		known.settledAt = time.Now()
-	}
+	known.settleStart()
 	if known.checkpoint != l.Checkpoint {
 		known.checkpoint, known.checkpointChanged = l.Checkpoint, true
 	}
@@ -146,7 +152,7 @@
 	}
 	switch {
 	case err == nil && answer.Status == Applied:
-		known.settledAt = time.Now()
+		known.settleStart()
 		if known.order.BestEffort {
 			r.pacer.set(r, known, call.Task)
 		}
