A cancellation does not change a final state

Cause: Scheduler.Cancel accepted every job that it still held, also one that had completed and whose final state was being stored. The job was then stored as cancelled, after clients may have seen it completed.

Change: Cancel ignores a job with a final state.

Measured, before: scheduler_test.go:392: a completed job was cancelled; stored state: cancelled, want completed; after: passes.

--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -122,11 +122,11 @@
 	}
 }
 
-// Cancel cancels a job that is active (see Active) and stops its runs. It reports whether the
-// job was active.
+// Cancel cancels a job that has not ended and stops its runs. It reports whether it did. A final
+// state never changes, also while it is not stored yet.
 func (s *Scheduler) Cancel(id string) bool {
 	j, ok := s.jobs[id]
-	if !ok {
+	if !ok || j.state.Final() {
 		return false
 	}
 	s.finish(j, Cancelled)
--- a/internal/decision/dispatch/scheduler_test.go
+++ b/internal/decision/dispatch/scheduler_test.go
@@ -381,3 +381,17 @@
 	s.Reconcile(at(1), Incarnation{"a", 1}, []RunStatus{{Task: TaskName{"j", 0, 0, 0}, Run: 1}})
 	expect(t, "stops after the next list", len(s.TakeStops()), 1)
 }
+
+// A cancellation that arrives while the final state of a job is being stored changes nothing:
+// clients may have seen that state.
+func TestACancelAfterTheEndChangesNothing(t *testing.T) {
+	s := New(1, 1)
+	job := jobOf("j", stepOf(1, 1))
+	s.Accept(startTime, job, &Progress{Occurrences: []*Occurrence{{Done: []string{"1"}}}})
+	if s.Cancel("j") {
+		t.Error("a completed job was cancelled")
+	}
+	for _, change := range s.Dirty(1) {
+		expect(t, "stored state", change.Progress.State, Completed)
+	}
+}
