The read of a new term confirms no epoch, and removals renew the alive row

Cause: term.open took the read at the start of a term as a confirmation of the epoch, although that read does not look at the owner's row: an owner that was paused between claim and read went on granting leases after another had taken over. The commits that remove the rows of expired jobs did the opposite: they confirmed the epoch, which delays the next write of the alive row, without writing it; while many jobs expired, the other entries saw a silent owner and replaced it. Jobs of a removal that was refused or not answered were never removed.

Change: only writes with the owner's row as a precondition confirm the epoch; removals write the alive row; jobs whose removal had no known effect wait for the next one.

--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -23,9 +23,8 @@
 }
 
 // renewAliveRow writes the alive row unless a commit is in flight or the epoch was confirmed
-// less than alivePeriod ago. Every commit of nextBatch writes the alive row too; a commit of
-// removeExpiredJobs does not, although it confirms the epoch. A successful write confirms the
-// epoch, since the owner's row is its precondition.
+// less than alivePeriod ago: every commit writes the alive row too. A successful write confirms
+// the epoch, since the owner's row is its precondition.
 func (t *term) renewAliveRow() {
 	if t.committing || time.Since(t.epochConfirmedAt) < alivePeriod {
 		return
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -31,7 +31,7 @@
 	txn         table.Txn
 	jobs        []dispatch.ProgressChange
 	instances   []dispatch.InstanceChange
-	removed     []string
+	removed     []finishedJob
 	pendingJobs []*pendingJob
 	acks        map[*session]int64 // highest end to acknowledge per session after the commit
 	began       time.Time
@@ -178,7 +178,7 @@
 	case applied.Outcome == table.Committed:
 		t.handleCommitted(b, applied.Revision)
 	case applied.Outcome == table.Conflict:
-		t.changes = append(b.instances, t.changes...)
+		t.requeueChanges(b)
 		owned := t.refreshRevisions(b.txn.Preconditions, applied.Rows)
 		t.submissionsConflicted(b, applied.Rows)
 		if !owned {
@@ -188,7 +188,7 @@
 	default:
 		// The table refused the commit, or its outcome is unknown. The same changes are sent
 		// again with the same preconditions, so they take effect at most once.
-		t.changes = append(b.instances, t.changes...)
+		t.requeueChanges(b)
 		t.requeueSubmissions(b, errors.Is(err, table.ErrRefused))
 		t.commitFailures.Note(errors.CombineErrors(err, errNoOutcome))
 		t.commitRetryAt = time.Now().Add(commitRetryDelay)
@@ -197,6 +197,12 @@
 	t.schedulePlan()
 }
 
+// requeueChanges makes the instance rows and the removals of a commit wait for the next one.
+func (t *term) requeueChanges(b *batch) {
+	t.changes = append(b.instances, t.changes...)
+	t.finished = append(b.removed, t.finished...)
+}
+
 // errNoOutcome is logged for a commit that was refused or whose outcome is unknown.
 var errNoOutcome = errors.New("commit without outcome")
 
@@ -224,8 +230,8 @@
 		}
 	}
 	t.submissionsCommitted(b)
-	for _, id := range b.removed {
-		t.scheduler.Forget(id)
+	for _, expired := range b.removed {
+		t.scheduler.Forget(expired.id)
 	}
 	t.acknowledge(b.acks)
 	if t.onEnd != nil {
@@ -254,18 +260,24 @@
 
 // removeExpiredJobs removes the rows of jobs that finished more than the retention time ago.
 func (t *term) removeExpiredJobs() {
+	if b := t.nextRemovals(); len(b.removed) > 0 {
+		t.apply(b)
+	}
+}
+
+// nextRemovals moves as many expired jobs into a batch as one commit removes.
+func (t *term) nextRemovals() *batch {
 	b := &batch{began: time.Now(), txn: table.Txn{Preconditions: []table.Precondition{t.ownerPrecondition()}}}
 	for len(t.finished) > 0 && len(b.removed) < maxCommitRemovals && time.Now().After(t.finished[0].remove) {
-		id := t.finished[0].id
+		expired := t.finished[0]
 		t.finished = t.finished[1:]
-		b.removed = append(b.removed, id)
+		b.removed = append(b.removed, expired)
 		for _, suffix := range []string{suffixJob, suffixProgress, suffixCancel} {
-			b.txn.Removes = append(b.txn.Removes, jobRowKey(id, suffix))
+			b.txn.Removes = append(b.txn.Removes, jobRowKey(expired.id, suffix))
 		}
 	}
-	if len(b.removed) > 0 {
-		t.apply(b)
-	}
+	t.putAliveRow(b)
+	return b
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -164,10 +164,9 @@
 	t.run(alivePeriod, t.renewAliveRow)
 	t.elector.loop.Go(func() {
 		for t.ctx.Err() == nil {
-			began := time.Now()
 			persisted, err := t.read()
 			if err == nil {
-				t.post(func() { t.open(persisted, began) })
+				t.post(func() { t.open(persisted) })
 				return
 			}
 			t.log.Warn("load-failed", logs.Error(err))
@@ -198,11 +197,18 @@
 }
 
 // open gives the scheduler the state found in the table and starts the periodic work of the
-// term. began is when the successful read started. epochConfirmedAt is set to it, although the
-// read does not check the owner's row: if another process has claimed the ownership before
-// began, only a conflict of a write, an accepted job with a higher OwnerRevision, or the
-// elector's next read of the alive row shows it.
-func (t *term) open(persisted persistedRows, began time.Time) {
+// term.
+func (t *term) open(persisted persistedRows) {
+	t.restore(persisted)
+	t.log.Info("term", zap.Int("instances", len(persisted.instances)), zap.Int("rows", len(persisted.jobs)), zap.Duration("took", time.Since(t.claimed)))
+	t.run(jobsPollPeriod, t.pollJobs)
+	t.run(tickPeriod, t.tick)
+	t.schedulePlan()
+}
+
+// restore gives the scheduler the state found in the table. It leaves epochConfirmedAt as it
+// is, since the read did not look at the owner's row.
+func (t *term) restore(persisted persistedRows) {
 	for _, row := range persisted.instances {
 		var registration dispatch.Registration
 		if err := json.Unmarshal(row.Value, &registration); err != nil {
@@ -215,11 +221,7 @@
 	}
 	t.restoreCosts(persisted.costs)
 	t.applyRows(persisted.jobs)
-	t.jobsRevision, t.loaded, t.epochConfirmedAt = persisted.jobsRevision, true, began
-	t.log.Info("term", zap.Int("instances", len(persisted.instances)), zap.Int("rows", len(persisted.jobs)), zap.Duration("took", time.Since(t.claimed)))
-	t.run(jobsPollPeriod, t.pollJobs)
-	t.run(tickPeriod, t.tick)
-	t.schedulePlan()
+	t.jobsRevision, t.loaded = persisted.jobsRevision, true
 }
 
 // run calls f on the loop once per period until the term ends.
--- /dev/null
+++ b/internal/owner/term_test.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"testing"
+	"time"
+)
+
+// The read at the start of a term does not look at the owner's row: another process may have
+// claimed the ownership before it. So it does not extend the time for which leases are granted.
+func TestTheReadOfATermConfirmsNothing(t *testing.T) {
+	current := newTestTerm(nil)
+	now := time.Now()
+	current.epochConfirmedAt = now.Add(-epochConfirmationTTL - time.Second)
+	current.restore(persistedRows{})
+	if ttl := current.grant(&session{}, now); ttl != 0 {
+		t.Errorf("a lease of %v without a confirmed epoch", ttl)
+	}
+}
+
+// While the rows of many finished jobs are removed, the owner writes the alive row as often as
+// otherwise, and is not replaced. Rows whose removal was refused are removed later.
+func TestRemovalsKeepTheOwnerAlive(t *testing.T) {
+	current := newTestTerm(nil)
+	for range maxCommitRemovals + 1 {
+		current.finished = append(current.finished, finishedJob{"j", time.Now().Add(-time.Second)})
+	}
+	b := current.nextRemovals()
+	if len(b.removed) != maxCommitRemovals || len(current.finished) != 1 {
+		t.Fatalf("%d jobs in the commit, %d left", len(b.removed), len(current.finished))
+	}
+	alive := false
+	for _, put := range b.txn.Puts {
+		alive = alive || put.RowKey == aliveRowKey()
+	}
+	if !alive {
+		t.Error("the commit confirms the epoch, which delays the next write of the alive row, and does not write it")
+	}
+	current.requeueChanges(b)
+	if len(current.finished) != maxCommitRemovals+1 {
+		t.Errorf("%d jobs wait for their removal after a refused commit", len(current.finished))
+	}
+}
