Entries call the owner and each other through one pool of links

Cause: the client of the owner held its lock while it opened a connection. While the owner's machine was dark, each call and each look at who owns waited behind the attempts of all others, the control loop included when it heard of the next owner. The client of the other entries stood beside it with the same logic and leaked a link when two calls opened one at the same time.

Change: link.Pool serves both. All callers of an address wait for one attempt, outside of any lock; a call that was not sent is marked, so that Forward tries the next entry after 300 ms instead of a second.

TestCallersWaitForADarkAddressTogether: 50 calls fail within one attempt of 300 ms. internal/process passes.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -231,6 +231,12 @@
 	_ = c.rpc.Close()
 }
 
+// RejectCalls is the Handler of a link on which the peer makes no calls. It answers each with an
+// error.
+func RejectCalls(_ context.Context, method string, _ json.RawMessage) (any, error) {
+	return nil, UnknownMethod(method)
+}
+
 // UnknownMethod returns the error for a call of an unknown method.
 func UnknownMethod(method string) error {
 	return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + method}
--- /dev/null
+++ b/internal/link/pool_test.go
@@ -0,0 +1,82 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/loop"
+	"github.com/apricotwind/apricotwind/internal/metrics"
+	"github.com/cockroachdb/errors"
+)
+
+// withPool runs a test on a pool with the given dial function in a bubble of its own.
+func withPool(t *testing.T, dial Dial, test func(t *testing.T, p *Pool)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l := loop.New(ctx)
+		test(t, NewPool(dial, l, metrics.New()))
+		cancel()
+		l.Wait()
+		time.Sleep(CallTimeout) // lets discarded links close
+	})
+}
+
+// While an address does not answer, as after the loss of the owner's machine, all callers learn so
+// at once, and the pool opens one connection for all of them.
+func TestCallersWaitForADarkAddressTogether(t *testing.T) {
+	var dials atomic.Int32
+	dark := func(ctx context.Context, _ string) (net.Conn, error) {
+		dials.Add(1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	withPool(t, dark, func(t *testing.T, p *Pool) {
+		began := time.Now()
+		failures := make(chan error, 50)
+		for range cap(failures) {
+			go func() { failures <- p.Call(t.Context(), "a", time.Second, MethodWhoOwns, nil, nil) }()
+		}
+		for range cap(failures) {
+			if err := <-failures; !errors.Is(err, ErrNotConnected) {
+				t.Errorf("call of a dark address: %v", err)
+			}
+		}
+		if took := time.Since(began); took > dialTimeout {
+			t.Errorf("the calls took %v, one attempt %v", took, dialTimeout)
+		}
+		if dials.Load() != 1 {
+			t.Errorf("%d connections for calls at the same time", dials.Load())
+		}
+	})
+}
+
+// A link on which a call got no answer is replaced, and the old one closes.
+func TestALinkThatDoesNotAnswerIsReplaced(t *testing.T) {
+	var far []net.Conn
+	dial := func(context.Context, string) (net.Conn, error) {
+		near, peer := net.Pipe()
+		far = append(far, peer)
+		return near, nil
+	}
+	withPool(t, dial, func(t *testing.T, p *Pool) {
+		for range 2 {
+			if err := p.Call(t.Context(), "a", time.Second, MethodWhoOwns, nil, nil); err == nil || errors.Is(err, ErrNotConnected) {
+				t.Errorf("call without an answer: %v", err)
+			}
+		}
+		if len(far) != 2 {
+			t.Errorf("%d connections, want a new one after the failure", len(far))
+		}
+		time.Sleep(CallTimeout + WriteTimeout)
+		for i, conn := range far {
+			if _, err := conn.Write([]byte("{}")); err == nil {
+				t.Errorf("connection %d is still open", i)
+			}
+		}
+	})
+}
--- a/internal/owner/client.go
+++ b/internal/owner/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"time"
 
@@ -17,8 +16,6 @@
 )
 
 const (
-	// dialTimeout is not used: callTimeout bounds the opening of a connection.
-	dialTimeout = 500 * time.Millisecond
 	// callTimeout bounds a call to the owner, including the opening of the connection.
 	callTimeout = 300 * time.Millisecond
 	// notifyQueueSize bounds the notifications that wait to be sent to the owner. Further
@@ -26,23 +23,18 @@
 	notifyQueueSize = 256
 )
 
-// Dial opens a connection to another process of the system at address, host:port.
-type Dial func(ctx context.Context, address string) (net.Conn, error)
-
 // Client sends an entry's calls and notifications to the owner, which may be the same
 // process. Its methods are safe for concurrent use after Start.
 type Client struct {
 	elector  *Elector
-	dial     Dial
+	pool     *link.Pool
 	loop     *loop.Loop
 	log      *zap.Logger
 	registry *metrics.Registry
 	queue    chan notification
 
-	mu      sync.Mutex
-	holder  Holder
-	conn    *link.Conn
-	address string // to which conn is connected
+	mu     sync.Mutex
+	holder Holder
 }
 
 // notification is a call to the owner that waits to be sent. Its reply is ignored.
@@ -53,8 +45,8 @@
 
 // NewClient returns a client without an elector. Owns, Call and Submit must not be called
 // before Start. Notifications are queued until then.
-func NewClient(dial Dial, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Client {
-	return &Client{dial: dial, loop: l, log: log, registry: registry, queue: make(chan notification, notifyQueueSize)}
+func NewClient(pool *link.Pool, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Client {
+	return &Client{pool: pool, loop: l, log: log, registry: registry, queue: make(chan notification, notifyQueueSize)}
 }
 
 // Start sets the elector of this process and starts to send queued notifications.
@@ -116,17 +108,7 @@
 	if holder.Address == "" {
 		return ErrNotOwner
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	conn, err := c.connect(callCtx, holder.Address)
-	if err != nil {
-		return err
-	}
-	if err := conn.Call(callCtx, method, params, result); err != nil {
-		c.discard(conn)
-		return err
-	}
-	return nil
+	return c.pool.Call(ctx, holder.Address, callTimeout, method, params, result)
 }
 
 // Owns reports whether this process is the last known owner.
@@ -154,44 +136,3 @@
 	}
 	return errors.Wrap(json.Unmarshal(text, result), "decode reply")
 }
-
-func (c *Client) connect(ctx context.Context, address string) (*link.Conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil && c.address == address {
-		select {
-		case <-c.conn.Done():
-		default:
-			return c.conn, nil
-		}
-	}
-	if c.conn != nil {
-		c.conn.Close()
-		c.conn = nil
-	}
-	stream, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "dial owner %s", address)
-	}
-	c.conn = link.New(c.loop.Context(), stream, address, c.registry, rejectCalls)
-	c.address = address
-	return c.conn, nil
-}
-
-// discard makes the next call open a new connection, since the peer of this one may have
-// stopped answering. It closes conn after callTimeout, when all calls in flight on it have
-// ended.
-func (c *Client) discard(conn *link.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn == conn {
-		c.conn = nil
-		time.AfterFunc(callTimeout, conn.Close)
-	}
-}
-
-// rejectCalls answers every incoming call with an unknown-method error: the owner makes no
-// calls on this connection.
-func rejectCalls(_ context.Context, method string, _ json.RawMessage) (any, error) {
-	return nil, link.UnknownMethod(method)
-}
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -78,9 +78,10 @@
 	e := &JobEntry{settings: settings, network: network, log: log, metrics: metrics.New(), loop: loop.New(ctx)}
 	deps.Store, e.health = table.WithHealth(deps.Store)
 	e.deps = deps
-	e.ownerClient = owner.NewClient(e.dial, e.loop, log, e.metrics)
+	pool := link.NewPool(e.dial, e.loop, e.metrics)
+	e.ownerClient = owner.NewClient(pool, e.loop, log, e.metrics)
 	self := submission.EntryInfo{Name: settings.Name, Address: settings.Link, Cores: settings.Cores}
-	peers := submission.NewPeers(self, deps.Store, e.dial, e.loop, log, e.metrics)
+	peers := submission.NewPeers(self, deps.Store, pool, e.loop, log, e.metrics)
 	e.elector = owner.New(owner.Settings{
 		Name: settings.Name, Address: settings.Link, Retention: settings.Retention, Outranked: peers.Outranked,
 	}, deps.Store, e.health, e.loop, log, e.metrics, monotonicUnix(), e.ownerClient.SetHolder)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
@@ -54,12 +53,9 @@
 	}
 }
 
-// Dial opens a connection to another process of the system at address, host:port.
-type Dial func(ctx context.Context, address string) (net.Conn, error)
-
 // StartSessions starts to keep a session with the owner, until the loop ends. find returns the
 // owner's address, or "" if no owner is known. StartSessions returns at once.
-func (r *Runner) StartSessions(dial Dial, find func() string) {
+func (r *Runner) StartSessions(dial link.Dial, find func() string) {
 	r.loop.Go(func() {
 		ctx := r.loop.Context()
 		attachFailures := logs.NewFailureLogger(r.log, "attach-failed")
@@ -90,7 +86,7 @@
 
 // runOneSession attaches to the owner and reports to it until the session ends. It returns an
 // error if no session started or the loop has ended. Why a session ended is only logged.
-func (r *Runner) runOneSession(ctx context.Context, dial Dial, address string, isOwner func() bool) error {
+func (r *Runner) runOneSession(ctx context.Context, dial link.Dial, address string, isOwner func() bool) error {
 	callCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	stream, err := dial(callCtx, address)
--- a/internal/submission/peers.go
+++ b/internal/submission/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -37,18 +36,18 @@
 // errNoPeer is returned if a call could not be forwarded to any other entry.
 var errNoPeer = errors.New("no other entry can be reached")
 
-// Peers tracks the other entries and forwards to them calls that this entry cannot complete. Its methods are safe for concurrent use.
+// Peers tracks the other entries and forwards to them calls that this entry cannot complete. Its
+// methods are safe for concurrent use.
 type Peers struct {
 	self     EntryInfo
 	store    *table.Store
-	dial     func(ctx context.Context, address string) (net.Conn, error)
+	pool     *link.Pool
 	loop     *loop.Loop
 	log      *zap.Logger
 	registry *metrics.Registry
 
 	mu     sync.Mutex
-	others map[string]entryRow   // by entry name
-	conns  map[string]*link.Conn // by link address
+	others map[string]entryRow // by entry name
 }
 
 // EntryInfo describes one entry.
@@ -64,13 +63,9 @@
 	Cores   float64 `json:"cpu,omitempty"`
 }
 
-// NewPeers returns the peers of the entry self. dial opens a connection to the link address
-// of another entry.
-func NewPeers(self EntryInfo, store *table.Store, dial func(ctx context.Context, address string) (net.Conn, error), l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Peers {
-	return &Peers{
-		self: self, store: store, dial: dial, loop: l, log: log, registry: registry,
-		others: map[string]entryRow{}, conns: map[string]*link.Conn{},
-	}
+// NewPeers returns the peers of the entry self. It calls them through pool.
+func NewPeers(self EntryInfo, store *table.Store, pool *link.Pool, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Peers {
+	return &Peers{self: self, store: store, pool: pool, loop: l, log: log, registry: registry, others: map[string]entryRow{}}
 }
 
 // Run starts to write this entry's row, until one write succeeds, and to read the rows of the
@@ -169,59 +164,15 @@
 
 // Forward forwards a call to one other entry and decodes the reply into result. It tries the
 // entry at address preferred, unless that is empty or this entry's, then others in random
-// order, at most maxForwardPeers in all, until one can be connected to. errNoPeer means that the call was not sent. After any other error the call
-// may have taken effect.
+// order, at most maxForwardPeers in all, until one can be connected to. errNoPeer means that the
+// call was not sent. After any other error the call may have taken effect.
 func (p *Peers) Forward(ctx context.Context, preferred, method string, params, result any) error {
 	for _, address := range p.candidates(preferred) {
-		callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
-		conn, dialErr := p.connect(callCtx, address)
-		if dialErr != nil {
-			cancel()
-			continue
-		}
-		err := conn.Call(callCtx, method, params, result)
-		cancel()
-		p.registry.Add("peer-asked", 1)
-		if err != nil {
-			p.discard(address, conn)
+		err := p.pool.Call(ctx, address, forwardTimeout, method, params, result)
+		if !errors.Is(err, link.ErrNotConnected) {
+			p.registry.Add("peer-asked", 1)
+			return err
 		}
-		return err
 	}
 	return errNoPeer
 }
-
-func (p *Peers) connect(ctx context.Context, address string) (*link.Conn, error) {
-	p.mu.Lock()
-	conn := p.conns[address]
-	p.mu.Unlock()
-	if conn != nil {
-		select {
-		case <-conn.Done():
-		default:
-			return conn, nil
-		}
-	}
-	stream, err := p.dial(ctx, address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "dial entry %s", address)
-	}
-	conn = link.New(p.loop.Context(), stream, address, p.registry, func(_ context.Context, method string, _ json.RawMessage) (any, error) {
-		return nil, link.UnknownMethod(method)
-	})
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.conns[address] = conn
-	return conn, nil
-}
-
-// discard makes the next call open a new connection, since the peer of this one may have
-// stopped answering. It closes conn after forwardTimeout, when all calls in flight on it have
-// ended.
-func (p *Peers) discard(address string, conn *link.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conns[address] == conn {
-		delete(p.conns, address)
-		time.AfterFunc(forwardTimeout, conn.Close)
-	}
-}
