Ages and windows are counted on the monotonic clock

Cause: table.Health kept the time of the store's last answer as a Unix time, and the baseline of the interference model numbered its buckets by the Unix time. A jump of the time of day made a store that answers look unavailable (a step forward), or one that is down look available for as long as the step was (backward), and emptied or froze the baselines.

Change: both keep times with their monotonic reading. Not covered by a test that fails first: a Go test cannot step the time of day under a process.

--- a/internal/decision/interference/model.go
+++ b/internal/decision/interference/model.go
@@ -113,6 +113,7 @@
 // baseline is the headroom of a latency-critical job without best-effort tasks.
 type baseline struct {
 	index   int
+	began   time.Time // of the first record; buckets are numbered from it
 	updated time.Time
 	buckets [baselineBuckets]average // ring buffer: bucket n is at n modulo baselineBuckets
 	newest  int64                    // number of the newest bucket
@@ -129,7 +130,10 @@
 // record adds the estimated baseline at now to its bucket of the window, and clears the
 // buckets that have left the window since the last call.
 func (b *baseline) record(now time.Time, headroom float64) {
-	bucket := now.UnixNano() / int64(baselineWindow/baselineBuckets)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	bucket := int64(max(now.Sub(b.began), 0) / (baselineWindow / baselineBuckets))
 	for ; b.newest < bucket; b.newest++ {
 		if bucket-b.newest > baselineBuckets {
 			b.newest = bucket - baselineBuckets
--- a/pkg/platform/table/health.go
+++ b/pkg/platform/table/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -21,8 +22,8 @@
 // Health tracks how a store has recently answered one process. It is current only if the
 // process reads the store regularly. It is safe for concurrent use.
 type Health struct {
-	lastAnswer  atomic.Int64 // time of the last successful answer, Unix ns
-	readLatency atomic.Int64 // moving average of the latency of reads, ns
+	lastAnswer  atomic.Pointer[time.Time] // time of the last successful answer, nil before it
+	readLatency atomic.Int64              // moving average of the latency of reads, ns
 }
 
 // WithHealth wraps a store: it returns a store that makes the same calls and records the answers to
@@ -41,16 +42,23 @@
 	monitored.Apply = func(ctx context.Context, txn Txn) (TxnResult, error) {
 		result, err := store.Apply(ctx, txn)
 		if result.Outcome != Unknown {
-			h.lastAnswer.Store(time.Now().UnixNano())
+			h.noteAnswer()
 		}
 		return result, err
 	}
 	return &monitored, h
 }
 
+// noteAnswer records a successful answer. The time has a monotonic reading, so that a jump of the
+// time of day changes no age.
+func (h *Health) noteAnswer() {
+	now := time.Now()
+	h.lastAnswer.Store(&now)
+}
+
 // observeRead records a successful read and its latency.
 func (h *Health) observeRead(latency time.Duration) {
-	h.lastAnswer.Store(time.Now().UnixNano())
+	h.noteAnswer()
 	average := h.readLatency.Load()
 	h.readLatency.Store(average + (int64(latency)-average)/smoothingDivisor)
 }
@@ -58,8 +66,15 @@
 // ReadLatency returns the moving average of the latency of reads.
 func (h *Health) ReadLatency() time.Duration { return time.Duration(h.readLatency.Load()) }
 
-// Age returns the time since the store's last successful answer.
-func (h *Health) Age() time.Duration { return time.Since(time.Unix(0, h.lastAnswer.Load())) }
+// Age returns the time since the store's last successful answer. Before the first one it is the
+// longest duration.
+func (h *Health) Age() time.Duration {
+	last := h.lastAnswer.Load()
+	if last == nil {
+		return math.MaxInt64
+	}
+	return time.Since(*last)
+}
 
 // Available reports whether the store has answered recently enough to be considered reachable.
 func (h *Health) Available() bool { return h.Age() < baseMaxAge+latencyFactor*h.ReadLatency() }
