Entries that have left or failed are no longer used, and a stop is bounded

Cause, entries: an entry's row in the table of entries was written once and never removed. After an entry had left or failed for good, calls were still forwarded to it, and if it had had more processors than the others, each takeover waited 900 ms for it, also after restarts.

Change: each entry renews its row; one that stays the same for six reads counts as failed, and the owner removes it, on the condition that it is unchanged; an entry that stops removes its own. After its other bounds a stopping process waits for its goroutines for at most 500 ms.

Measured, with rows that never count as failed: peers_test.go:74: a call would be forwarded to failed:1; after: passes.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -126,6 +126,23 @@
 // panicked.
 func (l *Loop) Wait() { l.group.Wait() }
 
+// WaitFor is Wait for at most d. The error says that goroutines still run after that.
+func (l *Loop) WaitFor(d time.Duration) error {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.Wait()
+	}()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return nil
+	case <-timer.C:
+		return errors.Newf("goroutines of the control loop still run %v after its end", d)
+	}
+}
+
 // Context returns a context that ends when the loop ends.
 func (l *Loop) Context() context.Context { return l.ctx }
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -33,3 +33,20 @@
 		l.Wait()
 	})
 }
+
+// A goroutine that does not end keeps the process from ending only for the time given.
+func TestWaitForIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New(t.Context())
+		release := make(chan struct{})
+		l.Go(func() { <-release })
+		l.Stop()
+		if err := l.WaitFor(time.Second); err == nil {
+			t.Error("no error while a goroutine runs")
+		}
+		close(release)
+		if err := l.WaitFor(time.Second); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/process/job_agent.go
+++ b/internal/process/job_agent.go
@@ -156,20 +156,25 @@
 }
 
 // Drain stops the agent. The worker continues to run its tasks under its lease, and the
-// next agent takes the worker over.
+// next agent takes the worker over. The error reports goroutines that did not end in time.
 func (a *JobAgent) Drain() error {
 	a.log.Info("stopping")
 	a.loop.Stop()
-	return a.Wait()
+	a.closeServers()
+	return a.loop.WaitFor(stopTimeout)
 }
 
 // Wait blocks until the agent has stopped.
 func (a *JobAgent) Wait() error {
 	<-a.loop.Context().Done()
+	a.closeServers()
+	a.loop.Wait()
+	return nil
+}
+
+func (a *JobAgent) closeServers() {
 	for _, server := range a.servers {
 		// The process ends now, and its connections with it.
 		_ = server.Close()
 	}
-	a.loop.Wait()
-	return nil
 }
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -29,6 +29,9 @@
 	connectionDrainTime = 2500 * time.Millisecond
 	// requestDrainTimeout bounds how long requests in flight may take after that.
 	requestDrainTimeout = 2500 * time.Millisecond
+	// stopTimeout bounds how long a process waits for its goroutines after that. With the two
+	// above it stays below the operators' grace period of 6 s.
+	stopTimeout = 500 * time.Millisecond
 )
 
 // JobEntrySettings configure a JobEntry.
@@ -68,6 +71,7 @@
 	routes      submission.ActiveRoutes
 	servers     []*http.Server
 	service     *submission.Service
+	peers       *submission.Peers
 	health      *table.Health
 	draining    atomic.Bool
 }
@@ -81,17 +85,17 @@
 	pool := link.NewPool(e.dial, e.loop, e.metrics)
 	e.ownerClient = owner.NewClient(pool, e.loop, log, e.metrics)
 	self := submission.EntryInfo{Name: settings.Name, Address: settings.Link, Cores: settings.Cores}
-	peers := submission.NewPeers(self, deps.Store, pool, e.loop, log, e.metrics)
+	e.peers = submission.NewPeers(self, deps.Store, pool, e.ownerClient.Owns, e.loop, log, e.metrics)
 	e.elector = owner.New(owner.Settings{
-		Name: settings.Name, Address: settings.Link, Retention: settings.Retention, Outranked: peers.Outranked,
+		Name: settings.Name, Address: settings.Link, Retention: settings.Retention, Outranked: e.peers.Outranked,
 	}, deps.Store, e.health, e.loop, log, e.metrics, monotonicUnix(), e.ownerClient.SetHolder)
-	e.service = submission.New(deps.Store, e.health, e.ownerClient, peers, e.metrics)
+	e.service = submission.New(deps.Store, e.health, e.ownerClient, e.peers, e.metrics)
 	if err := e.listen(); err != nil {
 		e.loop.Stop()
 		return nil, err
 	}
 	e.ownerClient.Start(e.elector)
-	peers.Run()
+	e.peers.Run()
 	e.elector.Run()
 	e.loop.Go(func() { deps.WatchConfiguration(e.loop.Context(), &e.routes) })
 	log.Info("started", zap.String("front", settings.API), zap.String("link", settings.Link), zap.String("domain", settings.Domain))
@@ -189,9 +193,9 @@
 }
 
 // Drain stops the entry gracefully. It resigns as owner, reports that it is not ready,
-// accepts connections for another connectionDrainTime, waits up to requestDrainTimeout
-// for requests in flight and stops. The error reports connections that did not end in
-// time.
+// removes its row from the table of entries, accepts connections for another connectionDrainTime, waits up to requestDrainTimeout
+// for requests in flight and stops. The error reports connections or goroutines that did not
+// end in time.
 func (e *JobEntry) Drain() error {
 	began := time.Now()
 	e.log.Info("draining")
@@ -199,6 +203,7 @@
 	drainCtx, cancel := context.WithTimeout(e.loop.Context(), connectionDrainTime)
 	defer cancel()
 	e.elector.Resign(drainCtx)
+	e.peers.Leave(drainCtx)
 	<-drainCtx.Done()
 	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), requestDrainTimeout)
 	defer cancelShutdown()
@@ -207,7 +212,7 @@
 		failed = errors.CombineErrors(failed, server.Shutdown(shutdownCtx))
 	}
 	e.loop.Stop()
-	e.loop.Wait()
+	failed = errors.CombineErrors(failed, e.loop.WaitFor(stopTimeout))
 	e.log.Info("stopped", zap.Duration("took", time.Since(began)), logs.Error(failed))
 	return failed
 }
--- a/internal/submission/peers.go
+++ b/internal/submission/peers.go
@@ -27,6 +27,12 @@
 	outrankFactor = 1.5
 	// peersReadPeriod is the time between two reads of the rows of all entries.
 	peersReadPeriod = 5 * time.Second
+	// renewReads is the number of reads after which an entry writes its row again. An entry
+	// whose row stays unchanged for maxUnchangedReads reads in a row counts as failed.
+	renewReads        = 2
+	maxUnchangedReads = 2*renewReads + 1
+	// maxRowRemovals bounds the rows of failed entries that one transaction removes.
+	maxRowRemovals = 40
 	// forwardTimeout bounds a call that is forwarded to another entry.
 	forwardTimeout = submitTimeout + 100*time.Millisecond
 	// maxForwardPeers bounds the other entries that are tried for one call.
@@ -42,12 +48,17 @@
 	self     EntryInfo
 	store    *table.Store
 	pool     *link.Pool
+	owns     func() bool
 	loop     *loop.Loop
 	log      *zap.Logger
 	registry *metrics.Registry
 
 	mu     sync.Mutex
-	others map[string]entryRow // by entry name
+	others map[string]peerState // by entry name
+
+	announcing  sync.Mutex // held while this entry's row is written
+	ownRevision uint64     // of this entry's row, as last written
+	left        bool       // the row is not written any more
 }
 
 // EntryInfo describes one entry.
@@ -63,28 +74,45 @@
 	Cores   float64 `json:"cpu,omitempty"`
 }
 
-// NewPeers returns the peers of the entry self. It calls them through pool.
-func NewPeers(self EntryInfo, store *table.Store, pool *link.Pool, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Peers {
-	return &Peers{self: self, store: store, pool: pool, loop: l, log: log, registry: registry, others: map[string]entryRow{}}
+// peerState is what an entry knows of another one from its row.
+type peerState struct {
+	row       entryRow
+	revision  uint64
+	unchanged int // reads in a row that found the same revision
+}
+
+// gone reports whether the entry has not renewed its row for so long that it counts as failed.
+func (s peerState) gone() bool { return s.unchanged > maxUnchangedReads }
+
+// NewPeers returns the peers of the entry self. It calls them through pool. owns reports whether
+// this process is the owner, which removes the rows of failed entries.
+func NewPeers(self EntryInfo, store *table.Store, pool *link.Pool, owns func() bool, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Peers {
+	return &Peers{self: self, store: store, pool: pool, owns: owns, loop: l, log: log, registry: registry, others: map[string]peerState{}}
 }
 
-// Run starts to write this entry's row, until one write succeeds, and to read the rows of the
-// other entries every peersReadPeriod. It returns at once; the work ends with the loop.
+// Run starts to renew this entry's row every renewReads reads, or at each read until the first
+// write has succeeded, and to read the rows of the other entries every peersReadPeriod. It returns
+// at once; the work ends with the loop.
 func (p *Peers) Run() {
+	reads := 0
 	announced := false
 	readFailures := logs.NewFailureLogger(p.log, "peers-unread")
 	p.loop.GoEvery(peersReadPeriod, func(ctx context.Context) {
 		readFailures.Note(p.readPeers(ctx))
-		if announced {
+		reads++
+		if announced && reads%renewReads != 0 {
 			return
 		}
-		if announced = p.announce(ctx); announced {
+		first := !announced
+		if announced = p.announce(ctx); announced && first {
 			loop.Sleep(ctx, announceSettleTime)
 			readFailures.Note(p.readPeers(ctx))
 		}
 	})
 }
 
+// announce writes this entry's row, unless the entry has left. It reports whether the row is known
+// to be written.
 func (p *Peers) announce(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, maxServiceCallTimeout)
 	defer cancel()
@@ -93,14 +121,48 @@
 		p.log.Error("announce-failed", logs.Error(err))
 		return false
 	}
-	rowKey := table.RowKey{Table: tableEntries, Key: p.self.Name}
-	result, err := p.store.Apply(callCtx, table.Txn{Puts: []table.Put{{RowKey: rowKey, Value: value}}})
+	p.announcing.Lock()
+	defer p.announcing.Unlock()
+	if p.left {
+		return true
+	}
+	result, err := p.store.Apply(callCtx, table.Txn{Puts: []table.Put{{RowKey: entryRowKey(p.self.Name), Value: value}}})
 	if err != nil {
 		p.log.Warn("announce-failed", logs.Error(err))
 	}
+	if result.Outcome == table.Committed {
+		p.ownRevision = result.Revision
+	}
 	return result.Outcome == table.Committed
 }
 
+// Leave removes this entry's row, so that the others stop using the entry at their next read. A
+// failure is only logged: the row then counts as that of a failed entry.
+func (p *Peers) Leave(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, maxServiceCallTimeout)
+	defer cancel()
+	p.announcing.Lock()
+	defer p.announcing.Unlock()
+	p.left = true
+	if err := p.remove(callCtx, []table.Precondition{{RowKey: entryRowKey(p.self.Name), Revision: p.ownRevision}}); err != nil {
+		p.log.Warn("leave-failed", logs.Error(err))
+	}
+}
+
+// remove removes rows of entries that still are at the given revisions. An entry that has written
+// its row since then has started again.
+func (p *Peers) remove(ctx context.Context, rows []table.Precondition) error {
+	txn := table.Txn{Preconditions: rows}
+	for _, row := range rows {
+		txn.Removes = append(txn.Removes, row.RowKey)
+	}
+	_, err := p.store.Apply(ctx, txn)
+	return errors.Wrap(err, "remove rows of entries")
+}
+
+func entryRowKey(name string) table.RowKey { return table.RowKey{Table: tableEntries, Key: name} }
+
+// readPeers reads the rows of all entries. The owner also removes those of failed ones.
 func (p *Peers) readPeers(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, maxServiceCallTimeout)
 	defer cancel()
@@ -108,26 +170,39 @@
 	if err != nil {
 		return err
 	}
-	p.setPeers(rows)
-	return nil
+	failed := p.setPeers(rows)
+	if len(failed) == 0 || !p.owns() {
+		return nil
+	}
+	p.log.Info("entries-failed", zap.Int("entries", len(failed)))
+	return p.remove(callCtx, failed[:min(len(failed), maxRowRemovals)])
 }
 
-// setPeers replaces the known entries by those in rows, except this entry itself.
-func (p *Peers) setPeers(rows []table.Record) {
-	others := map[string]entryRow{}
+// setPeers replaces the known entries by those in rows, except this entry itself. It returns the
+// rows of entries that count as failed.
+func (p *Peers) setPeers(rows []table.Record) (failed []table.Precondition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	others := map[string]peerState{}
 	for _, row := range rows {
-		var other entryRow
-		if err := json.Unmarshal(row.Value, &other); err != nil {
+		other := peerState{revision: row.Revision}
+		if err := json.Unmarshal(row.Value, &other.row); err != nil {
 			p.log.Warn("row-ignored", zap.String("key", row.Key), logs.Error(err))
 			continue
 		}
-		if row.Key != p.self.Name {
-			others[row.Key] = other
+		if row.Key == p.self.Name {
+			continue
+		}
+		if before, known := p.others[row.Key]; known && before.revision == row.Revision {
+			other.unchanged = before.unchanged + 1
 		}
+		if other.gone() {
+			failed = append(failed, table.Precondition{RowKey: entryRowKey(row.Key), Revision: row.Revision})
+		}
+		others[row.Key] = other
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.others = others
+	return failed
 }
 
 // Outranked reports whether another entry has so many more cores than this one that it
@@ -136,7 +211,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, other := range p.others {
-		if other.Cores >= outrankFactor*p.self.Cores && other.Cores > 0 {
+		if !other.gone() && other.row.Cores >= outrankFactor*p.self.Cores && other.row.Cores > 0 {
 			return true
 		}
 	}
@@ -151,8 +226,8 @@
 	defer p.mu.Unlock()
 	var others []string
 	for _, other := range p.others {
-		if other.Address != preferred {
-			others = append(others, other.Address)
+		if !other.gone() && other.row.Address != preferred {
+			others = append(others, other.row.Address)
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
--- a/internal/submission/peers_test.go
+++ b/internal/submission/peers_test.go
@@ -28,7 +28,7 @@
 		{"unreadable", 0.192, `17`, false},
 	}
 	for _, c := range cases {
-		p := NewPeers(EntryInfo{Name: "e0", Address: "z:1", Cores: c.own}, nil, nil, nil, zap.NewNop(), nil)
+		p := NewPeers(EntryInfo{Name: "e0", Address: "z:1", Cores: c.own}, nil, nil, nil, nil, zap.NewNop(), nil)
 		p.setPeers([]table.Record{newRow("e0", `{"address":"z:1","cpu":9}`), newRow("e1", c.other)})
 		if got := p.Outranked(); got != c.want {
 			t.Errorf("%s: outranked %v, want %v", c.name, got, c.want)
@@ -39,7 +39,7 @@
 // A call is forwarded to the owner first, then to other entries, and never to this entry
 // itself.
 func TestCandidates(t *testing.T) {
-	p := NewPeers(EntryInfo{Name: "e0", Address: "e0:1"}, nil, nil, nil, zap.NewNop(), nil)
+	p := NewPeers(EntryInfo{Name: "e0", Address: "e0:1"}, nil, nil, nil, nil, zap.NewNop(), nil)
 	var rows []table.Record
 	for i := range 4 {
 		rows = append(rows, newRow(fmt.Sprintf("e%d", i), fmt.Sprintf(`{"address":"e%d:1"}`, i)))
@@ -55,3 +55,33 @@
 		}
 	}
 }
+
+// An entry that has left, and one that has failed for good, are no longer used once their rows stay
+// the same: a call is not forwarded to them, and no entry waits for them to take the ownership.
+func TestEntriesThatLeftAreNotUsed(t *testing.T) {
+	p := NewPeers(EntryInfo{Name: "e0", Address: "e0:1", Cores: 0.2}, nil, nil, nil, nil, zap.NewNop(), nil)
+	rowAt := func(name string, revision uint64) table.Record {
+		row := newRow(name, fmt.Sprintf(`{"address":"%s:1","cpu":0.8}`, name))
+		row.Revision = revision
+		return row
+	}
+	for read := range uint64(maxUnchangedReads + 2) {
+		p.setPeers([]table.Record{rowAt("failed", 3), rowAt("lives", 10+read/renewReads)})
+	}
+	for range 20 {
+		for _, address := range p.candidates("") {
+			if address != "lives:1" {
+				t.Fatalf("a call would be forwarded to %s", address)
+			}
+		}
+	}
+	for read := range uint64(maxUnchangedReads + 2) {
+		p.setPeers([]table.Record{rowAt("failed", 3), newRow("lives", `{"address":"lives:1","cpu":0.2}`), rowAt("small", 90+read)})
+	}
+	if p.setPeers([]table.Record{rowAt("failed", 3)}); p.Outranked() {
+		t.Error("outranked by an entry that has failed")
+	}
+	if p.setPeers([]table.Record{rowAt("failed", 99)}); !p.Outranked() {
+		t.Error("an entry that is back does not count")
+	}
+}
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -99,7 +99,7 @@
 	ctx, stop := context.WithCancel(c.ctx)
 	address := fmt.Sprintf("10.0.0.%d:1", i+1)
 	proc, err := process.NewJobEntry(ctx, process.JobEntrySettings{
-		Name: e.name, API: "front-" + e.name, Ready: "ready-" + e.name, Link: address, Retention: jobRetention,
+		Name: e.name, API: c.APIAddress(i), Ready: "ready-" + e.name, Link: address, Retention: jobRetention,
 	}, process.JobEntryDeps{
 		Store: c.Store.View(e.name),
 		API: func(service *submission.Service, _ *submission.ActiveRoutes, _ func() bool, _ *zap.Logger) http.Handler {
@@ -128,6 +128,26 @@
 	return proc.Wait()
 }
 
+// DrainEntry stops entry i gracefully, as SIGTERM does, and waits until it has stopped.
+func (c *JobCluster) DrainEntry(i int) error {
+	e := c.Entries[i]
+	c.mu.Lock()
+	proc := e.proc
+	c.mu.Unlock()
+	defer e.service.Store(nil)
+	return proc.Drain()
+}
+
+// DrainAgent stops agent i gracefully, as SIGTERM does, and waits until it has stopped.
+func (c *JobCluster) DrainAgent(i int) error {
+	a := c.agents[i]
+	c.mu.Lock()
+	proc := a.proc
+	c.mu.Unlock()
+	defer a.runner.Store(nil)
+	return proc.Drain()
+}
+
 // StartAgent starts agent i, which must be down.
 func (c *JobCluster) StartAgent(i int) error {
 	c.mu.Lock()
@@ -182,5 +202,8 @@
 	return errors.CombineErrors(failed, c.Net.Close())
 }
 
+// APIAddress returns the address of the API of entry i.
+func (c *JobCluster) APIAddress(i int) string { return "front-" + c.Entries[i].name }
+
 // EntryName returns the name of entry i.
 func (c *JobCluster) EntryName(i int) string { return c.Entries[i].name }
