A suspended owner grants no lease before its epoch is confirmed again

Cause: the monotonic clock stands still while a machine is suspended. An owner that woke after some seconds took the last confirmation of its epoch for recent and granted leases, although another process had taken over and waited for the old leases by its own clock.

--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
@@ -26,20 +25,20 @@
 // less than alivePeriod ago: every commit writes the alive row too. A successful write confirms
 // the epoch, since the owner's row is its precondition.
 func (t *term) renewAliveRow() {
-	if t.committing || time.Since(t.epochConfirmedAt) < alivePeriod {
+	if t.committing || t.elector.now().since(t.epochConfirmed) < alivePeriod {
 		return
 	}
 	b := &batch{txn: table.Txn{Preconditions: []table.Precondition{t.ownerPrecondition()}}}
 	t.putAliveRow(b)
 	t.putCosts(b)
 	txn := b.txn
-	began := time.Now()
+	sent := t.elector.now()
 	t.elector.loop.Go(func() {
 		applied, err := t.elector.apply(txn)
 		t.post(func() {
 			switch applied.Outcome {
 			case table.Committed:
-				t.epochConfirmedAt = maxTime(t.epochConfirmedAt, began)
+				t.confirmEpoch(sent)
 			case table.Conflict:
 				t.elector.stepDown("the alive row found another owner")
 			default:
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -34,7 +34,7 @@
 	removed     []finishedJob
 	pendingJobs []*pendingJob
 	acks        map[*session]int64 // highest end to acknowledge per session after the commit
-	began       time.Time
+	sent        instant            // when the commit was made, just before it is sent
 }
 
 // scheduleCommit commits at once if a final state, an instance row, a submitted job or a
@@ -96,7 +96,7 @@
 
 // nextBatch moves as many waiting changes into a batch as fit into one commit.
 func (t *term) nextBatch() *batch {
-	b := &batch{began: time.Now(), txn: table.Txn{Preconditions: []table.Precondition{t.ownerPrecondition()}}}
+	b := &batch{sent: t.elector.now(), txn: table.Txn{Preconditions: []table.Precondition{t.ownerPrecondition()}}}
 	b.instances = t.changes[:min(len(t.changes), maxCommitInstances)]
 	t.changes = t.changes[len(b.instances):]
 	for _, change := range b.instances {
@@ -173,7 +173,7 @@
 // handleCommitResult handles the result of a commit. After a conflict or an unknown outcome
 // the changes of the batch wait for the next commit.
 func (t *term) handleCommitResult(b *batch, applied table.TxnResult, err error) {
-	t.elector.registry.Observe("commit", time.Since(b.began))
+	t.elector.registry.Observe("commit", time.Since(b.sent.at))
 	switch {
 	case applied.Outcome == table.Committed:
 		t.handleCommitted(b, applied.Revision)
@@ -208,7 +208,7 @@
 
 func (t *term) handleCommitted(b *batch, revision uint64) {
 	t.commitFailures.Note(nil)
-	t.epochConfirmedAt = maxTime(t.epochConfirmedAt, b.began)
+	t.confirmEpoch(b.sent)
 	for _, put := range b.txn.Puts {
 		if put.RowKey != aliveRowKey() && put.RowKey != costsRowKey() && !strings.HasSuffix(put.Key, suffixJob) {
 			t.revisions[put.RowKey] = revision
@@ -267,7 +267,7 @@
 
 // nextRemovals moves as many expired jobs into a batch as one commit removes.
 func (t *term) nextRemovals() *batch {
-	b := &batch{began: time.Now(), txn: table.Txn{Preconditions: []table.Precondition{t.ownerPrecondition()}}}
+	b := &batch{sent: t.elector.now(), txn: table.Txn{Preconditions: []table.Precondition{t.ownerPrecondition()}}}
 	for len(t.finished) > 0 && len(b.removed) < maxCommitRemovals && time.Now().After(t.finished[0].remove) {
 		expired := t.finished[0]
 		t.finished = t.finished[1:]
@@ -279,10 +279,3 @@
 	t.putAliveRow(b)
 	return b
 }
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/owner/elector.go
+++ b/internal/owner/elector.go
@@ -54,6 +54,8 @@
 	// Outranked reports whether another process is clearly better suited to be the owner.
 	// nil means that none is.
 	Outranked func() bool
+	// Suspended returns for how long the machine has been suspended in all. nil means never.
+	Suspended func() time.Duration
 }
 
 // Elector watches which process owns the shard, claims the ownership when the owner has
@@ -191,7 +193,7 @@
 		e.log.Error("claim-failed", logs.Error(err))
 		return
 	}
-	began := time.Now()
+	sent := e.now()
 	e.loop.Go(func() {
 		applied, err := e.apply(txn)
 		e.loop.Post(func() {
@@ -201,7 +203,7 @@
 				return
 			}
 			next.OwnerRevision = applied.Revision
-			e.startTerm(next, began)
+			e.startTerm(next, sent)
 		})
 	})
 }
@@ -231,9 +233,9 @@
 	return e.store.Apply(callCtx, txn)
 }
 
-// startTerm starts a term of this process after a successful claim. claimed is the time at
-// which the claim was sent.
-func (e *Elector) startTerm(holder Holder, claimed time.Time) {
+// startTerm starts a term of this process after a successful claim, which was sent at the
+// instant claimed.
+func (e *Elector) startTerm(holder Holder, claimed instant) {
 	e.aliveRevision, e.holder, e.changedAt, e.unchangedReads = holder.OwnerRevision, holder, time.Now(), 0
 	e.term = newTerm(e, holder, claimed)
 	e.registry.Add("terms", 1)
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -155,9 +155,9 @@
 
 // grant returns the duration of the lease that the owner grants for a report received at
 // now. It is 0 if the table has not confirmed the owner's epoch for epochConfirmationTTL,
-// since another process may be the owner by then.
+// since another process may be the owner by then; the time of a suspension counts.
 func (t *term) grant(s *session, now time.Time) time.Duration {
-	if now.Sub(t.epochConfirmedAt) > epochConfirmationTTL {
+	if t.elector.now().since(t.epochConfirmed) > epochConfirmationTTL {
 		return 0
 	}
 	s.leaseCountedFrom = now
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -101,13 +101,13 @@
 
 	pendingJobs []*pendingJob
 
-	committing       bool
-	commitScheduled  bool // the timer for the next commit is running
-	commitRetryAt    time.Time
-	epochConfirmedAt time.Time // when the last call that confirmed the epoch was sent
-	planScheduled    bool
-	lastPlanAt       time.Time     // when the last plan ended
-	planDuration     time.Duration // how long the last plan took
+	committing      bool
+	commitScheduled bool // the timer for the next commit is running
+	commitRetryAt   time.Time
+	epochConfirmed  instant // when the last call that confirmed the epoch was sent
+	planScheduled   bool
+	lastPlanAt      time.Time     // when the last plan ended
+	planDuration    time.Duration // how long the last plan took
 	// commitFailures logs commits that were refused or not answered.
 	commitFailures  *logs.FailureLogger
 	costs           []interference.Estimate // as last written to the costs row
@@ -125,12 +125,12 @@
 	remove time.Time
 }
 
-func newTerm(e *Elector, holder Holder, claimed time.Time) *term {
+func newTerm(e *Elector, holder Holder, claimed instant) *term {
 	ctx, stop := context.WithCancel(e.loop.Context())
 	log := e.log.With(zap.Uint64("epoch", holder.Epoch))
 	return &term{
 		elector: e, log: log, commitFailures: logs.NewFailureLogger(log, "commit-unanswered"),
-		epoch: holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed, epochConfirmedAt: claimed,
+		epoch: holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
 		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{},
 		leaseExpiry: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, staleLeaseUntil: map[string]time.Time{},
 		ctx: ctx, stop: stop,
@@ -206,7 +206,7 @@
 	t.schedulePlan()
 }
 
-// restore gives the scheduler the state found in the table. It leaves epochConfirmedAt as it
+// restore gives the scheduler the state found in the table. It leaves epochConfirmed as it
 // is, since the read did not look at the owner's row.
 func (t *term) restore(persisted persistedRows) {
 	for _, row := range persisted.instances {
--- a/internal/owner/term_test.go
+++ b/internal/owner/term_test.go
@@ -10,7 +10,7 @@
 func TestTheReadOfATermConfirmsNothing(t *testing.T) {
 	current := newTestTerm(nil)
 	now := time.Now()
-	current.epochConfirmedAt = now.Add(-epochConfirmationTTL - time.Second)
+	current.epochConfirmed = instant{at: now.Add(-epochConfirmationTTL - time.Second)}
 	current.restore(persistedRows{})
 	if ttl := current.grant(&session{}, now); ttl != 0 {
 		t.Errorf("a lease of %v without a confirmed epoch", ttl)
@@ -40,3 +40,23 @@
 		t.Errorf("%d jobs wait for their removal after a refused commit", len(current.finished))
 	}
 }
+
+// An owner whose machine was suspended grants nothing until the table has confirmed its epoch
+// again, although the monotonic clock has stood still: another process may be the owner by then.
+func TestASuspendedOwnerGrantsNothing(t *testing.T) {
+	current := newTestTerm(nil)
+	var suspended time.Duration
+	current.elector.settings.Suspended = func() time.Duration { return suspended }
+	current.confirmEpoch(current.elector.now())
+	if ttl := current.grant(&session{}, time.Now()); ttl != leaseTTL {
+		t.Errorf("a lease of %v right after the confirmation", ttl)
+	}
+	suspended = epochConfirmationTTL + time.Second
+	if ttl := current.grant(&session{}, time.Now()); ttl != 0 {
+		t.Errorf("a lease of %v after a suspension", ttl)
+	}
+	current.confirmEpoch(current.elector.now())
+	if ttl := current.grant(&session{}, time.Now()); ttl != leaseTTL {
+		t.Errorf("a lease of %v after the next confirmation", ttl)
+	}
+}
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -86,8 +86,13 @@
 	e.ownerClient = owner.NewClient(pool, e.loop, log, e.metrics)
 	self := submission.EntryInfo{Name: settings.Name, Address: settings.Link, Cores: settings.Cores}
 	e.peers = submission.NewPeers(self, deps.Store, pool, e.ownerClient.Owns, e.loop, log, e.metrics)
+	suspended, err := newSuspensionClock()
+	if err != nil {
+		e.loop.Stop()
+		return nil, err
+	}
 	e.elector = owner.New(owner.Settings{
-		Name: settings.Name, Address: settings.Link, Retention: settings.Retention, Outranked: e.peers.Outranked,
+		Name: settings.Name, Address: settings.Link, Retention: settings.Retention, Outranked: e.peers.Outranked, Suspended: suspended,
 	}, deps.Store, e.health, e.loop, log, e.metrics, monotonicUnix(), e.ownerClient.SetHolder)
 	e.service = submission.New(deps.Store, e.health, e.ownerClient, e.peers, e.metrics)
 	if err := e.listen(); err != nil {
