--- a/internal/verb/agent.go
+++ b/internal/verb/agent.go
@@ -57,7 +57,7 @@
 		platform:     urlVar(flags, "platform", "", "base `URL` of the platform"),
 		upstream:     urlVar(flags, "upstream", "", "base `URL` of the instance"),
 		capacity:     newCapacityFlags(flags),
-		drainTimeout: flags.Duration("drain", 30*time.Second, "longest `wait` for work to leave at SIGTERM"),
+		drainTimeout: durationVar(flags, "drain", 30*time.Second, 0, maxDrainTimeout, "longest `wait` for work to leave at SIGTERM"),
 		common:       newCommonFlags(flags),
 	}
 	flags.Var(&c.entries, "entries", "link `address` of an entry to start with; may be given several times")
@@ -99,11 +99,11 @@
 
 func newCapacityFlags(flags *flag.FlagSet) *capacityFlags {
 	return &capacityFlags{
-		slots:        flags.Int("slots", 8, "`number` of requests the instance runs at a time"),
-		maxInFlight:  flags.Int("connections", 64, "`number` of requests that run or wait"),
-		processors:   flags.Float64("cpu", 30, "`processors` for batch tasks"),
-		memory:       flags.Int("memory", 125_000, "`MB` of memory for batch tasks"),
-		accelerators: flags.Int("accelerators", 0, "`number` of accelerators"),
+		slots:        intVar(flags, "slots", 8, 1, maxConnections, "`number` of requests the instance runs at a time"),
+		maxInFlight:  intVar(flags, "connections", 64, 1, maxConnections, "`number` of requests that run or wait"),
+		processors:   floatVar(flags, "cpu", 30, 0, maxProcessors, "`processors` for batch tasks"),
+		memory:       intVar(flags, "memory", 125_000, 0, maxMemoryMB, "`MB` of memory for batch tasks"),
+		accelerators: intVar(flags, "accelerators", 0, 0, maxProcessors, "`number` of accelerators"),
 	}
 }
 
--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -36,8 +36,13 @@
 	}
 }
 
-// defaultMaxBodyBytes is the default limit of the size of a request's body, in bytes: 64 MiB.
-const defaultMaxBodyBytes = 64 << 20
+// Limits of the settings of an entry.
+const (
+	defaultMaxBodyBytes = 64 << 20 // bytes of a request, 64 MiB
+	maxBodyLimit        = 1 << 32  // bytes, 4 GiB
+	maxShards           = 4096
+	maxSample           = 1_000_000 // routing decisions of which one is logged
+)
 
 // entryCommand holds the flags of the verb entry.
 type entryCommand struct {
@@ -47,7 +52,7 @@
 	platform                       *urlFlag
 	routes                         listFlag
 	shards, maxConnections, sample *int
-	maxBodyBytes                   *int64
+	maxBodyBytes                   *int
 	window, drainTimeout           *time.Duration
 	common                         *commonFlags
 }
@@ -61,12 +66,12 @@
 		operator:       addressVar(flags, "operator", "127.0.0.1:7200", "`address` towards operators"),
 		link:           addressVar(flags, "link", "127.0.0.1:7300", "`address` towards agents"),
 		platform:       urlVar(flags, "platform", "", "base `URL` of the platform's table and object store"),
-		shards:         flags.Int("shards", 1, "`number` of shards, fixed by the first entry ever started"),
-		maxConnections: flags.Int("connections", 10_000, "most connections of callers at a time"),
-		sample:         flags.Int("sample", 1, "log one in this `many` routing decisions"),
-		maxBodyBytes:   flags.Int64("body", defaultMaxBodyBytes, "most `bytes` of a request's body"),
-		window:         flags.Duration("window", 10*time.Second, "`length` of a window of the ledger"),
-		drainTimeout:   flags.Duration("drain", 30*time.Second, "longest `wait` for requests in flight at SIGTERM"),
+		shards:         intVar(flags, "shards", 1, 1, maxShards, "`number` of shards, fixed by the first entry ever started"),
+		maxConnections: intVar(flags, "connections", 10_000, 1, maxConnections, "most connections of callers at a time"),
+		sample:         intVar(flags, "sample", 1, 1, maxSample, "log one in this `many` routing decisions"),
+		maxBodyBytes:   intVar(flags, "body", defaultMaxBodyBytes, 0, maxBodyLimit, "most `bytes` of a request's body"),
+		window:         durationVar(flags, "window", 10*time.Second, time.Second, time.Hour, "`length` of a window of the ledger"),
+		drainTimeout:   durationVar(flags, "drain", 30*time.Second, 0, maxDrainTimeout, "longest `wait` for requests in flight at SIGTERM"),
 		common:         newCommonFlags(flags),
 	}
 	flags.Var(&c.routes, "route", "`PREFIX=CLASS@WORKSPACE`; may be given several times")
@@ -109,7 +114,7 @@
 	return process.EntrySettings{
 		Name: *c.name, Domain: *c.domain, Caller: c.caller.String(), Operator: c.operator.String(),
 		Link: c.link.String(), Platform: c.platform.String(), Shards: *c.shards, Routes: routes,
-		MaxBodyBytes: *c.maxBodyBytes, MaxConnections: *c.maxConnections, Window: *c.window, Sample: *c.sample,
+		MaxBodyBytes: int64(*c.maxBodyBytes), MaxConnections: *c.maxConnections, Window: *c.window, Sample: *c.sample,
 		DrainTimeout: *c.drainTimeout, Identity: loaded,
 	}, nil
 }
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -28,6 +28,9 @@
 	}
 }
 
+// maxRetention bounds how long the state of a finished job is kept.
+const maxRetention = 24 * time.Hour
+
 // platformFlags holds the flags that the verbs platform entry and platform agent share.
 type platformFlags struct {
 	flags          *flag.FlagSet
@@ -73,8 +76,8 @@
 		api:           addressVar(flags, "front", "", "`address` of the API for submitting jobs"),
 		ready:         addressVar(flags, "ready", "", "`address` of the readiness check"),
 		link:          addressVar(flags, "link", "", "`address` for agents and other entries"),
-		processors:    flags.Float64("cpu", 0, "`share` of a core that the process may use (0: unknown); an entry with 1.5 times as much is preferred as owner"),
-		retention:     flags.Duration("keep", 150*time.Second, "`time` for which a finished job's state is kept"),
+		processors:    floatVar(flags, "cpu", 0, 0, maxProcessors, "`share` of a core that the process may use (0: unknown); an entry with 1.5 times as much is preferred as owner"),
+		retention:     durationVar(flags, "keep", 150*time.Second, time.Second, maxRetention, "`time` for which a finished job's state is kept"),
 	}
 }
 
--- a/internal/verb/standin_upstream.go
+++ b/internal/verb/standin_upstream.go
@@ -31,7 +31,7 @@
 			name := flags.String("name", "", "`name` of the instance")
 			listen := addressVar(flags, "listen", "127.0.0.1:9001", "`address` to listen on")
 			capacity := newCapacityFlags(flags)
-			count := flags.Int("count", 1, "`number` of instances, on consecutive ports")
+			count := intVar(flags, "count", 1, 1, 1000, "`number` of instances, on consecutive ports")
 			return func(_ context.Context, env Env, _ []string) error {
 				if err := requireValues(flags); err != nil {
 					return err
