Errors of flags, variables and files say in one line what was wrong and what is expected

Cause: an unknown flag, a flag without a value, a wrong environment variable and a missing settings file were reported in the words of the flag and ff packages, such as 'error parsing commandline arguments: flag provided but not defined'.

--- a/internal/verb/addresses.go
+++ b/internal/verb/addresses.go
@@ -2,11 +2,11 @@
 
 import (
 	"flag"
-	"fmt"
 	"net/netip"
 	"net/url"
 
 	"github.com/apricotwind/apricotwind/pkg/document/schema"
+	"github.com/cockroachdb/errors"
 )
 
 // addressFlag is a flag that holds IP:port. It rejects host names, because processes identify
@@ -19,7 +19,7 @@
 // Set validates and stores an address.
 func (a *addressFlag) Set(text string) error {
 	if _, err := netip.ParseAddrPort(text); err != nil {
-		return fmt.Errorf("%q is not an IP address and port such as 127.0.0.1:7100", text)
+		return errors.New("it takes an IP address and port such as 127.0.0.1:7100")
 	}
 	*a = addressFlag(text)
 	return nil
@@ -42,7 +42,7 @@
 func (u *urlFlag) Set(text string) error {
 	parsed, err := url.Parse(text)
 	if err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https" {
-		return fmt.Errorf("%q is not an http or https URL such as http://127.0.0.1:7000", text)
+		return errors.New("it takes an http or https URL such as http://127.0.0.1:7000")
 	}
 	*u = urlFlag(text)
 	return nil
--- a/internal/verb/help.go
+++ b/internal/verb/help.go
@@ -27,7 +27,7 @@
 	}
 	verb, rest, ok := findVerb(arguments)
 	if !ok || len(rest) > 0 {
-		return usagef("there is no verb %q", strings.Join(arguments, " "))
+		return usagef("there is no verb %q; see '%s help'", strings.Join(arguments, " "), programName)
 	}
 	writeHelp(env.Out, verb)
 	return nil
--- a/internal/verb/load.go
+++ b/internal/verb/load.go
@@ -62,7 +62,7 @@
 	case len(c.config.Entries) == 0:
 		return usagef("--caller is missing")
 	case c.config.Rate <= 0 || c.config.Duration <= 0:
-		return usagef("--rate and --for must be over 0")
+		return usagef("--rate and --for must be over 0, not %g and %s", c.config.Rate, c.config.Duration)
 	}
 	for _, url := range append(append([]string(nil), c.entries...), c.upstreams...) {
 		if err := checkLoopback(url); err != nil {
--- a/internal/verb/main.go
+++ b/internal/verb/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
 	"strings"
 
 	"github.com/apricotwind/apricotwind/pkg/document/schema"
@@ -134,6 +135,43 @@
 	var diagnostics schema.Diagnostics
 	if errors.As(err, &diagnostics) {
 		err = prefixLines(flags.Lookup(settingsFlag).Value.String(), diagnostics)
+	} else {
+		err = describeFlagError(flags, err)
 	}
 	return errors.Mark(err, errUsage)
 }
+
+// invalidValue matches the flag package's error for a value that a flag does not take. Its groups
+// are the quoted value and the name of the flag.
+var invalidValue = regexp.MustCompile(`invalid (?:boolean )?value ("(?:[^"\\]|\\.)*") for (?:flag )?-([^ :]+): `)
+
+// invalidVariable matches the ff package's error for an environment variable with such a value. Its
+// groups are the name of the flag and that of the variable.
+var invalidVariable = regexp.MustCompile(`^error parsing environment variables: error setting flag "([^"]+)" from environment variable "([^"]+)": `)
+
+// describeFlagError returns an error that states which flag or environment variable was wrong and
+// what it takes, or which settings file could not be read. It returns other errors unchanged. The
+// flag package has no error types, so the errors are recognised by their texts.
+func describeFlagError(flags *flag.FlagSet, err error) error {
+	var pathError *os.PathError
+	if errors.As(err, &pathError) {
+		return errors.Wrap(err, "--"+settingsFlag)
+	}
+	text := strings.TrimPrefix(err.Error(), "error parsing commandline arguments: ")
+	if match := invalidVariable.FindStringSubmatch(text); match != nil {
+		return errors.Newf("%s: %q is not valid: %s", match[2], os.Getenv(match[2]), invalidReason(flags.Lookup(match[1]), err))
+	}
+	if match := invalidValue.FindStringSubmatch(text); match != nil {
+		return errors.Newf("--%s: %s is not valid: %s", match[2], match[1], invalidReason(flags.Lookup(match[2]), err))
+	}
+	if name, ok := strings.CutPrefix(text, "flag provided but not defined: -"); ok {
+		return errors.Newf("unknown flag --%s; see '%s help %s'", name, programName, flags.Name())
+	}
+	if name, ok := strings.CutPrefix(text, "flag needs an argument: -"); ok {
+		return errors.Newf("--%s needs a value; see '%s help %s'", name, programName, flags.Name())
+	}
+	if argument, ok := strings.CutPrefix(text, "bad flag syntax: "); ok {
+		return errors.Newf("%q is not a flag; see '%s help %s'", argument, programName, flags.Name())
+	}
+	return err
+}
--- a/internal/verb/replay.go
+++ b/internal/verb/replay.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
@@ -83,7 +84,11 @@
 			return trace.Open(name)
 		}
 	}
-	return openTrace(name, "")
+	recorded, err := openTrace(name, "")
+	if errors.Is(err, os.ErrNotExist) {
+		return recorded, errors.Newf("%q is neither a file nor one of the recorded days %s", name, strings.Join(trace.Names(), ", "))
+	}
+	return recorded, err
 }
 
 // options returns the options of the replay that the flags ask for.
--- a/internal/verb/report.go
+++ b/internal/verb/report.go
@@ -80,6 +80,9 @@
 // runFromLog computes the report from the decision lines of the entries' logs, without calling
 // an entry.
 func (c *reportCommand) runFromLog(env Env) error {
+	if *c.targets == "" {
+		return errors.New("--targets is missing: --log needs the file of the document")
+	}
 	text, err := os.ReadFile(*c.targets)
 	if err != nil {
 		return errors.Wrap(err, "--targets")
--- a/internal/verb/settings.go
+++ b/internal/verb/settings.go
@@ -29,11 +29,11 @@
 	return func(r io.Reader, set func(name, value string) error) error {
 		text, err := io.ReadAll(r)
 		if err != nil {
-			return errors.Wrap(err, "read settings")
+			return err
 		}
 		diagnostics, err := applySettings(flags, text, set)
 		if err != nil {
-			return err
+			return errors.Wrap(err, flags.Lookup(settingsFlag).Value.String())
 		}
 		if len(diagnostics) > 0 {
 			return diagnostics
@@ -83,8 +83,10 @@
 func invalidReason(f *flag.Flag, err error) string {
 	if getter, ok := f.Value.(flag.Getter); ok {
 		switch getter.Get().(type) {
-		case int, int64, uint64:
+		case int, int64:
 			return "it takes a whole number"
+		case uint64:
+			return "it takes a whole number from 0"
 		case float64:
 			return "it takes a number"
 		case bool:
--- a/internal/verb/standin_platform.go
+++ b/internal/verb/standin_platform.go
@@ -55,7 +55,7 @@
 	platform := standin.NewPlatform(seed, journalWriter)
 	if file, ok := journalWriter.(*os.File); ok {
 		if err := platform.Restore(file); err != nil {
-			return err
+			return errors.Wrap(err, journal)
 		}
 	}
 	return serveStandin(env, address, platform.Handler())
