Requests: what may have run is never reported as refused, and the records are bounded

Cause: an idempotent request whose first attempt ended unknown and whose later attempt was refused was answered as refused, though it may have run. The records of an instance grew with each refused or revoked attempt beyond their limit. An upstream could set Apricotwind-Peer and Apricotwind-Step on its answers.

Change: a refusal does not replace an unknown end; beyond the bound no record is made, and Revoke then answers 'unrecorded', which counts as unknown; the gate drops all reserved headers of an upstream.

--- a/internal/caller/attempts.go
+++ b/internal/caller/attempts.go
@@ -75,6 +75,16 @@
 	return ledger.Unknown
 }
 
+// after returns the end of a request whose attempt with the end e followed one with the end
+// earlier. A request that may have run in an earlier attempt is not refused, although a later one
+// was.
+func (e failedEnd) after(earlier failedEnd) failedEnd {
+	if earlier.outcome() == ledger.Unknown && e.outcome() == ledger.Refused {
+		return earlier
+	}
+	return e
+}
+
 // run attempts the request until an upstream has responded or no further attempt is
 // allowed. It reports whether a response was passed on, and the status sent to the
 // caller.
@@ -100,7 +110,7 @@
 			return result.complete, result.status
 		}
 		failed, retry := h.handleFailure(ctx, req, choice, attempt, fwd)
-		last = failed
+		last = failed.after(last)
 		if !retry {
 			break
 		}
--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -17,9 +17,8 @@
 	recordTTL = 2 * time.Minute
 	// smoothing is the weight of the newest service time in the exponential moving average.
 	smoothing = 0.1
-	// maxRecords is the number of records from which on no attempt is admitted or queued. It
-	// limits the growth of the records but is no strict bound: each refused attempt still
-	// adds a record.
+	// maxRecords bounds the records. While there are so many, new attempts are refused without a
+	// record, and an attempt that is not recorded cannot be revoked.
 	maxRecords = 200_000
 )
 
@@ -50,13 +49,15 @@
 // The states. Refused is that of an attempt that was refused, dropped, displaced or revoked
 // before it started. NeverStarted is never recorded: Revoke returns it for an attempt that
 // was unknown or waiting. Both mean that the upstream received no byte of the attempt and
-// never will.
+// never will. Unrecorded is not recorded either: Revoke returns it for an unknown attempt of which
+// no record can be made, so that the attempt may still start.
 const (
 	NeverStarted State = iota // never
 	Waiting                   // waiting
 	Started                   // started
 	Ended                     // ended
 	Refused                   // refused
+	Unrecorded                // unrecorded
 )
 
 // Attempt is one attempt to serve a request on this instance. Its ID is unique among all
@@ -129,12 +130,21 @@
 		c.waiting = append(c.waiting, attempt)
 		c.records[attempt.ID] = record{state: Waiting, since: now}
 	case Full, Draining, Expired, StaleIncarnation:
-		c.records[attempt.ID] = record{state: Refused, since: now}
+		c.refuse(now, attempt.ID)
 	case Duplicate, Revoked:
 	}
 	return verdict
 }
 
+// refuse records that a new attempt never starts. It reports false if there are too many records.
+func (c *Controller) refuse(now time.Time, id string) bool {
+	if len(c.records) >= maxRecords {
+		return false
+	}
+	c.records[id] = record{state: Refused, since: now}
+	return true
+}
+
 // decide returns the verdict on a new attempt without changing the state.
 func (c *Controller) decide(now time.Time, attempt Attempt) Verdict {
 	if rec, seen := c.records[attempt.ID]; seen {
@@ -238,8 +248,9 @@
 func (c *Controller) Revoke(now time.Time, id string) State {
 	rec, seen := c.records[id]
 	switch {
+	case !seen && !c.refuse(now, id):
+		return Unrecorded
 	case !seen:
-		c.records[id] = record{state: Refused, since: now}
 		return NeverStarted
 	case rec.state == Waiting:
 		c.Drop(now, id)
--- a/internal/decision/admission/admission_test.go
+++ b/internal/decision/admission/admission_test.go
@@ -159,3 +159,19 @@
 	}
 	return nil
 }
+
+// However many attempts are refused or revoked, the records stay bounded, and an attempt of which
+// no record can be made is not said to never start.
+func TestRecordsAreBounded(t *testing.T) {
+	c := New("i", Limits{Slots: 1, MaxInFlight: 1})
+	c.Admit(start, try("running"))
+	for i := range maxRecords + 10 {
+		c.Admit(start, try(fmt.Sprint(i)))
+	}
+	if state := c.Revoke(start, "unknown"); state == NeverStarted || state == Refused {
+		t.Errorf("an attempt without a record is %s", state)
+	}
+	if len(c.records) > maxRecords {
+		t.Errorf("%d records, the bound is %d", len(c.records), maxRecords)
+	}
+}
--- a/internal/decision/admission/state_string.go
+++ b/internal/decision/admission/state_string.go
@@ -13,11 +13,12 @@
 	_ = x[Started-2]
 	_ = x[Ended-3]
 	_ = x[Refused-4]
+	_ = x[Unrecorded-5]
 }
 
-const _State_name = "neverwaitingstartedendedrefused"
+const _State_name = "neverwaitingstartedendedrefusedunrecorded"
 
-var _State_index = [...]uint8{0, 5, 12, 19, 24, 31}
+var _State_index = [...]uint8{0, 5, 12, 19, 24, 31, 41}
 
 func (i State) String() string {
 	idx := int(i) - 0
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -69,10 +69,11 @@
 	}
 	body.CloseUnlessEnded(w)
 	beforeResponse()
-	// Only the gate may set HeaderOutcome, by which the entry recognizes a response of
-	// the gate, and headerLoad.
-	sent.Response.Header.Del(problem.HeaderOutcome)
-	sent.Response.Header.Del(headerLoad)
+	// Only the gate may set these: HeaderOutcome tells the entry a response of the gate from
+	// one of the upstream.
+	for _, reserved := range []string{problem.HeaderOutcome, problem.HeaderStep, problem.HeaderPeer, headerLoad} {
+		sent.Response.Header.Del(reserved)
+	}
 	return nil, errors.Wrapf(forward.WriteResponse(w, sent.Response), "peer %s", c.base.Host)
 }
 
