Incomplete logs, rows without points and expired certificates

Cause: a report from logs ignored the line that says how many lines were dropped; the HTML report failed on a class without points; a process started with an expired certificate, and every peer then refused it without saying why.

Change: FromLog rejects such a log; a row without points has no plots; the error names the certificate file and the time at which it expired. A certificate that is replaced by an expired one keeps the previous one in use, as for any unreadable file.

Measured, before: ledger_test.go:189: error <nil>; ledger_test.go:198: plots of w preview: ended: plotter: no data points; identity_test.go:208: got <nil> (expired); after: all pass.

--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return errors.Wrap(err, "read tls-cert and tls-key")
 	}
+	if now := time.Now(); now.After(certificate.Leaf.NotAfter) {
+		return errors.Newf("tls-cert %s expired at %s", i.files.Certificate, certificate.Leaf.NotAfter.Format(time.RFC3339))
+	}
 	caPEM, err := os.ReadFile(i.files.CA)
 	if err != nil {
 		return errors.Wrap(err, "read tls-ca")
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -52,6 +52,12 @@
 
 // issue writes the key, the certificate and the CA certificate of a process into folder.
 func (c ca) issue(folder string) identity.Files {
+	c.t.Helper()
+	return c.issueUntil(folder, c.certificate.NotAfter)
+}
+
+// issueUntil is issue with the time at which the certificate of the process expires.
+func (c ca) issueUntil(folder string, notAfter time.Time) identity.Files {
 	c.t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -59,7 +65,7 @@
 	}
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "process"},
-		NotBefore: c.certificate.NotBefore, NotAfter: c.certificate.NotAfter,
+		NotBefore: c.certificate.NotBefore, NotAfter: notAfter,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	raw, err := x509.CreateCertificate(rand.Reader, template, c.certificate, &key.PublicKey, c.key)
@@ -179,7 +185,9 @@
 }
 
 func TestFilesThatAreWrong(t *testing.T) {
-	files := newCA(t).issue(t.TempDir())
+	authority := newCA(t)
+	files := authority.issue(t.TempDir())
+	expired := authority.issueUntil(t.TempDir(), time.Now().Add(-time.Hour))
 	empty := filepath.Join(t.TempDir(), "empty")
 	if err := os.WriteFile(empty, nil, 0o600); err != nil {
 		t.Fatal(err)
@@ -191,6 +199,7 @@
 	}{
 		{"one missing", identity.Files{Certificate: files.Certificate, Key: files.Key}, "needs all of"},
 		{"no such file", identity.Files{Certificate: "nowhere", Key: files.Key, CA: files.CA}, "tls-cert"},
+		{"expired", expired, expired.Certificate + " expired at"},
 		{"no certificate in it", identity.Files{Certificate: files.Certificate, Key: files.Key, CA: empty}, "holds no certificate"},
 	}
 	for _, c := range cases {
--- a/internal/ledger/fromlog.go
+++ b/internal/ledger/fromlog.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/pkg/document/contract"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logfmt/logfmt"
@@ -20,8 +21,8 @@
 
 // FromLog computes a report from the log lines of all entries. The report equals the one
 // from the stored windows if the logs are complete. FromLog fails on an answer event whose
-// field unlogged states that sampling omitted events before it. It does not detect lines
-// that a logs.LossyWriter dropped.
+// field unlogged states that sampling omitted events before it, and on a line that states that
+// lines were dropped.
 func FromLog(log io.Reader, document contract.Document) (Report, error) {
 	recorder := New(time.Time{}, "log", "log")
 	lines := logfmt.NewDecoder(log)
@@ -49,6 +50,9 @@
 	if left := fields["unlogged"]; left != "" && left != "0" && fields["event"] == EventRequest {
 		return errors.Newf("%s answer events before this line were not logged: the log was sampled", left)
 	}
+	if fields["event"] == logs.EventDropped {
+		return errors.Newf("%s lines before this line were dropped: the log is incomplete", fields["lines"])
+	}
 	workspace, class := fields["workspace"], fields["class"]
 	switch event := fields["event"]; {
 	case event == EventRequest:
--- a/internal/ledger/html.go
+++ b/internal/ledger/html.go
@@ -77,8 +77,12 @@
 }
 
 // figures returns the plots of a row: tail latency against the target, delivered work
-// against all work that has ended, and the causes of the work that was not delivered.
+// against all work that has ended, and the causes of the work that was not delivered. A row without
+// points has none.
 func (r *Row) figures() ([]figure, error) {
+	if len(r.Points) == 0 {
+		return nil, nil
+	}
 	var figures []figure
 	add := func(svg []byte, err error, caption string) error {
 		if err == nil && svg != nil {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -177,3 +177,24 @@
 		})
 	}
 }
+
+// A report is not computed from a log that says that lines are missing.
+func TestAnIncompleteLogIsRejected(t *testing.T) {
+	document, err := contract.Parse([]byte(targets))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := "event=answer workspace=w class=preview fate=delivered timed=true us=1000\nevent=log-lines-left-out lines=7\n"
+	if _, err := FromLog(strings.NewReader(log), document); err == nil || !strings.Contains(err.Error(), "7 lines") {
+		t.Errorf("error %v", err)
+	}
+}
+
+// A class without a point in the period of the report has no plots, and the page is written.
+func TestAPageIsWrittenWithoutPoints(t *testing.T) {
+	report := Report{Rows: []*Row{{Workspace: "w", Class: "preview"}}}
+	var page strings.Builder
+	if err := report.WriteHTML(&page); err != nil || !strings.Contains(page.String(), "preview") {
+		t.Errorf("%v, page of %d bytes", err, page.Len())
+	}
+}
--- a/internal/logs/lossywriter.go
+++ b/internal/logs/lossywriter.go
@@ -23,6 +23,9 @@
 	closeTimeout = 200 * time.Millisecond
 )
 
+// EventDropped is the event of the line that states how many lines were dropped before it.
+const EventDropped = "log-lines-left-out"
+
 // LossyWriter writes lines to a writer that may be slow or blocked. Write never waits for
 // that writer: it drops and counts lines that exceed the rate or do not fit into the buffer.
 // The next accepted line is preceded by a line with the number of dropped lines. It is safe
@@ -61,7 +64,7 @@
 		return len(line), nil
 	}
 	if w.dropped > 0 {
-		w.lines = fmt.Appendf(w.lines, "time=%s level=warn event=log-lines-left-out lines=%d\n", time.Now().Format(time.RFC3339Nano), w.dropped)
+		w.lines = fmt.Appendf(w.lines, "time=%s level=warn event=%s lines=%d\n", time.Now().Format(time.RFC3339Nano), EventDropped, w.dropped)
 		w.dropped = 0
 	}
 	w.lines = append(w.lines, line...)
