--- a/internal/decision/placement/owner.go
+++ b/internal/decision/placement/owner.go
@@ -248,9 +248,10 @@
 	return known
 }
 
-// grantLifetime returns how long after a reply its grant may be valid, by the owner's clock.
+// grantLifetime returns how long after a reply its grant may be valid, by the owner's clock: on a
+// clock that runs slow by maxClockDrift the TTL takes 1/(1-maxClockDrift) times as long.
 func (o *Owner) grantLifetime() time.Duration {
-	return o.ttl + time.Duration(maxClockDrift*float64(o.ttl))
+	return time.Duration(float64(o.ttl) / (1 - maxClockDrift))
 }
 
 // allocate adds a task and its resources to an instance. allocate and release maintain the
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -288,3 +288,13 @@
 	h.heartbeat("a", "a1")
 	h.wantDecisions("place 1.1 a placed")
 }
+
+// A grant counts as expired only when it has expired on an instance whose clock runs slow by the
+// highest drift.
+func TestAGrantLastsOnASlowClock(t *testing.T) {
+	const ttl = 4 * time.Second
+	o := New(time.Now(), Spread, 1, ttl)
+	if need := time.Duration(ttl.Seconds() / (1 - maxClockDrift) * float64(time.Second)); o.grantLifetime() < need {
+		t.Errorf("counts as expired after %v, lasts %v", o.grantLifetime(), need)
+	}
+}
--- a/internal/owner/term_test.go
+++ b/internal/owner/term_test.go
@@ -60,3 +60,22 @@
 		t.Errorf("a lease of %v after the next confirmation", ttl)
 	}
 }
+
+// The owner waits for leases until they have expired on clocks that run 2 % slow: that of the worker,
+// and that of an earlier owner, which grants until its own wait is over.
+func TestWaitsForLeasesCoverSlowClocks(t *testing.T) {
+	const slowestClock = 0.98
+	slow := func(d time.Duration) time.Duration { return time.Duration(float64(d) / slowestClock) }
+	cases := []struct {
+		name       string
+		wait, need time.Duration
+	}{
+		{"lease of a silent instance", leaseExpiryWait, slow(leaseTTL)},
+		{"leases of an earlier owner", takeoverWait, slow(epochConfirmationTTL) + slow(leaseTTL)},
+	}
+	for _, c := range cases {
+		if c.wait < c.need {
+			t.Errorf("%s: waits for %v, needs %v", c.name, c.wait, c.need)
+		}
+	}
+}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -200,3 +200,23 @@
 		})
 	}
 }
+
+// slowestClock is the lowest rate of a worker's clock that the protocol allows, by the agent's clock.
+const slowestClock = 0.98
+
+// A lease that the agent has given to the worker counts as expired only when it has expired on the
+// slowest clock that a worker may have.
+func TestALeaseLastsOnASlowClock(t *testing.T) {
+	withRunner(t, Worker{}, func(t *testing.T, r *Runner) {
+		onLoop(t, r, func() {
+			r.leasesExpireAt = time.Time{} // the leases of an earlier agent have expired
+			now := time.Now()
+			deadline := r.grantLease()
+			onWorker := time.Duration(deadline-r.workerClock) * time.Millisecond
+			expiry := now.Add(time.Duration(float64(onWorker) / slowestClock))
+			if r.leasesExpireAt.Before(expiry) {
+				t.Errorf("counts as expired after %v, lasts %v", r.leasesExpireAt.Sub(now), expiry.Sub(now))
+			}
+		})
+	})
+}
