No job, message or row ends the owner

Cause: the owner scheduled whatever it found. A job row that was damaged (a negative number of tasks, a step after one that is missing) ended it, and each next owner that read the row; a client's job with repeat_count 1,000,000,000 and no interval would have made the owner create as many occurrences at once.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SETTINGS := mkutano lechtal
 WEATHERS := calm bad
 
-.PHONY: build check race fmt lint docs generate traces tools demo clean kills capacity soak soak-fresh
+.PHONY: build check race fmt lint docs generate traces tools demo clean kills capacity soak soak-fresh fuzz
 
 build:
 	go build -o bin/apricotwind ./cmd/apricotwind
@@ -61,6 +61,14 @@
 	go build -o bin/soak ./test/soak
 	bin/soak --seed 0 --seeds 10 --length 8s
 
+# Fuzzes the readers of messages, rows and texts, by hand. CI plays the seeds of the fuzz tests, as
+# part of the tests.
+fuzz:
+	go test ./internal/owner -run none -fuzz FuzzCalls -fuzztime 30s -parallel 3
+	go test ./internal/owner -run none -fuzz FuzzRows -fuzztime 30s -parallel 3
+	go test ./internal/runner -run none -fuzz FuzzOrders -fuzztime 30s -parallel 3
+	go test ./platform -run none -fuzz FuzzTexts -fuzztime 30s -parallel 3
+
 # Measures the cost per agent and extrapolates it to the target size; takes two minutes.
 capacity: build
 	test/capacity/measure > bin/measured.txt
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -267,6 +267,10 @@
 		t.elector.stepDown("a job was accepted under a later owner")
 		return
 	}
+	if err := job.Validate(); err != nil {
+		t.log.Warn("job-ignored", zap.String("job", job.ID), logs.Error(err))
+		return
+	}
 	if t.scheduler.Accept(time.Now(), job, progress) {
 		t.log.Info("job", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.Int("steps", len(job.Steps)), zap.Uint64("under", job.OwnerRevision))
 	} else if state, done := t.scheduler.Finished(job.ID); done && progress != nil && progress.State == state {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -220,3 +220,28 @@
 		})
 	})
 }
+
+// No orders end the agent, whatever they hold.
+func FuzzOrders(f *testing.F) {
+	f.Add([]byte(`{"session":1,"starts":[{"task":"j.0.0.1","run":4}],"stops":[{"task":"j.0.0.1","run":4},{"task":"k.0.0.0","run":-1}],"traits":[{"task":"j.0.0.1","run":4,"cores":-3}],"kept":99}`))
+	f.Add([]byte(`{"session":1,"starts":[{},{}],"stops":[{}]}`))
+	f.Fuzz(func(t *testing.T, params []byte) {
+		unanswered := Worker{
+			Start: func(ctx context.Context, _ StartCall) (Answer, error) { <-ctx.Done(); return Answer{}, ctx.Err() },
+			Stop:  func(ctx context.Context, _ StopCall) (Answer, error) { <-ctx.Done(); return Answer{}, ctx.Err() },
+			Poll: func(ctx context.Context, _ PollCall) (PollResult, error) {
+				<-ctx.Done()
+				return PollResult{}, ctx.Err()
+			},
+		}
+		withRunner(t, unanswered, func(t *testing.T, r *Runner) {
+			orders, err := link.Decode[link.Orders](params)
+			if err != nil {
+				return
+			}
+			onLoop(t, r, func() { r.applyOrders(orders) })
+			time.Sleep(time.Second)
+			onLoop(t, r, func() { r.takeReport(r.session) })
+		})
+	})
+}
