A stop does not wait for a write of the entry's row

Cause: announce held a mutex during its call to the table, and Leave waited for that mutex without a bound of its own. An entry that was told to stop while the table was silent waited for the call of announce before its own began.

Change: the wait for a write in flight ends with the caller's context.

--- a/internal/process/drain_test.go
+++ b/internal/process/drain_test.go
@@ -11,6 +11,38 @@
 // gracePeriod is the time after SIGTERM at which the operators kill a process that still runs.
 const gracePeriod = 6 * time.Second
 
+// openUnreadRequests sends each entry a request of a client that does not read the answer.
+func openUnreadRequests(t *testing.T, system *testcluster.JobCluster) {
+	t.Helper()
+	for i := range system.Entries {
+		conn, err := system.Net.Dial(t.Context(), "client", system.APIAddress(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// An entry that is told to stop ends in time also if the store is silent, its clients read nothing and
+// any of its periodic calls to the store is in flight.
+func TestADrainEndsInTimeAtAnyMoment(t *testing.T) {
+	for wait := time.Duration(0); wait < 11*time.Second; wait += 600 * time.Millisecond {
+		withJobCluster(t, 1, 1, func(t *testing.T, system *testcluster.JobCluster) {
+			time.Sleep(wait)
+			system.Store.SetFault(func(string, bool) testcluster.StoreFault { return testcluster.StoreFault{Silent: true} })
+			openUnreadRequests(t, system)
+			time.Sleep(time.Second)
+			began := time.Now()
+			_ = system.DrainEntry(0) // its error names the connections that did not end in time
+			if took := time.Since(began); took > gracePeriod {
+				t.Errorf("told to stop %v after the start: ended after %v", wait, took)
+			}
+		})
+	}
+}
+
 // A process that is told to stop ends within the grace period, whatever it waits for.
 func TestADrainEndsWithinTheGracePeriod(t *testing.T) {
 	storeFault := func(fault testcluster.StoreFault) func(*testing.T, *testcluster.JobCluster) {
@@ -39,17 +71,7 @@
 				worker.SetFault(func() testcluster.OrderFault { return testcluster.OrderFault{DropReply: true} })
 			}
 		}},
-		{"a client reads no answer", func(t *testing.T, system *testcluster.JobCluster) {
-			for i := range system.Entries {
-				conn, err := system.Net.Dial(t.Context(), "client", system.APIAddress(i))
-				if err != nil {
-					t.Fatal(err)
-				}
-				if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
-					t.Fatal(err)
-				}
-			}
-		}},
+		{"a client reads no answer", openUnreadRequests},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/submission/peers.go
+++ b/internal/submission/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/link"
@@ -56,9 +57,11 @@
 	mu     sync.Mutex
 	others map[string]peerState // by entry name
 
-	announcing  sync.Mutex // held while this entry's row is written
-	ownRevision uint64     // of this entry's row, as last written
-	left        bool       // the row is not written any more
+	// writing holds a token while this entry's row is written. It is not a sync.Mutex because
+	// the wait for a write, which the store may answer late, ends with a context.
+	writing     chan struct{}
+	ownRevision uint64      // of this entry's row, as last written; belongs to the holder of writing
+	left        atomic.Bool // the row is not written any more
 }
 
 // EntryInfo describes one entry.
@@ -87,7 +90,7 @@
 // NewPeers returns the peers of the entry self. It calls them through pool. owns reports whether
 // this process is the owner, which removes the rows of failed entries.
 func NewPeers(self EntryInfo, store *table.Store, pool *link.Pool, owns func() bool, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Peers {
-	return &Peers{self: self, store: store, pool: pool, owns: owns, loop: l, log: log, registry: registry, others: map[string]peerState{}}
+	return &Peers{self: self, store: store, pool: pool, owns: owns, loop: l, log: log, registry: registry, others: map[string]peerState{}, writing: make(chan struct{}, 1)}
 }
 
 // Run starts to renew this entry's row every renewReads reads, or at each read until the first
@@ -121,9 +124,12 @@
 		p.log.Error("announce-failed", logs.Error(err))
 		return false
 	}
-	p.announcing.Lock()
-	defer p.announcing.Unlock()
-	if p.left {
+	release, err := p.acquireWriting(callCtx)
+	if err != nil {
+		return false
+	}
+	defer release()
+	if p.left.Load() {
 		return true
 	}
 	result, err := p.store.Apply(callCtx, table.Txn{Puts: []table.Put{{RowKey: entryRowKey(p.self.Name), Value: value}}})
@@ -141,14 +147,32 @@
 func (p *Peers) Leave(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, maxServiceCallTimeout)
 	defer cancel()
-	p.announcing.Lock()
-	defer p.announcing.Unlock()
-	p.left = true
-	if err := p.remove(callCtx, []table.Precondition{{RowKey: entryRowKey(p.self.Name), Revision: p.ownRevision}}); err != nil {
+	p.left.Store(true)
+	if err := p.removeOwnRow(callCtx); err != nil {
 		p.log.Warn("leave-failed", logs.Error(err))
 	}
 }
 
+func (p *Peers) removeOwnRow(ctx context.Context) error {
+	release, err := p.acquireWriting(ctx)
+	if err != nil {
+		return err
+	}
+	defer release()
+	return p.remove(ctx, []table.Precondition{{RowKey: entryRowKey(p.self.Name), Revision: p.ownRevision}})
+}
+
+// acquireWriting waits until no other write of this entry's row is in flight. release must be
+// called after the caller's write.
+func (p *Peers) acquireWriting(ctx context.Context) (release func(), err error) {
+	select {
+	case p.writing <- struct{}{}:
+		return func() { <-p.writing }, nil
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "wait for a write of the entry's row")
+	}
+}
+
 // remove removes rows of entries that still are at the given revisions. An entry that has written
 // its row since then has started again.
 func (p *Peers) remove(ctx context.Context, rows []table.Precondition) error {
