No batch of removals is built while no job has expired

Cause: the look for expired jobs built a batch, with the alive row encoded, 20 times a second and at each plan, and threw it away.

Change: it looks at the first finished job before. Measured: internal/owner and internal/process pass; no figure of its cost was taken.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -260,8 +260,8 @@
 
 // removeExpiredJobs removes the rows of jobs that finished more than the retention time ago.
 func (t *term) removeExpiredJobs() {
-	if b := t.nextRemovals(); len(b.removed) > 0 {
-		t.apply(b)
+	if len(t.finished) > 0 && time.Now().After(t.finished[0].remove) {
+		t.apply(t.nextRemovals())
 	}
 }
 
