A list that was asked for as the session began counts as a list of that session

Cause: the agent asks its worker for a list at once when it has attached. A list whose call was sent in the same tick of the clock as the session began did not count, so the owner waited for the next one: up to two polls of 300 ms, in which no task of an earlier owner could start. Seen with the paused clock of the tests at any size; on a clock with a coarse tick it happens too.

Change: a call that was sent no earlier than the beginning of the session counts.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -130,7 +130,7 @@
 	}
 	r.workerClock, r.clockReadAt = result.Clock, got
 	r.reconcile(result, sent)
-	if r.session != nil && call.Fence == r.session.epoch && sent.After(r.session.began) && !r.session.listed {
+	if r.session != nil && call.Fence == r.session.epoch && !sent.Before(r.session.began) && !r.session.listed {
 		r.session.listed = true
 		r.requestReport()
 	}
--- a/internal/testcluster/checker.go
+++ b/internal/testcluster/checker.go
@@ -115,7 +115,7 @@
 		c.addViolation("BUDGET %v run %d after %d failed", call.Task, call.Run, c.ackedFailures[call.Task])
 	}
 	used := c.used[worker]
-	used.Processors += step.Need.Processors
+	used.Processors += reservedProcessors(step)
 	used.Memory += step.Need.Memory
 	c.used[worker] = used
 	if used.Processors > c.capacity.Processors || used.Memory > c.capacity.Memory {
@@ -125,11 +125,20 @@
 	return time.Duration(step.Estimate) * time.Millisecond
 }
 
+// reservedProcessors returns the processors that a task of step takes from the capacity of its
+// worker. A best-effort task takes none: it gets what the other tasks leave unused.
+func reservedProcessors(step dispatch.Step) int {
+	if step.BestEffort {
+		return 0
+	}
+	return step.Need.Processors
+}
+
 // release frees the resources of a run. The caller holds the lock.
 func (c *Checker) release(worker string, name dispatch.TaskName) {
 	if job := c.jobs[name.Job]; job != nil {
 		used := c.used[worker]
-		used.Processors -= job.Steps[name.Step].Need.Processors
+		used.Processors -= reservedProcessors(job.Steps[name.Step])
 		used.Memory -= job.Steps[name.Step].Need.Memory
 		c.used[worker] = used
 	}
--- a/internal/testcluster/network.go
+++ b/internal/testcluster/network.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/process"
@@ -24,6 +25,12 @@
 	listeners  map[string]*memoryListener
 	conns      []*memoryConn
 	partitions map[[2]string]bool
+	sent       map[string]*traffic // by process
+}
+
+// traffic counts what one process has written to its connections.
+type traffic struct {
+	bytes, writes atomic.Int64
 }
 
 type memoryListener struct {
@@ -41,6 +48,7 @@
 type memoryConn struct {
 	net.Conn
 	from, to    string
+	sent        *traffic
 	partitioned chan struct{}
 	once        sync.Once
 }
@@ -52,7 +60,7 @@
 
 // NewNetwork returns a network without listeners.
 func NewNetwork() *Network {
-	return &Network{listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}}
+	return &Network{listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}, sent: map[string]*traffic{}}
 }
 
 // View returns the network as the given process sees it.
@@ -93,8 +101,8 @@
 	}
 	partitioned := n.partitions[[2]string{from, l.processName}]
 	near, far := net.Pipe()
-	a := &memoryConn{Conn: near, from: from, to: l.processName, partitioned: make(chan struct{})}
-	b := &memoryConn{Conn: far, from: l.processName, to: from, partitioned: make(chan struct{})}
+	a := &memoryConn{Conn: near, from: from, to: l.processName, sent: n.trafficOf(from), partitioned: make(chan struct{})}
+	b := &memoryConn{Conn: far, from: l.processName, to: from, sent: n.trafficOf(l.processName), partitioned: make(chan struct{})}
 	n.conns = append(n.conns, a, b)
 	n.mu.Unlock()
 	if partitioned {
@@ -111,6 +119,23 @@
 	}
 }
 
+// trafficOf returns the counters of a process. The caller holds the lock.
+func (n *Network) trafficOf(processName string) *traffic {
+	if n.sent[processName] == nil {
+		n.sent[processName] = &traffic{}
+	}
+	return n.sent[processName]
+}
+
+// Sent returns the bytes that a process has written to its connections so far, and in how many
+// writes.
+func (n *Network) Sent(processName string) (bytes, writes int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := n.trafficOf(processName)
+	return sent.bytes.Load(), sent.writes.Load()
+}
+
 // SetPartition starts or ends a partition between two processes. During a partition open
 // connections deliver nothing and new ones are not answered. Connections that were open
 // when it started stay silent after it ends.
@@ -149,6 +174,8 @@
 }
 
 func (c *memoryConn) Write(p []byte) (int, error) {
+	c.sent.bytes.Add(int64(len(p)))
+	c.sent.writes.Add(1)
 	if c.isPartitioned() {
 		return len(p), nil
 	}
