Reports state a changed registration only, and the owner plans on news

Cause: each report, of which an instance sends two a second and one for each end, repeated the registration of its instance; the owner looked through all instances for predecessors at each of them, and made a plan at each report, also at one without news. Each commit was followed by a message of its own to every agent with an end in it.

Change: an owner says at the attach that it keeps the registration; an agent then states it when it has changed. Reports without news leave the plan to the next tick (50 ms). Acknowledgements of ends are carried by orders and replies, and sent on their own after 100 ms. After a plan the loop is kept free of plans for seven times its duration, was three.

--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -46,13 +46,20 @@
 // AttachReply is the reply to Attach. Epoch is the fencing token of the owner's orders.
 type AttachReply struct {
 	Epoch uint64 `json:"epoch"`
+	// Incremental says that the owner keeps the registration of the session: a report without
+	// one means that it has not changed. Owners of earlier versions need it in each report.
+	Incremental bool `json:"incremental,omitempty"`
 }
 
 // Report is a report of an agent to the owner. Running in a full report lists every run
 // that may be running on the instance, including runs that a pending order may still
 // start. In other reports Running holds only new checkpoints.
+//
+// Registration is nil if it has not changed since the last one that the owner has received in
+// this session.
 type Report struct {
-	Registration  dispatch.Registration  `json:"offer"`
+	Incarnation   dispatch.Incarnation   `json:"life"`
+	Registration  *dispatch.Registration `json:"offer,omitempty"`
 	Full          bool                   `json:"full,omitempty"`
 	Running       []dispatch.RunStatus   `json:"running,omitempty"`
 	Ends          []dispatch.End         `json:"ends,omitempty"`
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -24,6 +24,9 @@
 	// maxCommitInstances bounds the instance rows in one commit.
 	maxCommitInstances = 6
 	maxCommitRemovals  = 4 // finished jobs removed by one commit, three rows each
+	// maxAckDelay is how long the acknowledgement of an end waits for a message to the agent
+	// that can carry it. Until then the worker lists the end in each answer to its agent.
+	maxAckDelay = 100 * time.Millisecond
 )
 
 // batch holds the contents of one commit.
@@ -80,14 +83,26 @@
 	return acks
 }
 
-// acknowledge tells agents which ends are in the table, so that they can forget them.
+// acknowledge records which ends are in the table. The agents learn it, so that they can forget
+// the ends, with the next orders or the next reply to a report, or from sendAcks.
 func (t *term) acknowledge(acks map[*session]int64) {
 	for s, end := range acks {
 		if end <= s.lastCommittedEnd || t.sessions[s.incarnation.ID] != s {
 			continue
 		}
+		if s.lastSentCommit == s.lastCommittedEnd {
+			s.ackDue = time.Now().Add(maxAckDelay)
+		}
 		s.lastCommittedEnd = end
-		t.send(s.incarnation.ID, &link.Orders{})
+	}
+}
+
+// sendAcks sends the acknowledgements that no other message has carried for maxAckDelay.
+func (t *term) sendAcks(now time.Time) {
+	for id, s := range t.sessions {
+		if s.lastSentCommit < s.lastCommittedEnd && !now.Before(s.ackDue) {
+			t.send(id, &link.Orders{})
+		}
 	}
 }
 
--- a/internal/owner/fuzz_test.go
+++ b/internal/owner/fuzz_test.go
@@ -49,7 +49,7 @@
 		registration := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "w", StartedAt: 1}, Service: "s", Capacity: dispatch.Resources{Processors: 8000, Memory: 8000}}
 		current.handleAttach(conn, link.Attach{Registration: registration, Session: 1})
 		current.scheduler.RowWritten(registration.Incarnation)
-		if _, err := current.handleReport(conn, link.Report{Registration: registration, Full: true}); err != nil {
+		if _, err := current.handleReport(conn, link.Report{Registration: &registration, Full: true}); err != nil {
 			t.Error(err)
 		}
 		test(current, conn)
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -46,7 +46,7 @@
 		t.post(func() { t.disconnected(id, s) })
 	})
 	t.schedulePlan()
-	return link.AttachReply{Epoch: t.epoch}
+	return link.AttachReply{Epoch: t.epoch, Incremental: true}
 }
 
 // endSilentSessions ends the sessions without a report for sessionTimeout.
@@ -77,14 +77,19 @@
 
 // handleReport passes an agent's report to the scheduler and returns the new lease.
 func (t *term) handleReport(conn *Conn, r link.Report) (link.ReportReply, error) {
-	id := r.Registration.Incarnation.ID
+	if r.Registration != nil {
+		r.Incarnation = r.Registration.Incarnation // agents of earlier versions state it there only
+	}
+	id := r.Incarnation.ID
 	s := t.sessions[id]
-	if s == nil || s.conn != conn || s.incarnation != r.Registration.Incarnation {
+	if s == nil || s.conn != conn || s.incarnation != r.Incarnation {
 		return link.ReportReply{}, errNoSession
 	}
 	now := time.Now()
 	s.lastReportAt = now
-	t.scheduler.Register(now, r.Registration)
+	if r.Registration != nil {
+		t.scheduler.Register(now, *r.Registration)
+	}
 	t.recordEnds(now, s, r.Ends)
 	if r.Full {
 		t.scheduler.Reconcile(now, s.incarnation, r.Running)
@@ -100,10 +105,19 @@
 		t.scheduler.Lost(now, s.incarnation)
 		delete(t.sessions, id)
 	}
-	t.schedulePlan()
+	if changesPlan(s, r) {
+		t.schedulePlan()
+	}
+	s.silent, s.lastSentCommit = r.Silent, s.lastCommittedEnd
 	return link.ReportReply{Grant: t.grant(s, now).Milliseconds(), Committed: s.lastCommittedEnd, Costs: s.changedCosts(t.scheduler.Costs(id))}, nil
 }
 
+// changesPlan reports whether a report may change the next plan at once: it frees resources, or
+// changes what the instance can be used for. Measurements wait for the next tick.
+func changesPlan(s *session, r link.Report) bool {
+	return r.Full || len(r.Ends) > 0 || r.Registration != nil || r.Silent != s.silent || r.LeasesExpired
+}
+
 // minCostChange is the smallest change of a cost that is sent to an agent, in headroom per
 // core.
 const minCostChange = 0.02
--- a/internal/owner/sessions_test.go
+++ b/internal/owner/sessions_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
 )
 
@@ -68,3 +69,30 @@
 		t.Errorf("the row of the previous incarnation is removed %d times, want 1", removed)
 	}
 }
+
+// Only a report that frees resources or changes the use of its instance makes the owner plan at
+// once: hundreds of instances report twice a second.
+func TestReportsThatChangeThePlan(t *testing.T) {
+	cases := []struct {
+		name   string
+		report link.Report
+		plan   bool
+	}{
+		{"nothing new", link.Report{}, false},
+		{"measurements", link.Report{Measurements: []dispatch.Measurement{{Value: 1}}}, false},
+		{"a new checkpoint", link.Report{Running: []dispatch.RunStatus{{Checkpoint: "c"}}}, false},
+		{"the full list of runs", link.Report{Full: true}, true},
+		{"an end", link.Report{Ends: []dispatch.End{{Sequence: 1}}}, true},
+		{"a changed registration", link.Report{Registration: &dispatch.Registration{}}, true},
+		{"a worker that turns silent", link.Report{Silent: true}, true},
+		{"a worker whose leases are over", link.Report{LeasesExpired: true}, true},
+	}
+	for _, c := range cases {
+		if plan := changesPlan(&session{}, c.report); plan != c.plan {
+			t.Errorf("%s: plan %v, want %v", c.name, plan, c.plan)
+		}
+	}
+	if changesPlan(&session{silent: true}, link.Report{Silent: true}) {
+		t.Error("a worker that stays silent changes nothing")
+	}
+}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -39,7 +39,7 @@
 	// planIdleFactor times the duration of a plan is the pause before a plan that
 	// schedulePlan schedules, so that the loop has time for other work. tick plans
 	// regardless of it.
-	planIdleFactor = 3
+	planIdleFactor = 7
 	// commitDelay is the delay of a commit for which no caller waits.
 	commitDelay = 40 * time.Millisecond
 	// commitRetryDelay is the delay after a commit that the table refused or did not answer,
@@ -68,9 +68,12 @@
 	conn             *Conn
 	number           uint64
 	incarnation      dispatch.Incarnation
-	full             bool  // the agent has sent its full run list
-	lastSeenEnd      int64 // highest sequence number of an end that the scheduler has recorded
-	lastCommittedEnd int64 // highest sequence number of an end that is in the table
+	full             bool      // the agent has sent its full run list
+	silent           bool      // the worker did not answer its agent at the last report
+	lastSeenEnd      int64     // highest sequence number of an end that the scheduler has recorded
+	lastCommittedEnd int64     // highest sequence number of an end that is in the table
+	lastSentCommit   int64     // lastCommittedEnd as last sent to the agent
+	ackDue           time.Time // when a lastCommittedEnd that was not sent yet is sent on its own
 	// leaseCountedFrom is the time of the last grant, or of the attach before the first one:
 	// leases of the previous session were granted before the attach.
 	leaseCountedFrom time.Time
@@ -355,12 +358,13 @@
 }
 
 // tick does the work that depends on the time alone: recurring jobs that are due, silent
-// sessions, expired leases and a new plan.
+// sessions, expired leases, a new plan and acknowledgements.
 func (t *term) tick() {
 	t.scheduler.Trigger(t.elector.nowMillis())
 	t.endSilentSessions(time.Now())
 	t.removeExpired()
 	t.dispatch()
+	t.sendAcks(time.Now())
 }
 
 // dispatch makes a plan, sends the resulting orders to the agents and schedules a commit of
@@ -414,6 +418,7 @@
 		return
 	}
 	orders.Session, orders.Committed = s.number, s.lastCommittedEnd
+	s.lastSentCommit = s.lastCommittedEnd
 	t.elector.loop.Go(func() {
 		callCtx, cancel := context.WithTimeout(t.ctx, ordersTimeout)
 		defer cancel()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -50,10 +51,11 @@
 	log      *zap.Logger
 	registry *metrics.Registry
 
-	registration *dispatch.Registration // nil until the worker has registered
-	sequence     int64                  // of the worker's last registration
-	fence        uint64                 // highest epoch of an owner that this agent has attached to
-	runs         runsByTask
+	registration        *dispatch.Registration // nil until the worker has registered
+	registrationVersion int                    // increases with each change of registration
+	sequence            int64                  // of the worker's last registration
+	fence               uint64                 // highest epoch of an owner that this agent has attached to
+	runs                runsByTask
 	// unanswered holds the last start of each task that got no answer. The worker may still
 	// carry it out.
 	unanswered    map[dispatch.TaskName]unansweredStart
@@ -97,7 +99,10 @@
 		}
 		changed := registration.Draining != r.registration.Draining
 		r.sequence = sequence
-		*r.registration = registration
+		if !reflect.DeepEqual(*r.registration, registration) {
+			*r.registration = registration
+			r.registrationVersion++
+		}
 		if changed {
 			r.log.Info("worker", zap.String("instance", registration.Incarnation.ID), zap.Bool("leaving", registration.Draining), zap.Int64("remaining", registration.GracePeriod))
 			r.requestReport()
@@ -114,6 +119,7 @@
 		r.leasesExpireAt = latest(r.leasesExpireAt, time.Now().Add(link.MaxStaleLease))
 	}
 	r.registration = &registration
+	r.registrationVersion++
 	r.sequence = 0
 	r.runs = unsettled
 	r.ends, r.lastListedEnd, r.committedEnd = nil, 0, 0
@@ -151,6 +157,7 @@
 		if r.registration != nil && r.registration.Incarnation.ID == id {
 			r.log.Info("worker-left", zap.String("instance", id))
 			r.registration.Draining = true
+			r.registrationVersion++
 			r.requestReport()
 		}
 	})
@@ -209,10 +216,21 @@
 	}
 }
 
+// changedRegistration returns a copy of the registration, or nil if the owner has the current one
+// already, and marks it as reported.
+func (r *Runner) changedRegistration(s *session) *dispatch.Registration {
+	if s.incremental && s.reported == r.registrationVersion {
+		return nil
+	}
+	s.reported = r.registrationVersion
+	registration := *r.registration
+	return &registration
+}
+
 // takeReport returns the next report to the owner and marks what it contains as reported. If it
 // is not delivered, the session must end.
 func (r *Runner) takeReport(s *session) link.Report {
-	report := link.Report{Registration: *r.registration, Silent: r.silent, LeasesExpired: r.leasesExpired(), Measurements: slices.Clone(r.pacer.measurements)}
+	report := link.Report{Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s), Silent: r.silent, LeasesExpired: r.leasesExpired(), Measurements: slices.Clone(r.pacer.measurements)}
 	for _, end := range r.ends {
 		if end.Sequence > s.lastReportedEnd {
 			report.Ends = append(report.Ends, end)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -245,3 +245,55 @@
 		})
 	})
 }
+
+// A report has the registration only if the owner does not know it yet. An owner of an earlier
+// version needs it in each report.
+func TestReportsStateAChangedRegistrationOnly(t *testing.T) {
+	cases := []struct {
+		name        string
+		incremental bool
+		change      func(r *Runner)
+		stated      bool
+	}{
+		{"the same", true, func(*Runner) {}, false},
+		{"the same, to an owner of an earlier version", false, func(*Runner) {}, true},
+		{"another capacity", true, func(r *Runner) { r.registration.Capacity.Processors++; r.registrationVersion++ }, true},
+		{"the worker has left", true, func(r *Runner) { r.registration.Draining = true; r.registrationVersion++ }, true},
+	}
+	for _, c := range cases {
+		withRunner(t, Worker{}, func(t *testing.T, r *Runner) {
+			onLoop(t, r, func() {
+				r.session.incremental = c.incremental
+				if first := r.takeReport(r.session); first.Registration == nil {
+					t.Errorf("%s: the first report states no registration", c.name)
+				}
+				c.change(r)
+				if report := r.takeReport(r.session); (report.Registration != nil) != c.stated {
+					t.Errorf("%s: stated %v, want %v", c.name, report.Registration != nil, c.stated)
+				}
+			})
+		})
+	}
+}
+
+// A registration that repeats the last one is no change.
+func TestARepeatedRegistrationIsNoChange(t *testing.T) {
+	withRunner(t, Worker{}, func(t *testing.T, r *Runner) {
+		registration := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "w", StartedAt: 5}, Service: "s", Labels: []string{"a", "r"}}
+		versions := []int{}
+		for sequence := range int64(3) {
+			r.Register(registration, sequence+2)
+			onLoop(t, r, func() { versions = append(versions, r.registrationVersion) })
+		}
+		if versions[1] != versions[0] || versions[2] != versions[0] {
+			t.Errorf("versions %v", versions)
+		}
+		registration.Draining = true
+		r.Register(registration, 9)
+		onLoop(t, r, func() {
+			if r.registrationVersion == versions[2] {
+				t.Error("a change was not counted")
+			}
+		})
+	})
+}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -28,6 +28,7 @@
 type session struct {
 	number          uint64
 	epoch           uint64
+	incremental     bool // the owner keeps the registration, see link.AttachReply
 	conn            *link.Conn
 	began           time.Time
 	listed          bool           // the worker has answered a poll that was sent since the session began
@@ -35,6 +36,7 @@
 	lastReportedEnd int64          // highest sequence number of an end that the owner has received
 	reportingEnd    int64          // the same, including the report in flight
 	notStarted      []dispatch.End // ends of runs that never started, not reported yet
+	reported        int            // version of the registration that was last sent to the owner
 	wakeup          chan struct{}
 }
 
@@ -114,9 +116,11 @@
 // worker has restarted meanwhile.
 func (r *Runner) attach(ctx context.Context, conn *link.Conn) (*session, error) {
 	var request link.Attach
+	version := 0
 	err := r.loop.Do(func() {
 		r.endSession()
 		r.lastSession++
+		version = r.registrationVersion
 		request = link.Attach{Registration: *r.registration, Session: r.lastSession}
 	})
 	if err != nil {
@@ -126,7 +130,7 @@
 	if err := conn.Call(ctx, link.MethodAttach, request, &attached); err != nil {
 		return nil, err
 	}
-	s := &session{number: request.Session, epoch: attached.Epoch, conn: conn, began: time.Now(), wakeup: make(chan struct{}, 1)}
+	s := &session{number: request.Session, epoch: attached.Epoch, incremental: attached.Incremental, reported: version, conn: conn, began: time.Now(), wakeup: make(chan struct{}, 1)}
 	loopErr := r.loop.Do(func() {
 		switch {
 		case attached.Epoch < r.fence:
