A plan costs less at hundreds of instances

Cause: each plan collected the best-effort images anew, compared the images of each instance for each latency-critical task, looked for stalled tasks among all reservations, and looked up the reservation of a waiting task on each instance before cheaper checks.

Change: the model keeps its best-effort images; newly excluded shares are cached for the plan; stalled tasks are looked for every 100 ms; the lookup comes last. Decisions are the same, but for the stalled tasks, which move up to 100 ms later.

--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -192,6 +192,15 @@
 	in.used = in.used.minus(reserved)
 }
 
+// excludes reports whether runs that the instance has keep a task off it: an earlier run of the
+// task that has not ended yet, or as many tasks of its step as may run on one instance.
+func (in *instance) excludes(t *task) bool {
+	if _, placed := in.reservations[t.name]; placed {
+		return true
+	}
+	return t.step.MaxPerInstance > 0 && in.countStep(t.name) >= t.step.MaxPerInstance
+}
+
 // countStep returns the number of reservations of the same step and occurrence as the task.
 func (in *instance) countStep(name TaskName) int {
 	count := 0
--- a/internal/decision/dispatch/moves.go
+++ b/internal/decision/dispatch/moves.go
@@ -33,6 +33,8 @@
 	stalledPercent = 30
 	// stallTimeout is how long a task must be stalled before it is moved.
 	stallTimeout = 1200 * time.Millisecond
+	// stallCheckPeriod is the minimum time between two checks for stalled tasks.
+	stallCheckPeriod = 100 * time.Millisecond
 	// maxStallMovesPerPlan bounds how many stalled tasks one plan moves: each is checked
 	// against the same free resources, which may suffice for one only.
 	maxStallMovesPerPlan = 1
@@ -41,6 +43,10 @@
 // moveStalled stops a stalled best-effort task that saves checkpoints if another instance
 // suits it now. The task resumes there from its checkpoint.
 func (p *planner) moveStalled() {
+	if p.now.Sub(p.scheduler.stallCheckedAt) < stallCheckPeriod {
+		return
+	}
+	p.scheduler.stallCheckedAt = p.now
 	moved := 0
 	for _, in := range p.usable {
 		for name, placed := range in.reservations {
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -72,10 +72,11 @@
 	now       time.Time
 	usable    []*instance
 	starts    []Start
-	// bestEffortImages are the known best-effort images. openShares and neighbors cache, by
-	// instance, the results of openShare and neighborsOn.
+	// bestEffortImages are the known best-effort images. openShares, excludedShares and neighbors
+	// cache, by instance, the results of openShare, newlyExcludedShare and neighborsOn.
 	bestEffortImages []string
 	openShares       map[*instance]float64
+	excludedShares   map[*instance]map[string]float64
 	neighbors        map[*instance][]neighbor
 	// unplaceable lists, by scheduling class, the resource requests for which no
 	// instance is suitable.
@@ -87,7 +88,7 @@
 
 func newPlanner(s *Scheduler, now time.Time) *planner {
 	return &planner{
-		scheduler: s, now: now, openShares: map[*instance]float64{}, neighbors: map[*instance][]neighbor{},
+		scheduler: s, now: now, openShares: map[*instance]float64{}, excludedShares: map[*instance]map[string]float64{}, neighbors: map[*instance][]neighbor{},
 		unplaceable: map[schedulingClass][]Resources{}, unmetDemand: map[string]int{},
 	}
 }
@@ -268,16 +269,21 @@
 // suitable reports whether a task fits on an instance and, if it is best-effort, is expected
 // to run there at minRate at least.
 func (p *planner) suitable(j *jobState, t *task, in *instance) bool {
-	if !fits(j, t, in) {
+	if !allows(j, t.step, in) {
 		return false
 	}
-	return !t.step.BestEffort || p.processorRate(t.step, in) >= minRate && p.rate(t.step, in) >= minRate
+	if t.step.BestEffort && (p.processorRate(t.step, in) < minRate || p.rate(t.step, in) < minRate) {
+		return false
+	}
+	return !in.excludes(t)
 }
 
 // fits reports whether the constraints of a task allow an instance and its resources are free
 // there.
-func fits(j *jobState, t *task, in *instance) bool {
-	step := t.step
+func fits(j *jobState, t *task, in *instance) bool { return allows(j, t.step, in) && !in.excludes(t) }
+
+// allows reports whether the service, label and resources of a step allow an instance.
+func allows(j *jobState, step *Step, in *instance) bool {
 	if in.registration.Service != j.spec.Policy.Service {
 		return false
 	}
@@ -288,13 +294,7 @@
 	if step.BestEffort {
 		need.Processors = 0
 	}
-	if !need.fitsIn(in.free()) {
-		return false
-	}
-	if _, placed := in.reservations[t.name]; placed {
-		return false
-	}
-	return step.MaxPerInstance == 0 || in.countStep(t.name) < step.MaxPerInstance
+	return need.fitsIn(in.free())
 }
 
 // penalty returns the penalty of placing a task of a step on an instance.
--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -59,6 +59,7 @@
 	if !step.BestEffort || !placed {
 		delete(p.neighbors, in)
 		delete(p.openShares, in)
+		delete(p.excludedShares, in)
 		return
 	}
 	neighbors := p.neighbors[in]
@@ -175,6 +176,18 @@
 // on an instance now, but would if a latency-critical image were placed there. While no costs
 // are known, it is unknownExclusionShare for each other latency-critical image there, 1 at most.
 func (p *planner) newlyExcludedShare(image string, in *instance) float64 {
+	share, known := p.excludedShares[in][image]
+	if !known {
+		share = p.computeNewlyExcludedShare(image, in)
+		if p.excludedShares[in] == nil {
+			p.excludedShares[in] = map[string]float64{}
+		}
+		p.excludedShares[in][image] = share
+	}
+	return share
+}
+
+func (p *planner) computeNewlyExcludedShare(image string, in *instance) float64 {
 	latencyCritical := in.latencyCriticalImages()
 	if len(p.bestEffortImages) == 0 {
 		delete(latencyCritical, image)
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -39,7 +39,6 @@
 // Scheduler holds the scheduling state of one owner epoch: jobs, instances, and orders and
 // changes that the owner has not taken yet. It is not safe for concurrent use.
 type Scheduler struct {
-	epoch              uint64 // set, but never read
 	runBase            int64  // run numbers of this epoch are higher than this
 	ownerRevision      uint64 // revision of the owner's table row in this epoch
 	jobs               map[string]*jobState
@@ -51,6 +50,7 @@
 	costModel          *interference.Model
 	rebalancedAt       time.Time // when latency-critical tasks were last moved to make room for best-effort ones
 	rebalanceCheckedAt time.Time // when such a move was last considered
+	stallCheckedAt     time.Time // when stalled tasks were last looked for
 }
 
 // finishedJob is a job whose final state is committed. Its runs may still be stopping, so its
@@ -64,7 +64,7 @@
 // ownerRevision.
 func New(epoch, ownerRevision uint64) *Scheduler {
 	return &Scheduler{
-		epoch: epoch, ownerRevision: ownerRevision, runBase: int64(epoch-1) * runNumbersPerEpoch,
+		ownerRevision: ownerRevision, runBase: int64(epoch-1) * runNumbersPerEpoch,
 		jobs: map[string]*jobState{}, finished: map[string]finishedJob{},
 		instances: map[string]*instance{}, unconfirmed: map[string]bool{},
 		costModel: interference.NewModel(),
--- a/internal/decision/dispatch/urgency.go
+++ b/internal/decision/dispatch/urgency.go
@@ -59,10 +59,11 @@
 	return onTime
 }
 
-// ranked is an unfinished job with its rank.
+// ranked is an unfinished job with its rank and the time of its objective.
 type ranked struct {
 	*jobState
 	rank int
+	due  time.Time
 }
 
 // byUrgency returns the unfinished jobs ordered by rank, then priority, then the time of their
@@ -71,14 +72,14 @@
 	unfinished := make([]ranked, 0, len(s.jobs))
 	for _, j := range s.jobs {
 		if !j.state.Final() {
-			unfinished = append(unfinished, ranked{j, j.rank(now)})
+			unfinished = append(unfinished, ranked{j, j.rank(now), j.acceptedAt.Add(j.objective)})
 		}
 	}
 	slices.SortFunc(unfinished, func(a, c ranked) int {
 		return cmp.Or(
 			cmp.Compare(a.rank, c.rank),
 			cmp.Compare(a.spec.Policy.Priority, c.spec.Policy.Priority),
-			a.acceptedAt.Add(a.objective).Compare(c.acceptedAt.Add(c.objective)),
+			a.due.Compare(c.due),
 			cmp.Compare(a.spec.ID, c.spec.ID),
 		)
 	})
--- a/internal/decision/interference/model.go
+++ b/internal/decision/interference/model.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -98,7 +97,8 @@
 // filter per latency-critical image estimates the costs of all best-effort images together
 // with the baseline of each job. It isn't safe for concurrent use.
 type Model struct {
-	images map[string]*imageModel
+	images     map[string]*imageModel
+	bestEffort []string // images with an estimated cost, sorted
 }
 
 // imageModel holds the estimates for one latency-critical image.
@@ -173,6 +173,14 @@
 	return im
 }
 
+// addBestEffort adds a best-effort image to the known ones.
+func (m *Model) addBestEffort(image string) {
+	index, known := slices.BinarySearch(m.bestEffort, image)
+	if !known {
+		m.bestEffort = slices.Insert(m.bestEffort, index, image)
+	}
+}
+
 // Cost returns the cost of a pair in headroom per core. Once it has been learned, this is
 // a lower bound, since most pairs cost nothing; before, it is the prior mean.
 func (m *Model) Cost(critical, bestEffort string) float64 {
@@ -190,16 +198,9 @@
 	return m.Cost(critical, bestEffort) < harmlessCost
 }
 
-// BestEffortImages returns the best-effort images with an estimated cost, sorted.
-func (m *Model) BestEffortImages() []string {
-	known := map[string]bool{}
-	for _, im := range m.images {
-		for image := range im.costs {
-			known[image] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(known))
-}
+// BestEffortImages returns the best-effort images with an estimated cost, sorted. The caller must
+// not change the result.
+func (m *Model) BestEffortImages() []string { return m.bestEffort }
 
 // lowerBound returns the lower bound of a cost, at least 0: its mean less its standard
 // deviation times the certainty. The certainty is 0 at the prior variance and approaches 1
@@ -228,6 +229,7 @@
 	terms := []term{{b.index, 1}}
 	for bestEffort, cores := range sample.Cores {
 		if cores >= minCores {
+			m.addBestEffort(bestEffort)
 			index := im.costIndex(bestEffort)
 			im.filter.addVariance(index, costDrift)
 			terms = append(terms, term{index, -cores})
@@ -296,6 +298,7 @@
 // nearly certain.
 func (m *Model) Set(pairCost PairCost) {
 	im := m.image(pairCost.LatencyCritical)
+	m.addBestEffort(pairCost.BestEffort)
 	im.setCost(pairCost.BestEffort, pairCost.Cost, costDrift)
 }
 
@@ -326,6 +329,7 @@
 	for _, e := range estimates {
 		im := m.image(e.LatencyCritical)
 		if _, known := im.costs[e.BestEffort]; !known {
+			m.addBestEffort(e.BestEffort)
 			im.setCost(e.BestEffort, e.Mean, min(e.Deviation*e.Deviation, priorCostVariance))
 		}
 	}
