Files of the owner and the scheduler that had grown are split by their jobs

Dead fields of jobState are gone; the instances are kept sorted; unfinished tasks are counted by step. With it in this commit, for lack of a clean cut: jobs that the processors do not suffice for are postponed by the rule of Moore and Hodgson, since an overload in the order of the objectives starts each job so late that most miss theirs.

--- /dev/null
+++ b/internal/decision/dispatch/ends.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Ended records ends of runs that an instance reports. Ends reported by any incarnation but
+// the current one are ignored.
+func (s *Scheduler) Ended(now time.Time, incarnation Incarnation, ends []End) {
+	in, ok := s.instances[incarnation.ID]
+	if !ok || in.registration.Incarnation != incarnation {
+		return
+	}
+	for _, end := range ends {
+		s.runEnded(now, in, end)
+	}
+}
+
+// runEnded processes the end of a run: it releases the run's resources and updates its task.
+// It ignores ends that are outdated.
+func (s *Scheduler) runEnded(now time.Time, in *instance, end End) {
+	p, placed := in.reservations[end.Task]
+	if placed && p.run == end.Run {
+		in.remove(p)
+		s.stopOrderedRun(in, p)
+	}
+	t := s.findTask(end.Task)
+	if t == nil || t.done {
+		return
+	}
+	current := t.instance == in.registration.Incarnation.ID && t.run == end.Run
+	// A task that is not placed also accepts the end of a run whose number is less than
+	// runNumbersPerEpoch below lastRun, such as that of a run of the previous epoch.
+	unassigned := t.instance == "" && end.Run > t.lastRun-runNumbersPerEpoch
+	if end.Reason == EndNotStarted && !current {
+		return
+	}
+	if !current && !unassigned && end.Reason != EndFailed && end.Reason != EndDone {
+		return
+	}
+	t.lastRun = max(t.lastRun, end.Run)
+	if end.Checkpoint != "" {
+		t.checkpoint = end.Checkpoint
+	}
+	s.applyEnd(now, in, end, t)
+	if current || end.Reason == EndDone {
+		s.release(t, current)
+	}
+}
+
+// release removes a task from its instance. If the run that ended is not the current one, the
+// current one is stopped.
+func (s *Scheduler) release(t *task, current bool) {
+	if !current && t.instance != "" {
+		// The task is done by another run: the run that is placed now is not needed.
+		if in, ok := s.instances[t.instance]; ok {
+			if p, placed := in.reservations[t.name]; placed {
+				s.stop(in, p)
+			}
+		}
+	}
+	t.instance, t.run = "", 0
+}
+
+// applyEnd applies the end of a run to its task and job.
+func (s *Scheduler) applyEnd(now time.Time, in *instance, end End, t *task) {
+	j := t.job
+	switch end.Reason {
+	case EndDone:
+		in.consecutiveFailures = 0
+		if t.step.LongRunning {
+			t.notBefore = now.Add(restartDelay)
+			return
+		}
+		s.completeTask(t)
+	case EndFailed:
+		s.recordFailure(now, in, t)
+		t.failedOn = append(t.failedOn, in.registration.Incarnation.ID)
+		if t.step.LongRunning {
+			t.notBefore = now.Add(restartDelay)
+			return
+		}
+		if slices.Contains(t.failedRuns, end.Run) {
+			return
+		}
+		t.failedRuns = append(t.failedRuns, end.Run)
+		s.markDirty(j)
+		if len(t.failedRuns) >= max(j.spec.Policy.Attempts, 1) {
+			s.finish(j, Failed)
+		}
+	case EndNotStarted:
+	default:
+		if t.checkpoint != "" && !t.step.LongRunning {
+			s.markDirty(j)
+		}
+	}
+}
+
+// completeTask marks a task, or its whole gang, as done.
+func (s *Scheduler) completeTask(t *task) {
+	j := t.job
+	o := j.occurrences[t.name.Occurrence]
+	if t.step.Gang {
+		// One done member completes the whole gang.
+		for _, member := range o.steps[t.name.Step] {
+			o.setDone(member)
+		}
+	} else {
+		o.setDone(t)
+	}
+	s.markDirty(j)
+	s.completeIfDone(j)
+}
+
+// recordFailure counts a failure on an instance, unless the last counted one was of the same
+// job, since a job that always fails says nothing about the instance. At quarantineThreshold it
+// quarantines the instance. After that, one more failure is enough.
+func (s *Scheduler) recordFailure(now time.Time, in *instance, t *task) {
+	if in.lastFailedJob == t.name.Job {
+		return
+	}
+	in.lastFailedJob = t.name.Job
+	in.consecutiveFailures++
+	if in.consecutiveFailures >= quarantineThreshold {
+		in.quarantinedUntil = now.Add(quarantineDuration)
+		in.consecutiveFailures = quarantineThreshold - 1
+	}
+}
--- /dev/null
+++ b/internal/decision/dispatch/job_test.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"testing"
+)
+
+func TestTaskNames(t *testing.T) {
+	cases := []struct {
+		text string
+		want TaskName
+		ok   bool
+	}{
+		{"5c0e7a21d94b36f8.0.1.17", TaskName{"5c0e7a21d94b36f8", 0, 1, 17}, true},
+		{"5c0e7a21d94b36f8.0.1", TaskName{}, false},
+		{"j.0.-1.2", TaskName{}, false},
+		{"j.a.1.2", TaskName{}, false},
+		{"", TaskName{}, false},
+	}
+	for _, c := range cases {
+		got, ok := ParseTaskName(c.text)
+		if got != c.want || ok != c.ok {
+			t.Errorf("ParseTaskName(%q) = %v, %v", c.text, got, ok)
+		}
+		if ok && got.String() != c.text {
+			t.Errorf("%v.String() is not %q", got, c.text)
+		}
+	}
+}
+
+func TestValidate(t *testing.T) {
+	steps := func(steps ...Step) Job { return Job{ID: "j", Steps: steps} }
+	repeated := func(repeat int, first, interval int64) Job {
+		job := steps(Step{Count: 10})
+		job.Repeat, job.FirstDue, job.Interval = repeat, first, interval
+		return job
+	}
+	cases := []struct {
+		name  string
+		job   Job
+		valid bool
+	}{
+		{"one step", steps(Step{Count: 1}), true},
+		{"a chain", steps(Step{Count: 1}, Step{Count: 2, After: []int{0}}), true},
+		{"no step", steps(), false},
+		{"no task", steps(Step{}), false},
+		{"a negative number of tasks", steps(Step{Count: 5}, Step{Count: -1}), false},
+		{"too many tasks", steps(Step{Count: MaxTasks}, Step{Count: 1}), false},
+		{"a number of tasks that overflows", steps(Step{Count: 1 << 62}, Step{Count: 1 << 62}), false},
+		{"a negative need", steps(Step{Count: 1, Need: Resources{Memory: -1}}), false},
+		{"after itself", steps(Step{Count: 1, After: []int{0}}), false},
+		{"after a step that is missing", steps(Step{Count: 1}, Step{Count: 1, After: []int{7}}), false},
+		{"after a negative step", steps(Step{Count: 1, After: []int{-1}}), false},
+		{"at times", repeated(8, 5, 1000), true},
+		{"too many times", repeated(1_000_000_000, 1, 0), false},
+		{"a negative interval", repeated(2, 1, -1), false},
+	}
+	for _, c := range cases {
+		if err := c.job.Validate(); (err == nil) != c.valid {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
--- a/internal/decision/dispatch/moves.go
+++ b/internal/decision/dispatch/moves.go
@@ -6,7 +6,7 @@
 // they continue elsewhere. It requests the deletion of the rows of draining instances without
 // runs.
 func (s *Scheduler) evacuate(now time.Time) {
-	for _, in := range s.instances {
+	for _, in := range s.byID {
 		if !in.registration.Draining {
 			continue
 		}
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -42,7 +41,7 @@
 func (s *Scheduler) Plan(now time.Time) []Start {
 	s.evacuate(now)
 	p := newPlanner(s, now)
-	for _, in := range s.instances {
+	for _, in := range s.byID {
 		if in.usable(now) {
 			p.usable = append(p.usable, in)
 		}
@@ -50,22 +49,35 @@
 	if len(p.usable) == 0 {
 		return nil
 	}
-	slices.SortFunc(p.usable, func(a, c *instance) int {
-		return cmp.Compare(a.registration.Incarnation.ID, c.registration.Incarnation.ID)
-	})
 	p.bestEffortImages = s.costModel.BestEffortImages()
 	p.moveStalled()
-	for _, j := range s.byUrgency(now) {
+	for _, j := range s.byUrgency(now, p.available()) {
 		for _, o := range j.occurrences {
 			if o.remaining > 0 {
 				p.planOccurrence(j, o)
 			}
 		}
 	}
+	s.bestEffortWaits = len(p.unmetDemand) > 0
 	p.rebalance()
 	return p.starts
 }
 
+// available returns the processors that the usable instances offer to jobs. If best-effort tasks
+// waited after the last plan, they can use no more than they use now: the rest of the processors
+// is left free for the tasks that they disturb.
+func (p *planner) available() capacity {
+	var sum capacity
+	for _, in := range p.usable {
+		sum.bestEffort += in.bestEffortProcessors
+		if !p.scheduler.bestEffortWaits {
+			sum.bestEffort += max(in.bestEffortRoom(), 0)
+		}
+		sum.reserved += in.registration.Capacity.Processors - in.latencyCriticalProcessors
+	}
+	return sum
+}
+
 // planner holds the state of one call of Plan.
 type planner struct {
 	scheduler *Scheduler
--- /dev/null
+++ b/internal/decision/dispatch/postpone.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+)
+
+// capacity is what the usable instances offer to jobs, in thousandths of a core.
+type capacity struct {
+	bestEffort int // for best-effort jobs
+	reserved   int // for jobs that reserve their processors and do not last
+}
+
+// postpone marks the on-time jobs for which the processors do not suffice. jobs are ordered by
+// rank, priority and objective.
+//
+// It is the rule of Moore and Hodgson, by which the fewest jobs miss their objective: the jobs
+// are taken in order, and whenever those taken so far need more work than the processors can do
+// before the last one counts as late, the one that costs the most is postponed. Without it, a
+// queue in the order of the objectives that is longer than the processors can serve starts each
+// job so late that most miss their objective. Jobs of a lower priority never postpone others.
+func postpone(now time.Time, jobs []ranked, available capacity) {
+	bestEffort := backlog{processors: available.bestEffort}
+	reserved := backlog{processors: available.reserved}
+	for i := range jobs {
+		j := &jobs[i]
+		switch {
+		case j.rank != onTime:
+			return
+		case j.alwaysOnTime():
+		case j.hasOnly(true):
+			bestEffort.take(now, j)
+		case j.hasOnly(false):
+			reserved.take(now, j)
+		}
+	}
+}
+
+// backlog is the work of jobs that share processors.
+type backlog struct {
+	processors int     // thousandths of a core
+	work       float64 // of the jobs taken, in thousandths of a core times seconds
+	priority   int     // of the jobs in taken
+	taken      byCost
+}
+
+// take adds a job, and postpones one if the processors do not suffice.
+func (b *backlog) take(now time.Time, j *ranked) {
+	if priority := j.spec.Policy.Priority; priority != b.priority {
+		b.priority, b.taken = priority, nil
+	}
+	heap.Push(&b.taken, j)
+	b.work += j.work
+	if b.work > float64(b.processors)*j.lateAt.Sub(now).Seconds() {
+		largest := heap.Pop(&b.taken).(*ranked)
+		largest.postponed = true
+		b.work -= largest.work
+	}
+}
+
+// byCost is a heap of jobs, the one that costs the most first. The cost of a job is the work that is
+// left of it, times the share of its work that this is: what has been done is not to be lost.
+type byCost []*ranked
+
+func (b byCost) Len() int           { return len(b) }
+func (b byCost) Less(i, j int) bool { return b[i].cost() > b[j].cost() }
+func (b byCost) Swap(i, j int)      { b[i], b[j] = b[j], b[i] }
+
+func (r *ranked) cost() float64 { return r.work * r.work / r.wholeWork() }
+
+// Push adds a job.
+func (b *byCost) Push(x any) { *b = append(*b, x.(*ranked)) }
+
+// Pop removes the last job.
+func (b *byCost) Pop() any {
+	last := (*b)[len(*b)-1]
+	*b = (*b)[:len(*b)-1]
+	return last
+}
--- /dev/null
+++ b/internal/decision/dispatch/postpone_test.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// overload is a load of best-effort jobs of two steps, on a fleet without other tasks.
+type overload struct {
+	load float64 // work that comes in, as a share of what the processors can do
+	seed uint64
+}
+
+const (
+	overloadInstances = 40
+	overloadLength    = 40 * time.Second
+	overloadTasks     = 10   // of a step, on average
+	overloadDuration  = 1.84 // of a task, on average, in seconds
+	tasksPerInstance  = 9    // that run at a time
+)
+
+// jobsPerSecond returns the rate at which jobs of two steps come.
+func (l overload) jobsPerSecond() float64 {
+	return l.load * overloadInstances * tasksPerInstance / (2 * overloadTasks * overloadDuration)
+}
+
+// ending is the end of a run at a time.
+type ending struct {
+	at       time.Time
+	instance string
+	end      End
+}
+
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *endings) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// served is what the caller of one job gets.
+type served struct {
+	work         float64 // core-seconds
+	onTime, late bool
+}
+
+// shares returns the shares of jobs that meet their objective, and that end at all while they have
+// a value.
+func shares(jobs []served) (onTime, inAll float64) {
+	for _, job := range jobs {
+		if job.onTime {
+			onTime++
+		}
+		if job.onTime || job.late {
+			inAll++
+		}
+	}
+	return onTime / float64(len(jobs)), inAll / float64(len(jobs))
+}
+
+// play runs the load on a scheduler, with a plan every 20 ms, until 30 s after the last job.
+func (l overload) play() []served {
+	const tick = 20 * time.Millisecond
+	random := rand.New(rand.NewPCG(l.seed, 0))
+	var registrations []Registration
+	for i := range overloadInstances {
+		registrations = append(registrations, registrationOf(fmt.Sprintf("i%03d", i), 32))
+	}
+	s := schedulerWith(registrations...)
+	var running endings
+	var result []served
+	index, durations := map[string]int{}, map[string]time.Duration{}
+	sequence := int64(0)
+	for now := startTime; now.Before(startTime.Add(overloadLength + 30*time.Second)); now = now.Add(tick) {
+		if now.Sub(startTime) < overloadLength && random.Float64() < l.jobsPerSecond()*tick.Seconds() {
+			id := fmt.Sprintf("j%04d", len(result))
+			duration := time.Duration(1700 * math.Exp(0.4*random.NormFloat64()) * float64(time.Millisecond))
+			tasks := max(int(overloadTasks*math.Exp(0.8*random.NormFloat64()-0.32)), 1)
+			step := Step{Count: tasks, Need: Resources{Processors: 3500, Memory: 10}, BestEffort: true, Image: "f", Estimate: duration.Milliseconds()}
+			second := step
+			second.After = []int{0}
+			job := jobOf(id, step, second)
+			job.Policy.Stretch, job.Policy.Latency = 1.5, 1000
+			index[id], durations[id] = len(result), duration
+			result = append(result, served{work: 2 * float64(tasks) * duration.Seconds()})
+			s.Accept(now, job, nil)
+		}
+		for len(running) > 0 && !running[0].at.After(now) {
+			e := heap.Pop(&running).(ending)
+			s.Ended(now, Incarnation{ID: e.instance, StartedAt: 1}, []End{e.end})
+		}
+		for _, change := range s.Dirty(1000) {
+			if change.Progress.State == Completed {
+				j := s.jobs[change.Job]
+				took := now.Sub(j.acceptedAt)
+				result[index[change.Job]].onTime = took <= j.objective
+				result[index[change.Job]].late = took > j.objective && took <= worthlessFactor*j.objective
+			}
+			s.Committed(change)
+		}
+		for _, start := range s.Plan(now) {
+			sequence++
+			heap.Push(&running, ending{now.Add(durations[start.Task.Job]), start.Instance, End{Sequence: sequence, Task: start.Task, Run: start.Run}})
+		}
+		s.TakeStops()
+	}
+	return result
+}
+
+// While more work comes in than the processors can do, at least as many callers are served in time
+// as the processors suffice for. The largest tenth of the jobs is served half as often as all, or
+// more, unless the load is so high that few of them can be served at all.
+func TestAnOverloadServesAsManyAsThereIsRoomFor(t *testing.T) {
+	for _, load := range []float64{1.1, 1.4, 2} {
+		var all []served
+		for seed := range uint64(2) {
+			all = append(all, overload{load: load, seed: seed}.play()...)
+		}
+		onTime, inAll := shares(all)
+		if onTime < 1/load {
+			t.Errorf("load %.1f: %.3f of %d jobs meet their objective, want %.3f at least", load, onTime, len(all), 1/load)
+		}
+		slices.SortFunc(all, func(a, b served) int { return cmp.Compare(b.work, a.work) })
+		largestOnTime, largest := shares(all[:len(all)/10])
+		t.Logf("load %.1f: %.3f on time and %.3f in all, of the largest tenth %.3f and %.3f", load, onTime, inAll, largestOnTime, largest)
+		if load < 2 && largest < inAll/2 {
+			t.Errorf("load %.1f: %.3f of the largest tenth are served, of all %.3f", load, largest, inAll)
+		}
+	}
+}
--- a/internal/decision/dispatch/rebalance.go
+++ b/internal/decision/dispatch/rebalance.go
@@ -71,7 +71,7 @@
 			}
 		}
 	}
-	for _, in := range s.instances {
+	for _, in := range s.byID {
 		for _, placed := range in.reservations {
 			if placed.latencyCritical && placed.stopping {
 				return true
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -44,6 +44,7 @@
 	jobs               map[string]*jobState
 	finished           map[string]finishedJob
 	instances          map[string]*instance // by the ID of their incarnation
+	byID               []*instance          // the same, sorted by that ID
 	unconfirmed        map[string]bool      // instances of earlier owners that have not reported yet
 	stops              []Stop
 	instanceChanges    []InstanceChange
@@ -51,6 +52,7 @@
 	rebalancedAt       time.Time // when latency-critical tasks were last moved to make room for best-effort ones
 	rebalanceCheckedAt time.Time // when such a move was last considered
 	stallCheckedAt     time.Time // when stalled tasks were last looked for
+	bestEffortWaits    bool      // the last plan found no instance for some best-effort tasks of on-time jobs
 }
 
 // finishedJob is a job whose final state is committed. Its runs may still be stopping, so its
@@ -141,7 +143,7 @@
 	if state == Completed {
 		return
 	}
-	for _, in := range s.instances {
+	for _, in := range s.byID {
 		for _, p := range in.reservations {
 			if p.name.Job == j.spec.ID {
 				s.stop(in, p)
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -38,20 +38,23 @@
 	number    int
 	steps     [][]*task
 	remaining int       // tasks that are not done
+	undone    []int     // the same, by step
 	idleSince time.Time // since when planning has found no task of it on an instance; zero while one is
 }
 
 // stepDone reports whether all tasks of a step are done.
 func (o *occurrence) stepDone(step int) bool {
-	if step < 0 || step >= len(o.steps) {
-		return true
-	}
-	for _, t := range o.steps[step] {
-		if !t.done {
-			return false
-		}
+	return step < 0 || step >= len(o.steps) || o.undone[step] == 0
+}
+
+// setDone marks a task of the occurrence as done.
+func (o *occurrence) setDone(t *task) {
+	if t.done {
+		return
 	}
-	return true
+	t.done = true
+	o.remaining--
+	o.undone[t.name.Step]--
 }
 
 // running reports whether a task of the occurrence is on an instance.
@@ -94,9 +97,7 @@
 	spec        *Job
 	state       State
 	started     bool          // a start was ordered, a run was reported, or an occurrence was stored; never reset
-	cancelled   bool          // not used: state is Cancelled for a cancelled job
 	occurrences []*occurrence // those that are due, in order
-	settled     int           // not used
 	objective   time.Duration
 	acceptedAt  time.Time // when Accept was called on this scheduler, by the caller's clock; not Job.Accepted
 	dirty       bool
@@ -105,7 +106,7 @@
 
 // newOccurrence creates an occurrence of a job whose tasks have not started.
 func (s *Scheduler) newOccurrence(j *jobState, number int, unconfirmed bool) *occurrence {
-	o := &occurrence{number: number, steps: make([][]*task, len(j.spec.Steps))}
+	o := &occurrence{number: number, steps: make([][]*task, len(j.spec.Steps)), undone: make([]int, len(j.spec.Steps))}
 	for stepIndex := range j.spec.Steps {
 		step := &j.spec.Steps[stepIndex]
 		o.steps[stepIndex] = make([]*task, step.Count)
@@ -116,6 +117,7 @@
 			}
 		}
 		o.remaining += step.Count
+		o.undone[stepIndex] = step.Count
 	}
 	return o
 }
@@ -177,9 +179,8 @@
 		}
 		for i, t := range tasks {
 			if done.Bit(i) == 1 {
-				t.done = true
+				o.setDone(t)
 				t.unconfirmed = false
-				o.remaining--
 			}
 			t.failedRuns = stored.Failed[t.progressKey()]
 			t.checkpoint = stored.Checkpoints[t.progressKey()]
--- a/internal/decision/dispatch/urgency.go
+++ b/internal/decision/dispatch/urgency.go
@@ -44,44 +44,95 @@
 	return time.Duration(chain) * time.Millisecond
 }
 
-// rank returns the value that finishing the job still has. Long-running jobs and jobs with a
-// FirstDue are always on time.
-func (j *jobState) rank(now time.Time) int {
-	elapsed := now.Sub(j.acceptedAt)
-	switch {
-	case j.spec.LongRunning() || j.spec.FirstDue > 0:
-		return onTime
-	case elapsed > worthlessFactor*j.objective:
-		return worthless
-	case elapsed+j.remainingEstimate()*remainingNumerator/remainingDenominator > j.objective:
-		return late
+// alwaysOnTime reports whether the job has no objective that it could miss.
+func (j *jobState) alwaysOnTime() bool { return j.spec.LongRunning() || j.spec.FirstDue > 0 }
+
+// lateAt returns when the job counts as late unless more of it is done by then.
+func (j *jobState) lateAt() time.Time {
+	return j.acceptedAt.Add(j.objective - j.remainingEstimate()*remainingNumerator/remainingDenominator)
+}
+
+// work returns the estimate of the work of a step's tasks, of the given number, in thousandths of
+// a core times seconds.
+func (s *Step) work(tasks int) float64 {
+	estimate := time.Duration(s.Estimate) * time.Millisecond
+	return float64(tasks) * float64(s.Need.Processors) * estimate.Seconds()
+}
+
+// remainingWork returns the estimate of the work that is left of the job, and wholeWork that of all
+// its due occurrences, both in thousandths of a core times seconds.
+func (j *jobState) remainingWork() float64 {
+	work := 0.0
+	for _, o := range j.occurrences {
+		for stepIndex, undone := range o.undone {
+			work += j.spec.Steps[stepIndex].work(undone)
+		}
+	}
+	return work
+}
+
+func (j *jobState) wholeWork() float64 {
+	work := 0.0
+	for stepIndex := range j.spec.Steps {
+		step := &j.spec.Steps[stepIndex]
+		work += step.work(step.Count * len(j.occurrences))
 	}
-	return onTime
+	return work
+}
+
+// hasOnly reports whether all steps of the job are best-effort, or none is.
+func (j *jobState) hasOnly(bestEffort bool) bool {
+	return !slices.ContainsFunc(j.spec.Steps, func(step Step) bool { return step.BestEffort != bestEffort })
 }
 
-// ranked is an unfinished job with its rank and the time of its objective.
+// ranked is an unfinished job with what decides its place in the queue.
 type ranked struct {
 	*jobState
-	rank int
-	due  time.Time
+	rank      int       // value that finishing it still has
+	objective time.Time // when it should be finished
+	lateAt    time.Time // when it counts as late
+	work      float64   // as returned by remainingWork
+	postponed bool      // the processors do not suffice for it, see postpone
+}
+
+// rankOf returns the job with its rank. Jobs that have no objective are always on time.
+func rankOf(j *jobState, now time.Time) ranked {
+	r := ranked{jobState: j, objective: j.acceptedAt.Add(j.objective), lateAt: j.lateAt(), work: j.remainingWork()}
+	switch {
+	case j.alwaysOnTime():
+	case now.Sub(j.acceptedAt) > worthlessFactor*j.objective:
+		r.rank = worthless
+	case now.After(r.lateAt):
+		r.rank = late
+	}
+	return r
 }
 
 // byUrgency returns the unfinished jobs ordered by rank, then priority, then the time of their
-// objective.
-func (s *Scheduler) byUrgency(now time.Time) []ranked {
+// objective. The jobs for which the available processors do not suffice come after the others of
+// their rank and priority.
+func (s *Scheduler) byUrgency(now time.Time, available capacity) []ranked {
 	unfinished := make([]ranked, 0, len(s.jobs))
 	for _, j := range s.jobs {
 		if !j.state.Final() {
-			unfinished = append(unfinished, ranked{j, j.rank(now), j.acceptedAt.Add(j.objective)})
+			unfinished = append(unfinished, rankOf(j, now))
 		}
 	}
-	slices.SortFunc(unfinished, func(a, c ranked) int {
-		return cmp.Or(
-			cmp.Compare(a.rank, c.rank),
-			cmp.Compare(a.spec.Policy.Priority, c.spec.Policy.Priority),
-			a.due.Compare(c.due),
-			cmp.Compare(a.spec.ID, c.spec.ID),
-		)
-	})
+	slices.SortFunc(unfinished, compareUrgency)
+	postpone(now, unfinished, available)
+	slices.SortFunc(unfinished, compareUrgency)
 	return unfinished
 }
+
+func compareUrgency(a, c ranked) int {
+	order := cmp.Or(cmp.Compare(a.rank, c.rank), cmp.Compare(a.spec.Policy.Priority, c.spec.Policy.Priority))
+	switch {
+	case order != 0:
+		return order
+	case a.postponed && !c.postponed:
+		return 1
+	case c.postponed && !a.postponed:
+		return -1
+	}
+	return cmp.Or(a.objective.Compare(c.objective), cmp.Compare(a.spec.ID, c.spec.ID))
+}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -90,17 +90,27 @@
 		if end <= s.lastCommittedEnd || t.sessions[s.incarnation.ID] != s {
 			continue
 		}
-		if s.lastSentCommit == s.lastCommittedEnd {
-			s.ackDue = time.Now().Add(maxAckDelay)
-		}
-		s.lastCommittedEnd = end
+		s.recordCommit(end, time.Now())
+	}
+}
+
+// recordCommit records that the ends up to sequence number end are in the table since now.
+func (s *session) recordCommit(end int64, now time.Time) {
+	if s.lastSentCommit == s.lastCommittedEnd {
+		s.ackDue = now.Add(maxAckDelay)
 	}
+	s.lastCommittedEnd = end
+}
+
+// owesAck reports whether an acknowledgement waits that no message has carried for maxAckDelay.
+func (s *session) owesAck(now time.Time) bool {
+	return s.lastSentCommit < s.lastCommittedEnd && !now.Before(s.ackDue)
 }
 
-// sendAcks sends the acknowledgements that no other message has carried for maxAckDelay.
+// sendAcks sends the acknowledgements that are owed.
 func (t *term) sendAcks(now time.Time) {
 	for id, s := range t.sessions {
-		if s.lastSentCommit < s.lastCommittedEnd && !now.Before(s.ackDue) {
+		if s.owesAck(now) {
 			t.send(id, &link.Orders{})
 		}
 	}
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -13,6 +13,35 @@
 	"go.uber.org/zap"
 )
 
+// Conn identifies the link on which a call of another process arrives.
+type Conn struct {
+	link *link.Conn
+}
+
+// NewConn returns a Conn without a link. Bind sets the link.
+func NewConn() *Conn { return &Conn{} }
+
+// Bind sets the link. It must be called before the first call is served.
+func (c *Conn) Bind(conn *link.Conn) { c.link = conn }
+
+// session is an agent's session with the owner.
+type session struct {
+	conn             *Conn
+	number           uint64
+	incarnation      dispatch.Incarnation
+	full             bool      // the agent has sent its full run list
+	silent           bool      // the worker did not answer its agent at the last report
+	lastSeenEnd      int64     // highest sequence number of an end that the scheduler has recorded
+	lastCommittedEnd int64     // highest sequence number of an end that is in the table
+	lastSentCommit   int64     // lastCommittedEnd as last sent to the agent
+	ackDue           time.Time // when a lastCommittedEnd that was not sent yet is sent on its own
+	// leaseCountedFrom is the time of the last grant, or of the attach before the first one:
+	// leases of the previous session were granted before the attach.
+	leaseCountedFrom time.Time
+	lastReportAt     time.Time                     // of the last report, or of the attach before the first one
+	sentCost         map[interference.Pair]float64 // costs that the agent was last sent
+}
+
 // errNoSession is returned for a report of an agent that must attach first.
 var errNoSession = errors.New("no session: the agent must attach first")
 
--- a/internal/owner/sessions_test.go
+++ b/internal/owner/sessions_test.go
@@ -96,3 +96,22 @@
 		t.Error("a worker that stays silent changes nothing")
 	}
 }
+
+// An acknowledgement that orders or a reply have carried is not sent again, and one that none has
+// carried is sent maxAckDelay after the first commit that it is for.
+func TestAcknowledgementsThatAreOwed(t *testing.T) {
+	now := time.Now()
+	s := &session{}
+	s.recordCommit(3, now)
+	if s.owesAck(now) {
+		t.Error("an acknowledgement is owed at once")
+	}
+	s.recordCommit(5, now.Add(maxAckDelay/2))
+	if !s.owesAck(now.Add(maxAckDelay)) {
+		t.Error("the first commit is not acknowledged in time")
+	}
+	s.lastSentCommit = s.lastCommittedEnd
+	if s.owesAck(now.Add(2 * maxAckDelay)) {
+		t.Error("an acknowledgement that was carried is owed")
+	}
+}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
@@ -52,35 +51,6 @@
 	ordersTimeout = time.Second
 )
 
-// Conn identifies the link on which a call of another process arrives.
-type Conn struct {
-	link *link.Conn
-}
-
-// NewConn returns a Conn without a link. Bind sets the link.
-func NewConn() *Conn { return &Conn{} }
-
-// Bind sets the link. It must be called before the first call is served.
-func (c *Conn) Bind(conn *link.Conn) { c.link = conn }
-
-// session is an agent's session with the owner.
-type session struct {
-	conn             *Conn
-	number           uint64
-	incarnation      dispatch.Incarnation
-	full             bool      // the agent has sent its full run list
-	silent           bool      // the worker did not answer its agent at the last report
-	lastSeenEnd      int64     // highest sequence number of an end that the scheduler has recorded
-	lastCommittedEnd int64     // highest sequence number of an end that is in the table
-	lastSentCommit   int64     // lastCommittedEnd as last sent to the agent
-	ackDue           time.Time // when a lastCommittedEnd that was not sent yet is sent on its own
-	// leaseCountedFrom is the time of the last grant, or of the attach before the first one:
-	// leases of the previous session were granted before the attach.
-	leaseCountedFrom time.Time
-	lastReportAt     time.Time                     // of the last report, or of the attach before the first one
-	sentCost         map[interference.Pair]float64 // costs that the agent was last sent
-}
-
 // term is one period of ownership of the shard by this process. Its fields belong to the
 // loop. Its methods run on the loop, except read and post.
 type term struct {
@@ -161,72 +131,6 @@
 	}
 }
 
-// load starts the renewal of the alive row and reads the state of earlier owners from the
-// table, with retries until that succeeds.
-func (t *term) load() {
-	t.run(alivePeriod, t.renewAliveRow)
-	t.elector.loop.Go(func() {
-		for t.ctx.Err() == nil {
-			persisted, err := t.read()
-			if err == nil {
-				t.post(func() { t.open(persisted) })
-				return
-			}
-			t.log.Warn("load-failed", logs.Error(err))
-			sleep(t.ctx, commitRetryDelay)
-		}
-	})
-}
-
-// persistedRows are the rows that earlier owners left in the table.
-type persistedRows struct {
-	instances, costs, jobs []table.Record
-	jobsRevision           uint64 // revision at which the jobs were read
-}
-
-func (t *term) read() (persisted persistedRows, err error) {
-	callCtx, cancel := context.WithTimeout(t.ctx, maxCallTimeout)
-	defer cancel()
-	read := func(name string) (rows []table.Record, revision uint64) {
-		if err == nil {
-			rows, revision, err = t.elector.store.Read(callCtx, table.Range{Table: name, Partition: shardPartition})
-		}
-		return rows, revision
-	}
-	persisted.instances, _ = read(tableInstances)
-	persisted.costs, _ = read(tableCosts)
-	persisted.jobs, persisted.jobsRevision = read(tableJobs)
-	return persisted, err
-}
-
-// open gives the scheduler the state found in the table and starts the periodic work of the
-// term.
-func (t *term) open(persisted persistedRows) {
-	t.restore(persisted)
-	t.log.Info("term", zap.Int("instances", len(persisted.instances)), zap.Int("rows", len(persisted.jobs)), zap.Duration("took", time.Since(t.claimed)))
-	t.run(jobsPollPeriod, t.pollJobs)
-	t.run(tickPeriod, t.tick)
-	t.schedulePlan()
-}
-
-// restore gives the scheduler the state found in the table. It leaves epochConfirmed as it
-// is, since the read did not look at the owner's row.
-func (t *term) restore(persisted persistedRows) {
-	for _, row := range persisted.instances {
-		var registration dispatch.Registration
-		if err := json.Unmarshal(row.Value, &registration); err != nil {
-			t.log.Warn("row-ignored", zap.String("key", row.Key), logs.Error(err))
-			continue
-		}
-		t.revisions[row.RowKey] = row.Revision
-		t.scheduler.RestoreInstance(registration)
-		t.leaseExpiry[registration.Incarnation.ID] = t.claimed.Add(takeoverWait)
-	}
-	t.restoreCosts(persisted.costs)
-	t.applyRows(persisted.jobs)
-	t.jobsRevision, t.loaded = persisted.jobsRevision, true
-}
-
 // run calls f on the loop once per period until the term ends.
 func (t *term) run(period time.Duration, f func()) {
 	t.elector.loop.Go(func() {
@@ -243,27 +147,6 @@
 	})
 }
 
-// applyRows passes jobs and cancellations from rows of the jobs table to the scheduler.
-func (t *term) applyRows(rows []table.Record) {
-	jobs := gatherJobs(rows, func(key string, err error) {
-		t.log.Warn("row-ignored", zap.String("key", key), logs.Error(err))
-	})
-	for id, stored := range jobs {
-		if t.ended {
-			return
-		}
-		if stored.job != nil {
-			if _, known := t.revisions[jobRowKey(id, suffixProgress)]; !known {
-				t.revisions[jobRowKey(id, suffixProgress)] = stored.progressRevision
-			}
-			t.accept(stored.job, stored.progress)
-		}
-		if stored.cancelled {
-			t.cancel(id)
-		}
-	}
-}
-
 func (t *term) accept(job *dispatch.Job, progress *dispatch.Progress) {
 	if job.OwnerRevision > t.ownerRevision {
 		// Only that later owner may start the job.
@@ -337,99 +220,6 @@
 	return link.Known{Known: t.scheduler.Active(id), State: dispatch.Running}
 }
 
-// schedulePlan schedules the next plan. It leaves a pause after the last plan of
-// planIdleFactor times that plan's duration, but waits at most tickPeriod.
-func (t *term) schedulePlan() {
-	if t.planScheduled || !t.loaded {
-		return
-	}
-	t.planScheduled = true
-	plan := func() {
-		t.post(func() {
-			t.planScheduled = false
-			t.dispatch()
-		})
-	}
-	if rest := time.Until(t.lastPlanAt.Add(planIdleFactor * t.planDuration)); rest > 0 {
-		time.AfterFunc(min(rest, tickPeriod), plan)
-		return
-	}
-	plan()
-}
-
-// tick does the work that depends on the time alone: recurring jobs that are due, silent
-// sessions, expired leases, a new plan and acknowledgements.
-func (t *term) tick() {
-	t.scheduler.Trigger(t.elector.nowMillis())
-	t.endSilentSessions(time.Now())
-	t.removeExpired()
-	t.dispatch()
-	t.sendAcks(time.Now())
-}
-
-// dispatch makes a plan, sends the resulting orders to the agents and schedules a commit of
-// the scheduler's changes. Starts are not stored, neither before they are sent nor by that
-// commit: a later owner learns which runs exist on an instance from its full report, and from
-// the instance rows for which instances it must wait.
-func (t *term) dispatch() {
-	orders := map[string]*link.Orders{}
-	ordersFor := func(id string) *link.Orders {
-		if orders[id] == nil {
-			orders[id] = &link.Orders{}
-		}
-		return orders[id]
-	}
-	now := time.Now()
-	starts := t.scheduler.Plan(now)
-	t.lastPlanAt = time.Now()
-	t.planDuration = t.lastPlanAt.Sub(now)
-	t.elector.registry.Observe("plan", t.planDuration)
-	for _, start := range starts {
-		t.log.Info("start", zap.Stringer("task", start.Task), zap.Int64("run", start.Run), zap.String("instance", start.Instance))
-		ordersFor(start.Instance).Starts = append(ordersFor(start.Instance).Starts, startOrder(start))
-	}
-	for _, stop := range t.scheduler.TakeStops() {
-		t.log.Info("stop", zap.Stringer("task", stop.Task), zap.Int64("run", stop.Run), zap.String("instance", stop.Instance))
-		ordersFor(stop.Instance).Stops = append(ordersFor(stop.Instance).Stops, link.StopOrder{Task: stop.Task, Run: stop.Run})
-	}
-	for id, order := range orders {
-		t.send(id, order)
-	}
-	t.collectInstanceChanges()
-	t.scheduleCommit()
-}
-
-// collectInstanceChanges queues the instance rows that the scheduler wants written or
-// removed. The lease of a removed instance is no longer waited for.
-func (t *term) collectInstanceChanges() {
-	for _, change := range t.scheduler.TakeInstanceChanges() {
-		t.changes = append(t.changes, change)
-		if change.Gone {
-			delete(t.leaseExpiry, change.Registration.Incarnation.ID)
-		}
-	}
-}
-
-// send sends orders to the agent of an instance. If the call fails, the session ends; the
-// full run list of the agent's next session shows which orders were carried out.
-func (t *term) send(id string, orders *link.Orders) {
-	s := t.sessions[id]
-	if s == nil {
-		return
-	}
-	orders.Session, orders.Committed = s.number, s.lastCommittedEnd
-	s.lastSentCommit = s.lastCommittedEnd
-	t.elector.loop.Go(func() {
-		callCtx, cancel := context.WithTimeout(t.ctx, ordersTimeout)
-		defer cancel()
-		var done struct{}
-		if err := s.conn.link.Call(callCtx, link.MethodOrders, orders, &done); err != nil && t.ctx.Err() == nil {
-			t.log.Warn("orders-failed", zap.String("instance", id), logs.Error(err))
-			s.conn.link.Close()
-		}
-	})
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
