Placements leave latency-critical tasks the headroom that agents restore

A placement left a headroom of 1.15, at which the agent begins to slow the tasks; it speeds them up again above 1.45 only.

Change: one constant, interference.GoalHeadroom, for what placements leave and agents restore.

--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -1,11 +1,16 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/interference"
+)
 
 const (
 	// minHeadroom is the headroom that placements leave a latency-critical task at the peak of
-	// its load. Headroom is the target divided by the tail latency.
-	minHeadroom = 1.15
+	// its load. Headroom is the target divided by the tail latency. With less, the agent would
+	// pause the best-effort tasks soon after their start.
+	minHeadroom = interference.GoalHeadroom
 	// negligibleLoss is the loss of headroom that placements ignore as long as the
 	// latency-critical task has a headroom of at least criticalHeadroom.
 	negligibleLoss   = 0.08
--- a/internal/decision/interference/pacer.go
+++ b/internal/decision/interference/pacer.go
@@ -10,11 +10,13 @@
 const (
 	// fullPace is the pace of a task that isn't slowed, in percent.
 	fullPace = 100
+	// GoalHeadroom is the headroom that latency-critical tasks are to have beside best-effort
+	// ones: placements leave it and the Pacer restores it.
+	GoalHeadroom = 1.35
 	// lowerHeadroom is the headroom at and below which best-effort tasks are slowed, until
-	// the predicted headroom is goalHeadroom. Above a headroom of raiseHeadroom their pace
-	// is raised, as long as the predicted headroom stays above goalHeadroom.
+	// the predicted headroom is GoalHeadroom. Above a headroom of raiseHeadroom their pace
+	// is raised, as long as the predicted headroom stays above GoalHeadroom.
 	lowerHeadroom = 1.15
-	goalHeadroom  = 1.35
 	raiseHeadroom = 1.45
 	// maxTimeOverTarget is how long the lowest headroom of the latency-critical tasks may
 	// stay at or below 1 before all best-effort tasks are paused, whatever the model says
@@ -119,14 +121,14 @@
 }
 
 // lower slows the images that cost the latency-critical tasks the most, until each of these
-// has a predicted headroom of goalHeadroom. It reports whether a pace changed.
+// has a predicted headroom of GoalHeadroom. It reports whether a pace changed.
 func (p *Pacer) lower(now time.Time, critical []TaskHeadroom, bestEffort map[string]ImageUsage) bool {
 	changed := false
 	for _, task := range critical {
 		if task.Headroom > lowerHeadroom {
 			continue
 		}
-		deficit := goalHeadroom - task.Headroom
+		deficit := GoalHeadroom - task.Headroom
 		for _, image := range p.byLoss(task.Image, bestEffort) {
 			pace := p.Pace(image)
 			loss := p.model.Cost(task.Image, image) * bestEffort[image].Cores // in headroom; a cost is in headroom per core
@@ -167,7 +169,7 @@
 // raise raises the pace of slowed images and reports whether a pace changed. All harmless
 // images that run get full pace at once. If there are none, the image that would take the
 // least headroom at full pace is raised, by at most maxRaise, as far as the predicted
-// headroom of all latency-critical tasks stays above goalHeadroom.
+// headroom of all latency-critical tasks stays above GoalHeadroom.
 func (p *Pacer) raise(now time.Time, critical []TaskHeadroom, bestEffort map[string]ImageUsage) bool {
 	cheapest, lowestLoss := "", 0.0
 	changed := false
@@ -206,13 +208,13 @@
 }
 
 // raiseStep returns by how many percentage points, at most maxRaise, an image's pace can
-// rise until the predicted headroom of a latency-critical task is down to goalHeadroom; 0
+// rise until the predicted headroom of a latency-critical task is down to GoalHeadroom; 0
 // if that is less than minRaise.
 func (p *Pacer) raiseStep(image string, critical []TaskHeadroom, requested float64) int {
 	step := float64(maxRaise)
 	for _, task := range critical {
 		if loss := p.model.Cost(task.Image, image) * requested; loss > 0 {
-			step = min(step, 100*(task.Headroom-goalHeadroom)/loss)
+			step = min(step, 100*(task.Headroom-GoalHeadroom)/loss)
 		}
 	}
 	if step < minRaise {
