A postponed job is logged once, with what decided it

Cause: an operator who asks why a job waited could not see that the owner had postponed it.

Measured: TestWhichJobsArePostponed passes; the whole of internal/decision, owner, runner and submission too.

--- a/internal/decision/dispatch/postpone.go
+++ b/internal/decision/dispatch/postpone.go
@@ -36,6 +36,35 @@
 	}
 }
 
+// Postponement says that a job was postponed for the first time.
+type Postponement struct {
+	Job   string
+	Work  float64 // estimate of the work left, in core-seconds
+	Cores float64 // that jobs of its kind could use
+}
+
+// TakePostponements returns the jobs that were postponed for the first time since the last call.
+func (s *Scheduler) TakePostponements() []Postponement {
+	postponements := s.postponements
+	s.postponements = nil
+	return postponements
+}
+
+func (s *Scheduler) notePostponed(jobs []ranked, available capacity) {
+	for i := range jobs {
+		j := &jobs[i]
+		if !j.postponed || j.postponedBefore {
+			continue
+		}
+		j.postponedBefore = true
+		processors := available.reserved
+		if j.hasOnly(true) {
+			processors = available.bestEffort
+		}
+		s.postponements = append(s.postponements, Postponement{Job: j.spec.ID, Work: j.work / 1000, Cores: float64(processors) / 1000})
+	}
+}
+
 // backlog is the work of jobs that share processors.
 type backlog struct {
 	processors int     // thousandths of a core
--- a/internal/decision/dispatch/postpone_test.go
+++ b/internal/decision/dispatch/postpone_test.go
@@ -139,3 +139,36 @@
 		}
 	}
 }
+
+// A job that would keep others from meeting their objective waits and is reported once; a job of a
+// lower priority never delays one of a higher priority.
+func TestWhichJobsArePostponed(t *testing.T) {
+	wide := func(id string, priority, tasks int) *Job {
+		job := jobOf(id, Step{Count: tasks, Need: Resources{Processors: 4000, Memory: 10}, BestEffort: true, Image: "f", Estimate: 1000})
+		job.Policy.Priority = priority
+		return job
+	}
+	cases := []struct {
+		name      string
+		jobs      []*Job
+		postponed []string
+	}{
+		{"room for all", []*Job{wide("a", 0, 8), wide("b", 0, 8)}, nil},
+		{"the largest waits", []*Job{wide("a", 0, 60), wide("b", 0, 8), wide("c", 0, 4)}, []string{"a"}},
+		{"not for a job of a lower priority", []*Job{wide("a", 0, 17), wide("b", 1, 16)}, []string{"b"}},
+	}
+	for _, c := range cases {
+		s := schedulerWith(registrationOf("i", 32))
+		for _, job := range c.jobs {
+			s.Accept(startTime, job, nil)
+		}
+		var postponed []string
+		for range 2 {
+			s.Plan(at(0))
+			for _, p := range s.TakePostponements() {
+				postponed = append(postponed, p.Job)
+			}
+		}
+		expect(t, c.name, postponed, c.postponed)
+	}
+}
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -47,6 +47,7 @@
 	byID               []*instance          // the same, sorted by that ID
 	unconfirmed        map[string]bool      // instances of earlier owners that have not reported yet
 	stops              []Stop
+	postponements      []Postponement
 	instanceChanges    []InstanceChange
 	costModel          *interference.Model
 	rebalancedAt       time.Time // when latency-critical tasks were last moved to make room for best-effort ones
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -94,14 +94,15 @@
 
 // jobState is a job whose final state is not committed, with its tasks.
 type jobState struct {
-	spec        *Job
-	state       State
-	started     bool          // a start was ordered, a run was reported, or an occurrence was stored; never reset
-	occurrences []*occurrence // those that are due, in order
-	objective   time.Duration
-	acceptedAt  time.Time // when Accept was called on this scheduler, by the caller's clock; not Job.Accepted
-	dirty       bool
-	revision    uint64 // grows with each change to be committed
+	spec            *Job
+	state           State
+	started         bool          // a start was ordered, a run was reported, or an occurrence was stored; never reset
+	occurrences     []*occurrence // those that are due, in order
+	objective       time.Duration
+	acceptedAt      time.Time // when Accept was called on this scheduler, by the caller's clock; not Job.Accepted
+	postponedBefore bool      // TakePostponements returns the job once
+	dirty           bool
+	revision        uint64 // grows with each change to be committed
 }
 
 // newOccurrence creates an occurrence of a job whose tasks have not started.
--- a/internal/decision/dispatch/urgency.go
+++ b/internal/decision/dispatch/urgency.go
@@ -120,6 +120,7 @@
 	}
 	slices.SortFunc(unfinished, compareUrgency)
 	postpone(now, unfinished, available)
+	s.notePostponed(unfinished, available)
 	slices.SortFunc(unfinished, compareUrgency)
 	return unfinished
 }
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -64,6 +64,9 @@
 		t.log.Info("stop", zap.Stringer("task", stop.Task), zap.Int64("run", stop.Run), zap.String("instance", stop.Instance))
 		ordersFor(stop.Instance).Stops = append(ordersFor(stop.Instance).Stops, link.StopOrder{Task: stop.Task, Run: stop.Run})
 	}
+	for _, postponed := range t.scheduler.TakePostponements() {
+		t.log.Info("postponed", zap.String("job", postponed.Job), zap.Float64("work", postponed.Work), zap.Float64("cores", postponed.Cores))
+	}
 	for id, order := range orders {
 		t.send(id, order)
 	}
