Jobs are postponed for the processors of their own service only

Cause, found by reading the change before the landing: jobs of all services shared one sum of processors, so that an overload of one service would have postponed jobs of another; a job without an estimate had a cost of 0/0, by which it could be postponed in the place of others.

Change: processors are counted by service; a job without an estimate costs nothing. Comments of Drain and of the tests at size say what the code does.

--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -58,22 +58,24 @@
 			}
 		}
 	}
-	s.bestEffortWaits = len(p.unmetDemand) > 0
+	s.bestEffortWaits = p.waits
 	p.rebalance()
 	return p.starts
 }
 
-// available returns the processors that the usable instances offer to jobs. If best-effort tasks
-// waited after the last plan, they can use no more than they use now: the rest of the processors
-// is left free for the tasks that they disturb.
-func (p *planner) available() capacity {
-	var sum capacity
+// available returns the processors of each pool that the usable instances offer, in thousandths of
+// a core. Where best-effort tasks waited after the last plan, they can use no more than they use
+// now: the rest of the processors is left free for the tasks that they disturb.
+func (p *planner) available() map[pool]int {
+	sum := map[pool]int{}
 	for _, in := range p.usable {
-		sum.bestEffort += in.bestEffortProcessors
-		if !p.scheduler.bestEffortWaits {
-			sum.bestEffort += max(in.bestEffortRoom(), 0)
+		service := in.registration.Service
+		bestEffort := in.bestEffortProcessors
+		if !p.scheduler.bestEffortWaits[service] {
+			bestEffort += max(in.bestEffortRoom(), 0)
 		}
-		sum.reserved += in.registration.Capacity.Processors - in.latencyCriticalProcessors
+		sum[pool{service, true}] += bestEffort
+		sum[pool{service, false}] += in.registration.Capacity.Processors - in.latencyCriticalProcessors
 	}
 	return sum
 }
@@ -96,12 +98,13 @@
 	// unmetDemand is, by best-effort image, the processors, in thousandths of a core, that
 	// startable tasks of on-time jobs request and for which this plan found no instance.
 	unmetDemand map[string]int
+	waits       map[string]bool // services of which such tasks wait
 }
 
 func newPlanner(s *Scheduler, now time.Time) *planner {
 	return &planner{
 		scheduler: s, now: now, openShares: map[*instance]float64{}, excludedShares: map[*instance]map[string]float64{}, neighbors: map[*instance][]neighbor{},
-		unplaceable: map[schedulingClass][]Resources{}, unmetDemand: map[string]int{},
+		unplaceable: map[schedulingClass][]Resources{}, unmetDemand: map[string]int{}, waits: map[string]bool{},
 	}
 }
 
@@ -174,6 +177,7 @@
 	for _, t := range tasks {
 		if p.startable(t) {
 			p.unmetDemand[step.Image] += step.Need.Processors
+			p.waits[j.spec.Policy.Service] = true
 		}
 	}
 }
--- a/internal/decision/dispatch/postpone_test.go
+++ b/internal/decision/dispatch/postpone_test.go
@@ -148,6 +148,14 @@
 		job.Policy.Priority = priority
 		return job
 	}
+	elsewhere := func(job *Job) *Job {
+		job.Policy.Service = "other"
+		return job
+	}
+	unestimated := func(job *Job) *Job {
+		job.Steps[0].Estimate = 0
+		return job
+	}
 	cases := []struct {
 		name      string
 		jobs      []*Job
@@ -156,9 +164,13 @@
 		{"room for all", []*Job{wide("a", 0, 8), wide("b", 0, 8)}, nil},
 		{"the largest waits", []*Job{wide("a", 0, 60), wide("b", 0, 8), wide("c", 0, 4)}, []string{"a"}},
 		{"not for a job of a lower priority", []*Job{wide("a", 0, 17), wide("b", 1, 16)}, []string{"b"}},
+		{"not for one of another service", []*Job{wide("a", 0, 17), elsewhere(wide("b", 0, 16))}, nil},
+		{"a job without an estimate costs nothing", []*Job{unestimated(wide("a", 0, 1)), wide("b", 0, 60), wide("c", 0, 4)}, []string{"b"}},
 	}
 	for _, c := range cases {
-		s := schedulerWith(registrationOf("i", 32))
+		other := registrationOf("o", 32)
+		other.Service = "other"
+		s := schedulerWith(registrationOf("i", 32), other)
 		for _, job := range c.jobs {
 			s.Accept(startTime, job, nil)
 		}
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -50,10 +50,10 @@
 	postponements      []Postponement
 	instanceChanges    []InstanceChange
 	costModel          *interference.Model
-	rebalancedAt       time.Time // when latency-critical tasks were last moved to make room for best-effort ones
-	rebalanceCheckedAt time.Time // when such a move was last considered
-	stallCheckedAt     time.Time // when stalled tasks were last looked for
-	bestEffortWaits    bool      // the last plan found no instance for some best-effort tasks of on-time jobs
+	rebalancedAt       time.Time       // when latency-critical tasks were last moved to make room for best-effort ones
+	rebalanceCheckedAt time.Time       // when such a move was last considered
+	stallCheckedAt     time.Time       // when stalled tasks were last looked for
+	bestEffortWaits    map[string]bool // services for which the last plan found no instance for some best-effort tasks of on-time jobs
 }
 
 // finishedJob is a job whose final state is committed. Its runs may still be stopping, so its
--- a/internal/decision/dispatch/urgency.go
+++ b/internal/decision/dispatch/urgency.go
@@ -55,7 +55,7 @@
 // work returns the estimate of the work of a step's tasks, of the given number, in thousandths of
 // a core times seconds.
 func (s *Step) work(tasks int) float64 {
-	estimate := time.Duration(s.Estimate) * time.Millisecond
+	estimate := time.Duration(max(s.Estimate, 0)) * time.Millisecond
 	return float64(tasks) * float64(s.Need.Processors) * estimate.Seconds()
 }
 
@@ -109,9 +109,9 @@
 }
 
 // byUrgency returns the unfinished jobs ordered by rank, then priority, then the time of their
-// objective. The jobs for which the available processors do not suffice come after the others of
-// their rank and priority.
-func (s *Scheduler) byUrgency(now time.Time, available capacity) []ranked {
+// objective. The jobs for which the available processors of their pool do not suffice come after
+// the others of their rank and priority.
+func (s *Scheduler) byUrgency(now time.Time, available map[pool]int) []ranked {
 	unfinished := make([]ranked, 0, len(s.jobs))
 	for _, j := range s.jobs {
 		if !j.state.Final() {
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -197,10 +197,10 @@
 	}
 }
 
-// Drain stops the entry gracefully. It resigns as owner, reports that it is not ready,
-// removes its row from the table of entries, accepts connections for another connectionDrainTime, waits up to requestDrainTimeout
-// for requests in flight and stops. The error reports connections or goroutines that did not
-// end in time.
+// Drain stops the entry gracefully. It reports that it is not ready, resigns as owner and removes
+// its row from the table of entries. It accepts connections for connectionDrainTime, waits up to
+// requestDrainTimeout for requests in flight, and stops. The error reports connections or
+// goroutines that did not end in time.
 func (e *JobEntry) Drain() error {
 	began := time.Now()
 	e.log.Info("draining")
--- a/internal/process/scale_test.go
+++ b/internal/process/scale_test.go
@@ -22,8 +22,8 @@
 	recoveryBound = 4 * time.Second
 )
 
-// A job that needs the processors of all instances starts everywhere within takeoverBound of the loss of
-// the owner, whatever the number of instances.
+// A job that needs the processors of all instances starts everywhere within takeoverBound of the
+// loss of the owner, whatever the number of instances.
 func TestTakeoverAtEachSize(t *testing.T) {
 	for _, workers := range fleetSizes {
 		t.Run(fmt.Sprint(workers), func(t *testing.T) {
@@ -131,8 +131,8 @@
 // directions (the users' target).
 const linkBudget = 3000
 
-// ownerTraffic returns the bytes that the owner sends in a second to all others, and those that the
-// agents send.
+// ownerTraffic returns how much the owner and all agents send while during runs: the bytes of the
+// owner and of the agents, and the messages of both, each in a second.
 func ownerTraffic(t *testing.T, system *testcluster.JobCluster, during func()) (owner, agents, messages float64) {
 	t.Helper()
 	name := holder(t, system).Name
