An announcement that waited in vain for another write is logged

Cause, found by reading the change before the landing: the error of the wait was dropped. Change: it is logged like any failed announcement. Measured: internal/submission passes; no decision changes.

--- a/internal/submission/peers.go
+++ b/internal/submission/peers.go
@@ -126,6 +126,7 @@
 	}
 	release, err := p.acquireWriting(callCtx)
 	if err != nil {
+		p.log.Warn("announce-failed", logs.Error(err))
 		return false
 	}
 	defer release()
@@ -153,6 +154,7 @@
 	}
 }
 
+// removeOwnRow removes this entry's row, once no write of it is in flight.
 func (p *Peers) removeOwnRow(ctx context.Context) error {
 	release, err := p.acquireWriting(ctx)
 	if err != nil {
