The soak sends no SIGHUP before a process has installed its handlers

The soak took a process for started a second after its start, also if it had been paused before it ran.

Change: a SIGHUP is dropped until the first line of the process's log, which it writes with its handlers installed. TestNoHangupBeforeTheHandlersAreInstalled failed before: "ENDS e0 ended by itself: signal: hangup".

--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -25,9 +28,8 @@
 	registrationTimeout = time.Second
 	// termTimeout bounds how long a process may take to exit after SIGTERM.
 	termTimeout = 6 * time.Second
-	// signalHandlerDelay bounds the time from the start of a process until it has installed its
-	// signal handlers. A SIGHUP before that terminates it, as it does any program.
-	signalHandlerDelay = time.Second
+	// startEvent is in the first line that a process logs, when its signal handlers are installed.
+	startEvent = "event=started"
 )
 
 // process is one process of the system under test. The soak starts, signals and restarts it.
@@ -44,7 +46,7 @@
 	command      *exec.Cmd
 	done         chan struct{} // closed after command has exited
 	exitExpected bool          // the soak has sent SIGTERM or SIGKILL
-	startedAt    time.Time     // when command was started
+	logOffset    int64         // length of log when command was started
 	addViolation func(format string, arguments ...any)
 }
 
@@ -56,6 +58,11 @@
 	if p.command != nil {
 		return
 	}
+	logged, err := p.log.Stat()
+	if err != nil {
+		p.addViolation("%s: the length of the log is not known: %v", p.name, err)
+		return
+	}
 	command := exec.Command(p.binary, p.arguments...)
 	command.Stdout, command.Stderr = p.log, p.log
 	if err := command.Start(); err != nil {
@@ -63,7 +70,7 @@
 		return
 	}
 	done := make(chan struct{})
-	p.command, p.done, p.exitExpected, p.startedAt = command, done, false, time.Now()
+	p.command, p.done, p.exitExpected, p.logOffset = command, done, false, logged.Size()
 	go func() {
 		err := command.Wait()
 		p.mu.Lock()
@@ -79,14 +86,27 @@
 	}()
 }
 
+// hasHandlers reports whether the process has installed its signal handlers. How long ago it was
+// started does not tell, since it may have been paused before it ran.
+func (p *process) hasHandlers() bool {
+	logged, err := io.ReadAll(io.NewSectionReader(p.log, p.logOffset, math.MaxInt64-p.logOffset))
+	if err != nil {
+		p.addViolation("%s: the log is not readable: %v", p.name, err)
+	}
+	return bytes.Contains(logged, []byte(startEvent))
+}
+
 // signal sends a signal to the process if it runs. It drops a SIGHUP that comes before the
-// signal handlers are installed, and a SIGSTOP to a process that is exiting.
+// signal handlers are installed, which would terminate any program, and a SIGSTOP to a process
+// that is exiting.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	early := s == syscall.SIGHUP && time.Since(p.startedAt) < signalHandlerDelay
 	// A SIGSTOP is dropped because the pause would count against the time limit of an exiting process.
-	if p.command == nil || early || s == syscall.SIGSTOP && p.exitExpected {
+	if p.command == nil || s == syscall.SIGSTOP && p.exitExpected {
+		return
+	}
+	if s == syscall.SIGHUP && !p.hasHandlers() {
 		return
 	}
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
