A best-effort task is placed where a swing of the tail latency does not slow it at once

Also, placements took the lower bound of a cost for what it will be.

Change: interference.PredictPace, beside the pacer that it predicts, says at which pace a task will run; where full speed, by the mean of the cost, would leave no tenth above 1.15, it is the pace after the pacer has slowed the task.

--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -74,8 +74,8 @@
 }
 
 // rate returns the share of full speed, 0 to 1, at which a best-effort task of a step is
-// expected to run on an instance. It is limited by the processors left and by the headroom
-// that the latency-critical tasks there can lose before it falls below minHeadroom.
+// expected to run on an instance. It is limited by the processors left and by the pace that the
+// agent will set for the headroom of the latency-critical tasks there.
 func (p *planner) rate(step *Step, in *instance) float64 {
 	rate := p.processorRate(step, in)
 	for _, neighbor := range p.neighborsOn(in) {
@@ -83,9 +83,8 @@
 		if loss <= negligibleLoss && !neighbor.critical {
 			continue
 		}
-		if loss > neighbor.slack {
-			rate = min(rate, neighbor.slack/max(loss, negligibleLoss))
-		}
+		expected := p.scheduler.costModel.MeanCost(neighbor.image, step.Image) * float64(step.Need.Processors) / 1000
+		rate = min(rate, interference.PredictPace(minHeadroom+neighbor.slack, max(loss, negligibleLoss), expected))
 	}
 	return max(rate, 0)
 }
--- a/internal/decision/interference/model.go
+++ b/internal/decision/interference/model.go
@@ -192,6 +192,17 @@
 	return priorCost
 }
 
+// MeanCost returns the mean of the estimated cost of a pair in headroom per core, the prior mean
+// before it has been learned.
+func (m *Model) MeanCost(critical, bestEffort string) float64 {
+	if im := m.images[critical]; im != nil {
+		if index, known := im.costs[bestEffort]; known {
+			return im.filter.mean[index]
+		}
+	}
+	return priorCost
+}
+
 // Harmless reports whether a best-effort image is known to cost a latency-critical one
 // less than harmlessCost.
 func (m *Model) Harmless(critical, bestEffort string) bool {
--- a/internal/decision/interference/pacer.go
+++ b/internal/decision/interference/pacer.go
@@ -18,6 +18,8 @@
 	// is raised, as long as the predicted headroom stays above GoalHeadroom.
 	lowerHeadroom = 1.15
 	raiseHeadroom = 1.45
+	// tailVariation is the factor by which a tail latency is soon longer than expected.
+	tailVariation = 1.1
 	// maxTimeOverTarget is how long the lowest headroom of the latency-critical tasks may
 	// stay at or below 1 before all best-effort tasks are paused, whatever the model says
 	// of their images.
@@ -107,6 +109,21 @@
 	return worst
 }
 
+// PredictPace returns the share of full speed, negative for none, at which a Pacer will let a
+// best-effort task run beside a latency-critical one that has the given headroom without it. loss is
+// the lower bound of the headroom that the task takes at full speed, expected its mean. A task that
+// leaves less than GoalHeadroom keeps the pace that leaves it, unless it would be slowed as soon as
+// the tail latency varies.
+func PredictPace(headroom, loss, expected float64) float64 {
+	switch {
+	case headroom-loss >= GoalHeadroom:
+		return 1
+	case (headroom-expected)/tailVariation > lowerHeadroom:
+		return (headroom - GoalHeadroom) / loss
+	}
+	return (headroom/tailVariation - GoalHeadroom) / loss
+}
+
 // pauseAll pauses all best-effort images on the instance and reports whether a pace changed.
 func (p *Pacer) pauseAll(now time.Time, bestEffort map[string]ImageUsage) bool {
 	changed := false
