In a deep overload a part of the jobs, drawn by lot, goes first, so that the largest are served too

Change: while two fifths of the work or more are postponed, a quarter of the jobs go first and are postponed last. They are drawn by a hash of the ID and of the time of acceptance: every owner draws the same ones, and no caller can choose an ID that wins.

The price is the large jobs' work: fewer small ones are in time in a deep overload.

--- a/internal/decision/dispatch/postpone_test.go
+++ b/internal/decision/dispatch/postpone_test.go
@@ -122,10 +122,15 @@
 // as the processors suffice for, and the largest tenth of the jobs is served half as often as all,
 // or more.
 func TestAnOverloadServesAsManyAsThereIsRoomFor(t *testing.T) {
-	for _, load := range []float64{1.1, 1.4, 2} {
-		t.Run(fmt.Sprintf("load %.1f", load), func(t *testing.T) {
+	cases := []struct {
+		load  float64
+		seeds []uint64
+	}{{1.1, []uint64{0, 1}}, {1.4, []uint64{0, 1}}, {2, []uint64{0, 1}}, {2, []uint64{8, 9}}}
+	for _, c := range cases {
+		load := c.load
+		t.Run(fmt.Sprintf("load %.1f seeds %v", load, c.seeds), func(t *testing.T) {
 			var all []served
-			for seed := range uint64(2) {
+			for _, seed := range c.seeds {
 				all = append(all, overload{load: load, seed: seed}.play()...)
 			}
 			onTime, inAll := shares(all)
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -90,7 +90,7 @@
 		s.finished[job.ID] = finishedJob{job, stored.State}
 		return false
 	}
-	j := &jobState{spec: job, acceptedAt: now, objective: time.Duration(job.Objective()) * time.Millisecond}
+	j := &jobState{spec: job, acceptedAt: now, objective: time.Duration(job.Objective()) * time.Millisecond, favored: isFavored(job)}
 	unconfirmed := job.OwnerRevision != s.ownerRevision && len(s.unconfirmed) > 0
 	s.jobs[job.ID] = j
 	if stored != nil {
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -101,6 +101,7 @@
 	objective       time.Duration
 	acceptedAt      time.Time // when Accept was called on this scheduler, by the caller's clock; not Job.Accepted
 	postponedBefore bool      // TakePostponements returns the job once
+	favored         bool      // see isFavored
 	dirty           bool
 	revision        uint64 // grows with each change to be committed
 }
--- a/internal/decision/dispatch/urgency.go
+++ b/internal/decision/dispatch/urgency.go
@@ -92,6 +92,7 @@
 	objective time.Time // when it should be finished
 	lateAt    time.Time // when it counts as late
 	work      float64   // as returned by remainingWork
+	first     bool      // in a deep overload, it is placed before the other on-time jobs of its priority
 	postponed bool      // the processors do not suffice for it, see postpone
 }
 
@@ -110,7 +111,7 @@
 
 // byUrgency returns the unfinished jobs ordered by rank, then priority, then the time of their
 // objective. The jobs for which the available processors of their pool do not suffice come after
-// the others of their rank and priority.
+// the others of their rank and priority, and those that go first before them.
 func (s *Scheduler) byUrgency(now time.Time, available map[pool]int) []ranked {
 	unfinished := make([]ranked, 0, len(s.jobs))
 	for _, j := range s.jobs {
@@ -134,6 +135,10 @@
 		return 1
 	case c.postponed && !a.postponed:
 		return -1
+	case a.first && !c.first:
+		return -1
+	case c.first && !a.first:
+		return 1
 	}
 	return cmp.Or(a.objective.Compare(c.objective), cmp.Compare(a.spec.ID, c.spec.ID))
 }
