The log says why a run is stopped

Cause: the owner's line for a stop named task, run and instance, but not the decision behind it.

Change: dispatch.StopReason, set where each stop is decided and logged as reason. Tests that check stops now check their reasons too, so each failed first.

Measured: the tests of dispatch pass with the reasons that the cases stand for; no decision changes.

--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -56,7 +56,7 @@
 		// The task is done by another run: the run that is placed now is not needed.
 		if in, ok := s.instances[t.instance]; ok {
 			if p, placed := in.reservations[t.name]; placed {
-				s.stop(in, p)
+				s.stop(in, p, StopSuperseded)
 			}
 		}
 	}
--- a/internal/decision/dispatch/moves.go
+++ b/internal/decision/dispatch/moves.go
@@ -21,7 +21,7 @@
 			}
 			remaining := time.Duration(p.step.Estimate)*time.Millisecond - now.Sub(p.startedAt)
 			if p.step.LongRunning || now.Add(remaining).After(in.drainDeadline) {
-				s.stop(in, p)
+				s.stop(in, p, StopDraining)
 			}
 		}
 	}
@@ -57,7 +57,7 @@
 			if t == nil || !t.step.Checkpoints || moved >= maxStallMovesPerPlan || p.bestInstance(t.job, t, "") == nil {
 				continue
 			}
-			p.scheduler.stop(in, placed)
+			p.scheduler.stop(in, placed, StopStalled)
 			moved++
 		}
 	}
--- a/internal/decision/dispatch/rebalance.go
+++ b/internal/decision/dispatch/rebalance.go
@@ -50,7 +50,7 @@
 	}
 	for _, move := range best {
 		p.scheduler.rebalancedAt = p.now
-		p.scheduler.stop(source, move)
+		p.scheduler.stop(source, move, StopRebalanced)
 	}
 }
 
--- a/internal/decision/dispatch/rebalance_test.go
+++ b/internal/decision/dispatch/rebalance_test.go
@@ -61,7 +61,7 @@
 		if c.want == 0 {
 			continue
 		}
-		expect(t, "moved", stops[0], Stop{Instance: "a", Task: TaskName{"s1", 0, 0, 0}, Run: 1})
+		expect(t, "moved", stops[0], Stop{Instance: "a", Task: TaskName{"s1", 0, 0, 0}, Run: 1, Reason: StopRebalanced})
 		s.Ended(at(c.after+1), Incarnation{"a", 1}, []End{{Sequence: 1, Task: stops[0].Task, Run: 1, Reason: EndStopped}})
 		starts := map[string]string{}
 		for _, start := range s.Plan(at(c.after + 1)) {
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -25,7 +25,7 @@
 			// The agent that received the start order is gone, and the order may still be in
 			// transit to the worker. The answer to a stop order shows whether the run started.
 			p.stopping = false
-			s.stop(in, p)
+			s.stop(in, p, StopAgentRestarted)
 		default:
 			s.runEnded(now, in, End{Task: name, Run: p.run, Reason: EndNotStarted})
 		}
@@ -40,7 +40,7 @@
 		p.agentIncarnation = in.registration.AgentIncarnation
 		if p.stopping { // the stop order may have been lost with the previous session
 			p.stopping = false
-			s.stop(in, p)
+			s.stop(in, p, StopRepeated)
 			return
 		}
 		if t := s.findTask(status.Task); t != nil && t.instance == in.registration.Incarnation.ID && t.run == status.Run && status.Checkpoint != "" {
@@ -53,8 +53,12 @@
 	s.replaceOrderedRun(now, in, p)
 	in.add(p)
 	t := s.findTask(status.Task)
-	if t == nil || t.done || t.instance != "" || status.Run < t.lastRun && !t.unconfirmed {
-		s.stop(in, p)
+	if t == nil {
+		s.stop(in, p, StopJobEnded)
+		return
+	}
+	if t.done || t.instance != "" || status.Run < t.lastRun && !t.unconfirmed {
+		s.stop(in, p, StopSuperseded)
 		return
 	}
 	t.instance, t.run, t.startedAt = in.registration.Incarnation.ID, status.Run, now
@@ -99,7 +103,7 @@
 	ordered := ended.orderedRun
 	ordered.agentIncarnation, ordered.stopping = in.registration.AgentIncarnation, false
 	in.add(ordered)
-	s.stop(in, ordered)
+	s.stop(in, ordered, StopUnlisted)
 }
 
 // findStep returns the step of a task of any known job, finished or not, or nil.
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -147,7 +147,7 @@
 	for _, in := range s.byID {
 		for _, p := range in.reservations {
 			if p.name.Job == j.spec.ID {
-				s.stop(in, p)
+				s.stop(in, p, StopJobEnded)
 			}
 		}
 	}
@@ -160,12 +160,12 @@
 }
 
 // stop orders a run to end, once.
-func (s *Scheduler) stop(in *instance, p *reservation) {
+func (s *Scheduler) stop(in *instance, p *reservation, reason StopReason) {
 	if p.stopping {
 		return
 	}
 	p.stopping = true
-	s.stops = append(s.stops, Stop{Instance: in.registration.Incarnation.ID, Task: p.name, Run: p.run})
+	s.stops = append(s.stops, Stop{Instance: in.registration.Incarnation.ID, Task: p.name, Run: p.run, Reason: reason})
 }
 
 // completeIfDone completes a job if all its occurrences were created and all their tasks are
@@ -203,6 +203,7 @@
 	Instance string
 	Task     TaskName
 	Run      int64
+	Reason   StopReason
 }
 
 // TakeStops returns the stops decided since the last call.
--- a/internal/decision/dispatch/scheduler_test.go
+++ b/internal/decision/dispatch/scheduler_test.go
@@ -178,7 +178,7 @@
 	s.Register(startTime, registrationOf("a", 8))
 	s.Reconcile(startTime, Incarnation{"a", 1}, []RunStatus{{Task: TaskName{"old", 0, 0, 0}, Run: 1}})
 	expect(t, "starts beside the run", startsOf(s.Plan(at(0))), []string(nil))
-	expect(t, "stops", s.TakeStops(), []Stop{{Instance: "a", Task: TaskName{"old", 0, 0, 0}, Run: 1}})
+	expect(t, "stops", s.TakeStops(), []Stop{{Instance: "a", Task: TaskName{"old", 0, 0, 0}, Run: 1, Reason: StopJobEnded}})
 	s.Ended(at(1), Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{"old", 0, 0, 0}, Run: 1, Reason: EndStopped}})
 	expect(t, "starts afterwards", startsOf(s.Plan(at(1))), []string{"j.0.0.0 1000001 a"})
 }
@@ -340,7 +340,7 @@
 	s.Register(at(0.1), registration)
 	s.Accept(startTime, jobOf("k", short), nil)
 	expect(t, "starts", startsOf(s.Plan(at(0.1))), []string(nil))
-	expect(t, "stops", s.TakeStops(), []Stop{{Instance: "a", Task: TaskName{"l", 0, 0, 0}, Run: 1}})
+	expect(t, "stops", s.TakeStops(), []Stop{{Instance: "a", Task: TaskName{"l", 0, 0, 0}, Run: 1, Reason: StopDraining}})
 }
 
 // Orders may be lost when a session ends, so a run that is to stop and is reported in the next
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -61,7 +61,7 @@
 		ordersFor(start.Instance).Starts = append(ordersFor(start.Instance).Starts, startOrder(start))
 	}
 	for _, stop := range t.scheduler.TakeStops() {
-		t.log.Info("stop", zap.Stringer("task", stop.Task), zap.Int64("run", stop.Run), zap.String("instance", stop.Instance))
+		t.log.Info("stop", zap.Stringer("task", stop.Task), zap.Int64("run", stop.Run), zap.String("instance", stop.Instance), zap.Stringer("reason", stop.Reason))
 		ordersFor(stop.Instance).Stops = append(ordersFor(stop.Instance).Stops, link.StopOrder{Task: stop.Task, Run: stop.Run})
 	}
 	for _, postponed := range t.scheduler.TakePostponements() {
