A submission whose outcome is unknown is repeated while its client waits

A client that may not repeat a request after a 504 has lost it, although storing it again is harmless: a job is stored once per ID.

Change: Submit repeats a submission with an unknown outcome every 100 to 200 ms until its client's deadline, at random so that what an outage held up does not return at one moment. It stays unknown whatever a later attempt is told, unless one is accepted. What submits a job has a file of its own, submit.go.

Measured: TestALostAnswerIsFoundOutWhileTheCallerWaits failed in three of its four cases ("submitted: unknown, want accepted") and passes; the packages of internal and platform pass.

--- a/internal/process/shard_faults_test.go
+++ b/internal/process/shard_faults_test.go
@@ -247,6 +247,47 @@
 	})
 }
 
+// A submission whose answer was lost is repeated while its caller waits, so that the caller learns
+// that the job is stored; a submission that stays unknown is never reported as refused.
+func TestALostAnswerIsFoundOutWhileTheCallerWaits(t *testing.T) {
+	cases := []struct {
+		what   string
+		fault  testcluster.StoreFault
+		length time.Duration
+		want   submission.Outcome
+	}{
+		{"stored, and not answered", testcluster.StoreFault{DropReply: true}, 1500 * time.Millisecond, submission.Accepted},
+		{"not stored, and not answered", testcluster.StoreFault{Silent: true}, 1500 * time.Millisecond, submission.Accepted},
+		{"stored late", testcluster.StoreFault{DropReply: true, Late: time.Second}, 1500 * time.Millisecond, submission.Accepted},
+		{"not answered for longer than the caller waits", testcluster.StoreFault{Silent: true}, 4 * time.Second, submission.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.what, func(t *testing.T) {
+			withJobCluster(t, 3, 2, func(t *testing.T, system *testcluster.JobCluster) {
+				time.Sleep(time.Second)
+				system.Store.SetFault(func(string, bool) testcluster.StoreFault { return c.fault })
+				time.AfterFunc(c.length, func() { system.Store.SetFault(nil) })
+				job := newJob("lost", 1, 300)
+				system.Checker.Submitted(&job)
+				ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+				defer cancel()
+				began := time.Now()
+				outcome, err := system.Service(1).Submit(ctx, job)
+				if outcome != c.want {
+					t.Errorf("submitted: %v (%v), want %v", outcome, err, c.want)
+				}
+				if took := time.Since(began); took > 2900*time.Millisecond {
+					t.Errorf("answered after %v", took)
+				}
+				time.Sleep(10 * time.Second)
+				if c.want == submission.Accepted && system.Checker.Starts() != 1 {
+					t.Errorf("%d starts of a task that was submitted once", system.Checker.Starts())
+				}
+			})
+		})
+	}
+}
+
 // If a worker fails for good while its agent keeps running, its tasks start on another worker after
 // their leases have expired.
 func TestTasksOfAFailedWorkerRestart(t *testing.T) {
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -34,10 +34,6 @@
 	// slowReadLatency is the read latency from which on the table counts as slow. Jobs are
 	// then stored by commits of the owner, each with many jobs.
 	slowReadLatency = 40 * time.Millisecond
-	// submitTimeout bounds the time that a job waits for such a commit.
-	submitTimeout = 2600 * time.Millisecond
-	// maxInsertAttempts bounds the attempts to insert a job while the owner changes.
-	maxInsertAttempts = 4
 	// maxFinalStates bounds the cache of final job states.
 	maxFinalStates = 4096
 )
@@ -87,99 +83,6 @@
 	return context.WithTimeout(ctx, min(minTimeout+serviceCallLatencyFactor*s.health.ReadLatency(), maxServiceCallTimeout))
 }
 
-// Submit stores a job in the table. While the table is slow it leaves that to the owner, whose
-// commits store many jobs each. If this entry's write is refused or its outcome is unknown,
-// another entry tries, the owner first. Accepted means that the job is stored, Refused that it
-// is not and will not be by this call, and Unknown that it may be.
-func (s *Service) Submit(ctx context.Context, job dispatch.Job) (Outcome, error) {
-	start := time.Now()
-	defer func() { s.registry.Observe("accept", time.Since(start)) }()
-	outcome, err := Refused, errTableUnavailable
-	if s.health.ReadLatency() < slowReadLatency || s.ownerClient.Owns() {
-		outcome, err = s.submitLocally(ctx, job)
-	}
-	if outcome == Accepted {
-		return outcome, err
-	}
-	// A job is stored once per ID, so it may be forwarded even if the outcome of this
-	// entry's own write is unknown.
-	var reply link.ForwardReply
-	callErr := s.peers.Forward(ctx, s.ownerClient.Holder().Address, link.MethodSubmit, link.Accepted{Job: job}, &reply)
-	switch {
-	case errors.Is(callErr, errNoPeer):
-		return outcome, err
-	case callErr != nil:
-		return Unknown, errors.CombineErrors(err, callErr)
-	case Outcome(reply.Outcome) == Accepted:
-		return Accepted, nil
-	case Outcome(reply.Outcome) == Refused:
-		return outcome, err
-	}
-	return Unknown, err
-}
-
-// submitLocally stores a job without calling another entry.
-func (s *Service) submitLocally(ctx context.Context, job dispatch.Job) (Outcome, error) {
-	if !s.health.Available() {
-		return Refused, errTableUnavailable
-	}
-	if s.ownerClient.Owns() && s.health.ReadLatency() >= slowReadLatency {
-		return s.submitToOwner(ctx, job)
-	}
-	job.OwnerRevision = s.ownerClient.Holder().OwnerRevision
-	for range maxInsertAttempts {
-		outcome, ownerRevision, err := s.insert(ctx, job)
-		if outcome != NotFound {
-			return outcome, err
-		}
-		job.OwnerRevision = ownerRevision // the owner has changed since this entry last saw it
-	}
-	return Refused, errors.New("the owner changed during each attempt to insert the job")
-}
-
-// submitToOwner has the owner, which is this process, store a job with its next commit.
-func (s *Service) submitToOwner(ctx context.Context, job dispatch.Job) (Outcome, error) {
-	callCtx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	err := s.ownerClient.Submit(callCtx, job)
-	switch {
-	case err == nil:
-		return Accepted, nil
-	case errors.Is(err, table.ErrRefused):
-		return Refused, err
-	}
-	return Unknown, err
-}
-
-// insert tries once to insert a job into the table. NotFound does not mean here that there is
-// no such job, but that the job was not inserted because the owner's row is at another revision,
-// which is returned.
-func (s *Service) insert(ctx context.Context, job dispatch.Job) (Outcome, uint64, error) {
-	txn, err := owner.JobInsertTxn(job)
-	if err != nil {
-		return Refused, 0, err
-	}
-	callCtx, cancel := s.withCallTimeout(ctx, minWriteTimeout)
-	defer cancel()
-	result, err := s.store.Apply(callCtx, txn)
-	switch result.Outcome {
-	case table.Committed:
-		s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: job})
-		return Accepted, 0, nil
-	case table.Conflict:
-		known, ownerRevision := owner.ReadInsertConflict(job, result.Rows)
-		if known != nil {
-			s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: *known})
-			return Accepted, 0, nil
-		}
-		return NotFound, ownerRevision, nil
-	}
-	if errors.Is(err, table.ErrRefused) {
-		return Refused, 0, err
-	}
-	return Unknown, 0, err
-}
-
 // State returns the state of a job. The outcome is Accepted if the state is known, NotFound
 // if there is no such job, and Unknown together with an error. If this entry cannot read the
 // table, it asks the owner for the state in its memory, then another entry.
--- /dev/null
+++ b/internal/submission/submit.go
@@ -0,0 +1,146 @@
+package submission
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/loop"
+	"github.com/apricotwind/apricotwind/internal/owner"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxSubmitTime bounds a submission whose caller sets no deadline.
+	maxSubmitTime = 4500 * time.Millisecond
+	// submitTimeout bounds the time that a job waits for a commit of the owner.
+	submitTimeout = 2600 * time.Millisecond
+	// maxInsertAttempts bounds the attempts to insert a job while the owner changes.
+	maxInsertAttempts = 4
+	// minRetryDelay and retryDelayRange are how long a submission whose outcome is unknown waits
+	// until it is repeated: at least the first, and less than both together, at random, so that
+	// the submissions that an outage held up do not return at one moment.
+	minRetryDelay   = 100 * time.Millisecond
+	retryDelayRange = 100 * time.Millisecond
+)
+
+// Submit stores a job in the table. Accepted means that the job is stored, Refused that it is not
+// and will not be by this call, and Unknown that it may be.
+//
+// A submission whose outcome is unknown is repeated until ctx ends: a job is stored once per ID,
+// and a caller that is told that the outcome is unknown may not be able to submit the job again.
+func (s *Service) Submit(ctx context.Context, job dispatch.Job) (Outcome, error) {
+	start := time.Now()
+	defer func() { s.registry.Observe("accept", time.Since(start)) }()
+	ctx, cancel := context.WithTimeout(ctx, maxSubmitTime)
+	defer cancel()
+	outcome, err := s.submitOnce(ctx, job)
+	for outcome == Unknown {
+		loop.Sleep(ctx, minRetryDelay+rand.N(retryDelayRange))
+		if ctx.Err() != nil {
+			return Unknown, err
+		}
+		s.registry.Add("accept-repeated", 1)
+		again, againErr := s.submitOnce(ctx, job)
+		if again == Accepted {
+			return Accepted, nil
+		}
+		if againErr != nil {
+			err = againErr // the outcome stays unknown: the first attempt may still take effect
+		}
+	}
+	return outcome, err
+}
+
+// submitOnce tries to store a job. While the table is slow it leaves that to the owner, whose
+// commits store many jobs each. If this entry's write is refused or its outcome is unknown,
+// another entry tries, the owner first.
+func (s *Service) submitOnce(ctx context.Context, job dispatch.Job) (Outcome, error) {
+	outcome, err := Refused, errTableUnavailable
+	if s.health.ReadLatency() < slowReadLatency || s.ownerClient.Owns() {
+		outcome, err = s.submitLocally(ctx, job)
+	}
+	if outcome == Accepted {
+		return outcome, err
+	}
+	// A job is stored once per ID, so it may be forwarded even if the outcome of this
+	// entry's own write is unknown.
+	var reply link.ForwardReply
+	callErr := s.peers.Forward(ctx, s.ownerClient.Holder().Address, link.MethodSubmit, link.Accepted{Job: job}, &reply)
+	switch {
+	case errors.Is(callErr, errNoPeer):
+		return outcome, err
+	case callErr != nil:
+		return Unknown, errors.CombineErrors(err, callErr)
+	case Outcome(reply.Outcome) == Accepted:
+		return Accepted, nil
+	case Outcome(reply.Outcome) == Refused:
+		return outcome, err
+	}
+	return Unknown, err
+}
+
+// submitLocally stores a job without calling another entry.
+func (s *Service) submitLocally(ctx context.Context, job dispatch.Job) (Outcome, error) {
+	if !s.health.Available() {
+		return Refused, errTableUnavailable
+	}
+	if s.ownerClient.Owns() && s.health.ReadLatency() >= slowReadLatency {
+		return s.submitToOwner(ctx, job)
+	}
+	job.OwnerRevision = s.ownerClient.Holder().OwnerRevision
+	for range maxInsertAttempts {
+		outcome, ownerRevision, err := s.insert(ctx, job)
+		if outcome != NotFound {
+			return outcome, err
+		}
+		job.OwnerRevision = ownerRevision // the owner has changed since this entry last saw it
+	}
+	return Refused, errors.New("the owner changed during each attempt to insert the job")
+}
+
+// submitToOwner has the owner, which is this process, store a job with its next commit.
+func (s *Service) submitToOwner(ctx context.Context, job dispatch.Job) (Outcome, error) {
+	callCtx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	err := s.ownerClient.Submit(callCtx, job)
+	switch {
+	case err == nil:
+		return Accepted, nil
+	case errors.Is(err, table.ErrRefused):
+		return Refused, err
+	}
+	return Unknown, err
+}
+
+// insert tries once to insert a job into the table. NotFound does not mean here that there is
+// no such job, but that the job was not inserted because the owner's row is at another revision,
+// which is returned.
+func (s *Service) insert(ctx context.Context, job dispatch.Job) (Outcome, uint64, error) {
+	txn, err := owner.JobInsertTxn(job)
+	if err != nil {
+		return Refused, 0, err
+	}
+	callCtx, cancel := s.withCallTimeout(ctx, minWriteTimeout)
+	defer cancel()
+	result, err := s.store.Apply(callCtx, txn)
+	switch result.Outcome {
+	case table.Committed:
+		s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: job})
+		return Accepted, 0, nil
+	case table.Conflict:
+		known, ownerRevision := owner.ReadInsertConflict(job, result.Rows)
+		if known != nil {
+			s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: *known})
+			return Accepted, 0, nil
+		}
+		return NotFound, ownerRevision, nil
+	}
+	if errors.Is(err, table.ErrRefused) {
+		return Refused, 0, err
+	}
+	return Unknown, 0, err
+}
