A call that was not sent is sent on a new link, and is not taken for one that may have run

The log named the first error only, not the one of the forwarded call.

Change: a link tells a call that it could not send (it was closed, or the write failed before its first byte) from one that the peer may have received. Pool.Call tries the former on one new link, and otherwise reports it as not sent, so that the next entry is asked, or the job truthfully refused. A write that took too long counts as maybe received. The error of a forwarded call is logged with the one before it.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -8,6 +8,8 @@
 	"context"
 	"encoding/json"
 	"net"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
@@ -153,20 +155,25 @@
 
 // Conn is one link to a peer. It is safe for concurrent use.
 type Conn struct {
-	rpc  *jsonrpc2.Conn
-	peer string
+	rpc    *jsonrpc2.Conn
+	stream *stream
+	peer   string
 }
 
+// errNotSent marks errors of calls of which the peer has received nothing.
+var errNotSent = errors.New("not sent")
+
 // stream is the connection of a link. It counts bytes in metrics, and bounds each write: the
 // JSON-RPC library ignores the context of a call while it writes, so that a peer which reads
 // nothing would block the caller for ever.
 type stream struct {
 	net.Conn
 	registry *metrics.Registry
+	cut      atomic.Bool // a write failed after a part of its bytes, or took too long
 }
 
 // Read reads from the connection and counts the bytes received.
-func (s stream) Read(p []byte) (int, error) {
+func (s *stream) Read(p []byte) (int, error) {
 	n, err := s.Conn.Read(p)
 	s.registry.Add("link-bytes-in", int64(n))
 	return n, err
@@ -174,7 +181,7 @@
 
 // Write writes to the connection and counts the bytes sent. If the write fails or takes longer
 // than WriteTimeout, it closes the connection, since the peer has received part of a message.
-func (s stream) Write(p []byte) (int, error) {
+func (s *stream) Write(p []byte) (int, error) {
 	err := s.Conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
 	n := 0
 	if err == nil {
@@ -182,6 +189,9 @@
 	}
 	s.registry.Add("link-bytes-out", int64(n))
 	if err != nil {
+		if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+			s.cut.Store(true)
+		}
 		return n, errors.CombineErrors(err, s.Conn.Close())
 	}
 	return n, nil
@@ -199,7 +209,8 @@
 	}
 	async := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(serve))
 	noLog := jsonrpc2.SetLogger(discardLogger{})
-	return &Conn{rpc: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(stream{conn, registry}), async, noLog), peer: peer}
+	counted := &stream{Conn: conn, registry: registry}
+	return &Conn{rpc: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(counted), async, noLog), stream: counted, peer: peer}
 }
 
 // discardLogger drops the log lines of the JSON-RPC library; callers receive its errors.
@@ -216,10 +227,18 @@
 	return c.call(bounded, method, params, result)
 }
 
-// call is Call with no other bound than ctx.
+// call is Call with no other bound than ctx. Its error is marked with errNotSent if the peer has
+// certainly received nothing, because the link was closed already or the write failed at once.
 func (c *Conn) call(ctx context.Context, method string, params, result any) error {
-	err := c.rpc.Call(ctx, method, params, result)
-	return errors.Wrapf(err, "call %s of peer %s", method, c.peer)
+	waiter, err := c.rpc.DispatchCall(ctx, method, params)
+	if err == nil {
+		return errors.Wrapf(waiter.Wait(ctx, result), "call %s of peer %s", method, c.peer)
+	}
+	err = errors.Wrapf(err, "send %s to peer %s", method, c.peer)
+	if c.stream.cut.Load() {
+		return err // the peer may have received the whole of a message
+	}
+	return errors.Mark(err, errNotSent)
 }
 
 // Notify sends a notification without parameters. It does not wait for the peer.
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -49,6 +49,10 @@
 	return &Pool{dial: dial, loop: l, registry: registry, links: map[string]*pooledLink{}}
 }
 
+// maxSendAttempts bounds the links on which a call is tried: one that was open may have broken
+// unnoticed.
+const maxSendAttempts = 2
+
 // Call calls the process at address and decodes its reply into result, which may be nil. It waits
 // for at most timeout, which includes the opening of a link. An error that is marked with
 // ErrNotConnected means that the call was not sent; after any other error it may have been
@@ -56,17 +60,28 @@
 func (p *Pool) Call(ctx context.Context, address string, timeout time.Duration, method string, params, result any) error {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	var err error
+	for range maxSendAttempts {
+		if err = p.callOnce(callCtx, address, method, params, result); !errors.Is(err, errNotSent) {
+			return err
+		}
+	}
+	return errors.Mark(err, ErrNotConnected)
+}
+
+// callOnce calls the process at address on one link.
+func (p *Pool) callOnce(ctx context.Context, address, method string, params, result any) error {
 	l := p.acquire(address)
 	defer p.release(l)
 	select {
 	case <-l.ready:
-	case <-callCtx.Done():
-		return errors.Mark(errors.Wrapf(callCtx.Err(), "dial %s", address), ErrNotConnected)
+	case <-ctx.Done():
+		return errors.Mark(errors.Wrapf(ctx.Err(), "dial %s", address), ErrNotConnected)
 	}
 	if l.err != nil {
 		return errors.Mark(l.err, ErrNotConnected)
 	}
-	err := l.conn.call(callCtx, method, params, result)
+	err := l.conn.call(ctx, method, params, result)
 	if err != nil {
 		p.discard(address, l)
 	}
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,3 +108,46 @@
 		}
 	})
 }
+
+// brokenConn is a connection whose peer is gone: a write fails after a number of bytes.
+type brokenConn struct {
+	net.Conn
+	written int
+}
+
+func (c brokenConn) Write([]byte) (int, error) { return c.written, syscall.ECONNRESET }
+
+// A call on a link that broke unnoticed is sent on another one. If that fails too, the caller learns
+// that the call was not sent, unless the peer may have received it.
+func TestACallOnABrokenLink(t *testing.T) {
+	cases := []struct {
+		what          string
+		broken        int // links that are broken, of those opened
+		written       int // bytes that reach a broken one
+		answered, not bool
+	}{
+		{"works on a new link", 1, 0, true, false},
+		{"not sent", 2, 0, false, true},
+		{"may be received", 1, 7, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.what, func(t *testing.T) {
+			dials := 0
+			dial := func(_ context.Context, address string) (net.Conn, error) {
+				near, peer := net.Pipe()
+				if dials++; dials <= c.broken {
+					return brokenConn{near, c.written}, nil
+				}
+				New(context.Background(), peer, address, metrics.New(), func(context.Context, string, json.RawMessage) (any, error) { return ForwardReply{Outcome: 1}, nil })
+				return near, nil
+			}
+			withPool(t, dial, func(t *testing.T, p *Pool) {
+				var reply ForwardReply
+				err := p.Call(t.Context(), "a", time.Second, MethodSubmit, nil, &reply)
+				if (err == nil) != c.answered || errors.Is(err, ErrNotConnected) != c.not {
+					t.Errorf("call: %v, not sent: %v", err, errors.Is(err, ErrNotConnected))
+				}
+			})
+		})
+	}
+}
--- a/internal/submission/submit.go
+++ b/internal/submission/submit.go
@@ -74,7 +74,7 @@
 	case errors.Is(callErr, errNoPeer):
 		return outcome, err
 	case callErr != nil:
-		return Unknown, errors.CombineErrors(err, callErr)
+		return Unknown, errors.Wrapf(callErr, "forward after %v", err)
 	case Outcome(reply.Outcome) == Accepted:
 		return Accepted, nil
 	case Outcome(reply.Outcome) == Refused:
