A submission that comes too late is refused at once, and withdrawn when its client stops to wait

Change: a submission with less time left than the table takes for a read is refused before anything is sent. The log says when a job was left to the owner, rather than that the table is unavailable.

--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -111,6 +111,12 @@
 	Job dispatch.Job `json:"job"`
 }
 
+// Submit asks another entry to store a job.
+type Submit struct {
+	Job  dispatch.Job `json:"job"`
+	Wait int64        `json:"wait,omitempty"` // ms that the caller waits for the outcome; 0: not said
+}
+
 // Cancelled notifies the owner of a cancellation that was stored in the table.
 type Cancelled struct {
 	ID string `json:"id"`
--- a/internal/process/shard_faults_test.go
+++ b/internal/process/shard_faults_test.go
@@ -288,6 +288,44 @@
 	}
 }
 
+// A job that waits for a commit of the owner when its caller stops to wait is withdrawn, so that the
+// caller learns that it is not stored. One that comes too late for an answer is refused at once.
+func TestAJobIsWithdrawnAtItsDeadline(t *testing.T) {
+	withJobCluster(t, 3, 2, func(t *testing.T, system *testcluster.JobCluster) {
+		time.Sleep(time.Second)
+		system.Store.SetFault(func(string, bool) testcluster.StoreFault {
+			return testcluster.StoreFault{Slow: 100 * time.Millisecond}
+		})
+		time.Sleep(2 * time.Second)
+		system.Store.SetFault(func(_ string, write bool) testcluster.StoreFault {
+			if write {
+				return testcluster.StoreFault{Slow: 6 * time.Second}
+			}
+			return testcluster.StoreFault{Slow: 100 * time.Millisecond}
+		})
+		first := newJob("first", 1, 300)
+		system.Checker.Submitted(&first)
+		firstCtx, cancelFirst := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancelFirst()
+		if outcome, _ := system.Service(1).Submit(firstCtx, first); outcome != submission.Unknown {
+			t.Errorf("submitted while the commit takes 6 s: %v", outcome)
+		}
+		for _, wait := range []time.Duration{1500 * time.Millisecond, 50 * time.Millisecond} {
+			ctx, cancel := context.WithTimeout(t.Context(), wait)
+			outcome, err := system.Service(1).Submit(ctx, newJob("withdrawn", 1, 300))
+			cancel()
+			if outcome != submission.Refused {
+				t.Errorf("submitted with %v left: %v (%v)", wait, outcome, err)
+			}
+		}
+		system.Store.SetFault(nil)
+		time.Sleep(10 * time.Second)
+		if system.Checker.Started("withdrawn") {
+			t.Error("a refused job has started")
+		}
+	})
+}
+
 // If a worker fails for good while its agent keeps running, its tasks start on another worker after
 // their leases have expired.
 func TestTasksOfAFailedWorkerRestart(t *testing.T) {
--- a/internal/submission/serve.go
+++ b/internal/submission/serve.go
@@ -11,11 +11,11 @@
 func (s *Service) Serve(ctx context.Context, method string, params []byte) (result any, ok bool, err error) {
 	switch method {
 	case link.MethodSubmit:
-		accepted, err := link.Decode[link.Accepted](params)
+		submit, err := link.Decode[link.Submit](params)
 		if err != nil {
 			return nil, true, err
 		}
-		outcome, _ := s.submitLocally(ctx, accepted.Job) // the reply has only the outcome
+		outcome, _ := s.submitFor(ctx, submit) // the reply has only the outcome
 		return link.ForwardReply{Outcome: int(outcome)}, true, nil
 	case link.MethodState:
 		job, err := link.Decode[link.JobID](params)
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -73,8 +73,8 @@
 	return &Service{store: store, health: health, ownerClient: ownerClient, peers: peers, registry: registry, finalStates: map[string]dispatch.State{}}
 }
 
-// errTableUnavailable is returned when the table was not called, because it is slow or has not
-// answered this entry lately.
+// errTableUnavailable is returned when the table was not called, because it has not answered this
+// entry lately.
 var errTableUnavailable = errors.Mark(errors.New("table unavailable: it has not answered lately"), table.ErrRefused)
 
 // withCallTimeout returns a context with the timeout of one call to the table, which grows
--- a/internal/submission/submit.go
+++ b/internal/submission/submit.go
@@ -20,6 +20,8 @@
 	submitTimeout = 2600 * time.Millisecond
 	// maxInsertAttempts bounds the attempts to insert a job while the owner changes.
 	maxInsertAttempts = 4
+	// replyTime is kept of the time of a forwarded submission for the way of its reply.
+	replyTime = 50 * time.Millisecond
 	// minRetryDelay and retryDelayRange are how long a submission whose outcome is unknown waits
 	// until it is repeated: at least the first, and less than both together, at random, so that
 	// the submissions that an outage held up do not return at one moment.
@@ -27,6 +29,21 @@
 	retryDelayRange = 100 * time.Millisecond
 )
 
+// errTooLate is returned if nothing was sent, since no answer could come before the caller's deadline.
+var errTooLate = errors.New("too late for an answer before the deadline")
+
+// errLeftToOwner is returned if the table was not called, because it is slow.
+var errLeftToOwner = errors.Mark(errors.New("the table is slow: left to the owner"), table.ErrRefused)
+
+// timeLeft returns the time until the deadline of ctx, which must have one.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
+}
+
+// tooLate reports whether the table, at its recent latency, can't answer before the deadline of ctx.
+func (s *Service) tooLate(ctx context.Context) bool { return timeLeft(ctx) <= s.health.ReadLatency() }
+
 // Submit stores a job in the table. Accepted means that the job is stored, Refused that it is not
 // and will not be by this call, and Unknown that it may be.
 //
@@ -37,10 +54,13 @@
 	defer func() { s.registry.Observe("accept", time.Since(start)) }()
 	ctx, cancel := context.WithTimeout(ctx, maxSubmitTime)
 	defer cancel()
+	if s.tooLate(ctx) {
+		return Refused, errTooLate
+	}
 	outcome, err := s.submitOnce(ctx, job)
 	for outcome == Unknown {
 		loop.Sleep(ctx, minRetryDelay+rand.N(retryDelayRange))
-		if ctx.Err() != nil {
+		if s.tooLate(ctx) {
 			return Unknown, err
 		}
 		s.registry.Add("accept-repeated", 1)
@@ -48,9 +68,7 @@
 		if again == Accepted {
 			return Accepted, nil
 		}
-		if againErr != nil {
-			err = againErr // the outcome stays unknown: the first attempt may still take effect
-		}
+		err = againErr // the outcome stays unknown: an earlier attempt may still take effect
 	}
 	return outcome, err
 }
@@ -59,17 +77,21 @@
 // commits store many jobs each. If this entry's write is refused or its outcome is unknown,
 // another entry tries, the owner first.
 func (s *Service) submitOnce(ctx context.Context, job dispatch.Job) (Outcome, error) {
-	outcome, err := Refused, errTableUnavailable
+	outcome, err := Refused, errLeftToOwner
 	if s.health.ReadLatency() < slowReadLatency || s.ownerClient.Owns() {
 		outcome, err = s.submitLocally(ctx, job)
 	}
 	if outcome == Accepted {
 		return outcome, err
 	}
+	wait := min(timeLeft(ctx), forwardTimeout) - replyTime
+	if wait < time.Millisecond {
+		return outcome, err
+	}
 	// A job is stored once per ID, so it may be forwarded even if the outcome of this
 	// entry's own write is unknown.
 	var reply link.ForwardReply
-	callErr := s.peers.Forward(ctx, s.ownerClient.Holder().Address, link.MethodSubmit, link.Accepted{Job: job}, &reply)
+	callErr := s.peers.Forward(ctx, s.ownerClient.Holder().Address, link.MethodSubmit, link.Submit{Job: job, Wait: wait.Milliseconds()}, &reply)
 	switch {
 	case errors.Is(callErr, errNoPeer):
 		return outcome, err
@@ -83,6 +105,18 @@
 	return Unknown, err
 }
 
+// submitFor stores a job for another entry. What has not been tried when that stops to wait is not
+// tried any more, so that it learns the outcome.
+func (s *Service) submitFor(ctx context.Context, submit link.Submit) (Outcome, error) {
+	wait := submitTimeout
+	if submit.Wait > 0 {
+		wait = min(wait, time.Duration(submit.Wait)*time.Millisecond)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return s.submitLocally(callCtx, submit.Job)
+}
+
 // submitLocally stores a job without calling another entry.
 func (s *Service) submitLocally(ctx context.Context, job dispatch.Job) (Outcome, error) {
 	if !s.health.Available() {
