A busy owner that is told to stop hands the shard over at once

Before the handover it commits unsaved progress until there is none; at this size tasks end during each commit, so that there always is some.

Change: two commits of unsaved progress at most come before the handover. What ends after them is in no table, and is listed to the next owner by the workers, as after a crash of the owner.

--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -75,8 +75,13 @@
 	})
 }
 
-// handOver commits all unsaved progress and then gives up the ownership. It calls done once,
-// when the term ends.
+// maxHandoverCommits bounds the commits of unsaved progress before a handover: the one in flight,
+// and one of what it does not hold. While tasks end all the time there is always some more. It is
+// not lost, since workers list the ends that are not in the table to the next owner.
+const maxHandoverCommits = 2
+
+// handOver commits unsaved progress and then gives up the ownership. It calls done once, when the
+// term ends.
 func (t *term) handOver(done func()) {
 	called := false
 	t.onEnd = func() {
@@ -85,16 +90,18 @@
 			done()
 		}
 	}
+	t.commitsLeft = maxHandoverCommits
 	t.tryHandOver()
 }
 
-// tryHandOver starts a commit of unsaved progress or, if there is none, the transaction that
-// gives up the ownership. It does nothing while a commit is in flight.
+// tryHandOver starts a commit of unsaved progress or, if there is none or no commit is left, the
+// transaction that gives up the ownership. It does nothing while a commit is in flight.
 func (t *term) tryHandOver() {
 	if t.committing {
 		return
 	}
-	if dirty, _ := t.scheduler.HasDirty(); dirty {
+	if dirty, _ := t.scheduler.HasDirty(); dirty && t.commitsLeft > 0 {
+		t.commitsLeft--
 		t.commit() // handleCommitted calls tryHandOver again
 		return
 	}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -90,6 +90,7 @@
 	stop            context.CancelFunc
 	ctx             context.Context
 	onEnd           func() // set by handOver: the handover is in progress; called when the term ends
+	commitsLeft     int    // of unsaved progress, before the handover
 }
 
 // finishedJob is a finished job and the time at which its rows are to be removed.
--- a/internal/process/scale_test.go
+++ b/internal/process/scale_test.go
@@ -163,3 +163,42 @@
 		}
 	})
 }
+
+// handoverBound is the longest time from the stop of an owner until another entry owns the shard.
+const handoverBound = time.Second
+
+// An owner that is told to stop hands the shard over at once, although tasks end during each commit.
+func TestABusyOwnerHandsOverAtOnce(t *testing.T) {
+	withJobCluster(t, 3, 77, func(t *testing.T, system *testcluster.JobCluster) {
+		busy := newJob("busy", 1, 1000)
+		for i := range 400 {
+			step := busy.Steps[0]
+			step.Estimate += int64(10 * i)
+			busy.Steps = append(busy.Steps, step)
+		}
+		if outcome := submit(t, system, 0, busy); outcome != submission.Accepted {
+			t.Fatal(outcome)
+		}
+		time.Sleep(2 * time.Second)
+		system.Store.SetFault(func(_ string, write bool) testcluster.StoreFault {
+			if write {
+				return testcluster.StoreFault{Slow: 100 * time.Millisecond}
+			}
+			return testcluster.StoreFault{}
+		})
+		before := holder(t, system)
+		drained := make(chan error, 1)
+		for i := range system.Entries {
+			if system.EntryName(i) == before.Name {
+				go func() { drained <- system.DrainEntry(i) }()
+			}
+		}
+		time.Sleep(handoverBound)
+		if now := holder(t, system); now.Name == "" || now.Name == before.Name {
+			t.Errorf("%v after the stop of %s the owner is %q", handoverBound, before.Name, now.Name)
+		}
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+	})
+}
