A submission with an unknown outcome is looked for, and written again once only

Change: the entry reads the rows of the job every 100 to 200 ms, which costs the partition no write, and submits the job again once only, when the store answers and the rows are not there. What it finds it reports to the owner.

--- a/internal/submission/submit.go
+++ b/internal/submission/submit.go
@@ -22,11 +22,11 @@
 	maxInsertAttempts = 4
 	// replyTime is kept of the time of a forwarded submission for the way of its reply.
 	replyTime = 50 * time.Millisecond
-	// minRetryDelay and retryDelayRange are how long a submission whose outcome is unknown waits
-	// until it is repeated: at least the first, and less than both together, at random, so that
-	// the submissions that an outage held up do not return at one moment.
-	minRetryDelay   = 100 * time.Millisecond
-	retryDelayRange = 100 * time.Millisecond
+	// minFollowUpDelay and followUpDelayRange are the time between two looks for a job whose
+	// outcome is unknown: at least the first, and less than both together, at random, so that what
+	// an outage held up does not return at one moment.
+	minFollowUpDelay   = 100 * time.Millisecond
+	followUpDelayRange = 100 * time.Millisecond
 )
 
 // errTooLate is returned if nothing was sent, since no answer could come before the caller's deadline.
@@ -47,8 +47,8 @@
 // Submit stores a job in the table. Accepted means that the job is stored, Refused that it is not
 // and will not be by this call, and Unknown that it may be.
 //
-// A submission whose outcome is unknown is repeated until ctx ends: a job is stored once per ID,
-// and a caller that is told that the outcome is unknown may not be able to submit the job again.
+// A submission whose outcome is unknown is followed up until ctx ends: a caller that is told so may
+// not be able to submit the job again.
 func (s *Service) Submit(ctx context.Context, job dispatch.Job) (Outcome, error) {
 	start := time.Now()
 	defer func() { s.registry.Observe("accept", time.Since(start)) }()
@@ -58,19 +58,39 @@
 		return Refused, errTooLate
 	}
 	outcome, err := s.submitOnce(ctx, job)
-	for outcome == Unknown {
-		loop.Sleep(ctx, minRetryDelay+rand.N(retryDelayRange))
+	if outcome == Unknown && s.followUp(ctx, job) {
+		return Accepted, nil
+	}
+	return outcome, err
+}
+
+// followUp reports whether a job whose submission had an unknown outcome is known to be stored
+// before ctx ends. It reads the job's row until it is there. Once the table answers and the row is
+// not there, it submits the job again, which does no harm, since a job is stored once per ID. It does
+// so once only: more writes would keep a table slow that is slow already.
+func (s *Service) followUp(ctx context.Context, job dispatch.Job) bool {
+	for again := true; ; {
+		loop.Sleep(ctx, minFollowUpDelay+rand.N(followUpDelayRange))
 		if s.tooLate(ctx) {
-			return Unknown, err
+			return false
+		}
+		rows, err := s.read(ctx, job.ID)
+		if err != nil {
+			continue // the table still does not answer
 		}
-		s.registry.Add("accept-repeated", 1)
-		again, againErr := s.submitOnce(ctx, job)
-		if again == Accepted {
-			return Accepted, nil
+		stored, _ := owner.ReadInsertConflict(job, rows)
+		switch {
+		case stored != nil:
+			s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: *stored})
+			return true
+		case again:
+			again = false
+			s.registry.Add("accept-repeated", 1)
+			if outcome, _ := s.submitOnce(ctx, job); outcome == Accepted { // any other outcome tells nothing of the first one
+				return true
+			}
 		}
-		err = againErr // the outcome stays unknown: an earlier attempt may still take effect
 	}
-	return outcome, err
 }
 
 // submitOnce tries to store a job. While the table is slow it leaves that to the owner, whose
