A submission with an unknown outcome ends when its caller leaves

Cause, found by reading the change before the landing: the wait between two looks ends at once if the caller has left, while its deadline may be seconds away, so that the look was repeated without a pause until then.

Change: the end of the caller's context counts as too late.

Measured: TestASubmissionEndsWithItsCaller did not end within 20 s of processor time before, and passes.

--- a/internal/decision/dispatch/postpone.go
+++ b/internal/decision/dispatch/postpone.go
@@ -145,9 +145,9 @@
 	}
 }
 
-// byCost is a heap of jobs, the one that costs the most first, and those that go first last. The cost of a job is the work that is
-// left of it, times the share of its work that this is: what has been done is not to be lost. A job
-// without an estimate costs nothing.
+// byCost is a heap of jobs, the one that costs the most first; jobs that are placed first come last.
+// The cost of a job is the work that is left of it, times the share of its work that this is: what
+// has been done is not to be lost. A job without an estimate costs nothing.
 type byCost []*ranked
 
 func (b byCost) Len() int { return len(b) }
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -121,10 +121,11 @@
 // that the call was not sent, unless the peer may have received it.
 func TestACallOnABrokenLink(t *testing.T) {
 	cases := []struct {
-		what          string
-		broken        int // links that are broken, of those opened
-		written       int // bytes that reach a broken one
-		answered, not bool
+		what     string
+		broken   int // links that are broken, of those opened
+		written  int // bytes that reach a broken one
+		answered bool
+		notSent  bool
 	}{
 		{"works on a new link", 1, 0, true, false},
 		{"not sent", 2, 0, false, true},
@@ -144,7 +145,7 @@
 			withPool(t, dial, func(t *testing.T, p *Pool) {
 				var reply ForwardReply
 				err := p.Call(t.Context(), "a", time.Second, MethodSubmit, nil, &reply)
-				if (err == nil) != c.answered || errors.Is(err, ErrNotConnected) != c.not {
+				if (err == nil) != c.answered || errors.Is(err, ErrNotConnected) != c.notSent {
 					t.Errorf("call: %v, not sent: %v", err, errors.Is(err, ErrNotConnected))
 				}
 			})
--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -75,9 +75,9 @@
 	})
 }
 
-// maxHandoverCommits bounds the commits of unsaved progress before a handover: the one in flight,
-// and one of what it does not hold. While tasks end all the time there is always some more. It is
-// not lost, since workers list the ends that are not in the table to the next owner.
+// maxHandoverCommits bounds the commits of unsaved progress that a handover waits for. While tasks end
+// all the time there is always some more. It is not lost, since workers list the ends that are not in
+// the table to the next owner.
 const maxHandoverCommits = 2
 
 // handOver commits unsaved progress and then gives up the ownership. It calls done once, when the
--- a/internal/process/shard_faults_test.go
+++ b/internal/process/shard_faults_test.go
@@ -288,6 +288,23 @@
 	}
 }
 
+// A submission with an unknown outcome ends when its caller leaves, also long before the deadline.
+func TestASubmissionEndsWithItsCaller(t *testing.T) {
+	withJobCluster(t, 3, 2, func(t *testing.T, system *testcluster.JobCluster) {
+		time.Sleep(time.Second)
+		system.Store.SetFault(func(string, bool) testcluster.StoreFault { return testcluster.StoreFault{Silent: true} })
+		deadlineCtx, cancelDeadline := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancelDeadline()
+		ctx, leave := context.WithCancel(deadlineCtx)
+		time.AfterFunc(1500*time.Millisecond, leave)
+		began := time.Now()
+		outcome, _ := system.Service(1).Submit(ctx, newJob("left", 1, 300))
+		if took := time.Since(began); outcome != submission.Unknown || took > 1600*time.Millisecond {
+			t.Errorf("%v after %v, the caller left after 1.5s", outcome, took)
+		}
+	})
+}
+
 // A job that waits for a commit of the owner when its caller stops to wait is withdrawn, so that the
 // caller learns that it is not stored. One that comes too late for an answer is refused at once.
 func TestAJobIsWithdrawnAtItsDeadline(t *testing.T) {
--- a/internal/submission/submit.go
+++ b/internal/submission/submit.go
@@ -41,8 +41,11 @@
 	return time.Until(deadline)
 }
 
-// tooLate reports whether the table, at its recent latency, can't answer before the deadline of ctx.
-func (s *Service) tooLate(ctx context.Context) bool { return timeLeft(ctx) <= s.health.ReadLatency() }
+// tooLate reports whether ctx has ended, or the table, at its recent latency, can't answer before its
+// deadline.
+func (s *Service) tooLate(ctx context.Context) bool {
+	return ctx.Err() != nil || timeLeft(ctx) <= s.health.ReadLatency()
+}
 
 // Submit stores a job in the table. Accepted means that the job is stored, Refused that it is not
 // and will not be by this call, and Unknown that it may be.
@@ -86,7 +89,8 @@
 		case again:
 			again = false
 			s.registry.Add("accept-repeated", 1)
-			if outcome, _ := s.submitOnce(ctx, job); outcome == Accepted { // any other outcome tells nothing of the first one
+			// Any other outcome tells nothing of the first submission.
+			if outcome, _ := s.submitOnce(ctx, job); outcome == Accepted {
 				return true
 			}
 		}
