A test holds that a job which a commit may hold is not withdrawn

Cause: a build without that condition in term.withdraw, wrong on purpose, passed the tests of owner and process; it would tell a caller that its job is not stored although it may be. The code had the condition.

Change: TestAJobThatACommitMayHoldIsNotWithdrawn. No product code changes.

Measured: it fails without the condition ("maybe committed true: withdrawn true") and passes.

--- a/internal/owner/submit_test.go
+++ b/internal/owner/submit_test.go
@@ -58,3 +58,17 @@
 		t.Errorf("%d jobs and %d instances in the commit", len(b.pendingJobs), len(b.instances))
 	}
 }
+
+// A job is withdrawn only while no commit may have stored it: its caller is then told that it is not
+// stored.
+func TestAJobThatACommitMayHoldIsNotWithdrawn(t *testing.T) {
+	for _, maybeCommitted := range []bool{false, true} {
+		pending := newTestPendingJob("j")
+		pending.maybeCommitted = maybeCommitted
+		current := newTestTerm(nil)
+		current.pendingJobs = []*pendingJob{pending}
+		if withdrawn := current.withdraw(pending); withdrawn == maybeCommitted {
+			t.Errorf("maybe committed %v: withdrawn %v", maybeCommitted, withdrawn)
+		}
+	}
+}
