The owner logs why tasks of long-running jobs wait

Cause: with the logs as they were, an owner whose long-running tasks wait for an instance that never reports could not be told from one that finds no room for them; both log nothing.

--- /dev/null
+++ b/internal/decision/dispatch/waits.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import "time"
+
+// Waits counts the tasks of long-running steps that wait, by what they wait for, and the
+// instances that they could use.
+type Waits struct {
+	Unconfirmed      int // tasks that an instance of an earlier owner may run, see UnconfirmedInstances
+	Delayed          int // tasks that wait for their restart delay
+	Unplaced         int // tasks that may start: no instance suits them, or the next plan places them
+	Instances        int // known instances
+	UsableInstances  int // instances on which a task may be placed now
+	MissingInstances int // instances of an earlier owner that have not reported yet
+}
+
+// Tasks returns the number of waiting tasks.
+func (w Waits) Tasks() int { return w.Unconfirmed + w.Delayed + w.Unplaced }
+
+// LongRunningWaits counts the tasks of long-running steps that wait.
+func (s *Scheduler) LongRunningWaits(now time.Time) Waits {
+	waits := Waits{Instances: len(s.byID), MissingInstances: len(s.unconfirmed)}
+	for _, in := range s.byID {
+		if in.usable(now) {
+			waits.UsableInstances++
+		}
+	}
+	for _, j := range s.jobs {
+		if !j.state.Final() && j.spec.LongRunning() {
+			j.countWaits(now, &waits)
+		}
+	}
+	return waits
+}
+
+// countWaits adds the waiting tasks of the job's long-running steps to waits.
+func (j *jobState) countWaits(now time.Time, waits *Waits) {
+	for _, o := range j.occurrences {
+		for _, tasks := range o.steps {
+			for _, t := range tasks {
+				switch {
+				case !t.step.LongRunning || !t.waiting() || !o.ready(t.step):
+				case t.unconfirmed:
+					waits.Unconfirmed++
+				case now.Before(t.notBefore):
+					waits.Delayed++
+				default:
+					waits.Unplaced++
+				}
+			}
+		}
+	}
+}
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -37,6 +37,7 @@
 	t.removeExpired()
 	t.dispatch()
 	t.sendAcks(time.Now())
+	t.logWaits(time.Now())
 }
 
 // dispatch makes a plan, sends the resulting orders to the agents and schedules a commit of
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -87,6 +87,7 @@
 	costsComparedAt time.Time               // when costs was last compared with the scheduler's estimates
 	jobsRevision    uint64
 	heartbeat       uint64
+	waitsLoggedAt   time.Time // when logWaits last counted the waiting tasks
 	stop            context.CancelFunc
 	ctx             context.Context
 	onEnd           func() // set by handOver: the handover is in progress; called when the term ends
