An agent owns the shard while no entry runs

Cause: tasks of long-running jobs stopped for good, and batch tasks with them, once the last entry had left, though the agents, the workers and the store went on: only entries could own the shard. Nobody renewed the leases, so that every task ended 3.5 s after the last handover. The class of the fault: a duty that only one kind of process could do, while the loss of all processes of that kind is to be borne.

Change: an agent that no owner has answered for 1 s watches the alive row and claims like an entry, later than any entry would. It is marked as a standby in the owner's row, and an entry that starts claims from it. The agent's setting link is its address for that; without it the agent never owns. A call that the other process does not know counts as not handled, so that an entry may forward to the next one.

Why it works: ownership is a conditional write that raises the epoch, whoever makes it; all rules of a takeover hold as between entries.

Queries at a site without any entry cannot be answered.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -261,6 +261,12 @@
 	return nil, UnknownMethod(method)
 }
 
+// IsUnknownMethod reports whether a call failed because the other process does not know its method.
+func IsUnknownMethod(err error) bool {
+	var failed *jsonrpc2.Error
+	return errors.As(err, &failed) && failed.Code == jsonrpc2.CodeMethodNotFound
+}
+
 // UnknownMethod returns the error for a call of an unknown method.
 func UnknownMethod(method string) error {
 	return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + method}
--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -12,7 +12,8 @@
 // putAliveRow adds a write of the alive row to b.
 func (t *term) putAliveRow(b *batch) {
 	t.heartbeat++
-	holder := Holder{Epoch: t.epoch, Name: t.elector.settings.Name, Address: t.elector.settings.Address, OwnerRevision: t.ownerRevision, Heartbeat: t.heartbeat}
+	holder := t.elector.self(t.epoch)
+	holder.OwnerRevision, holder.Heartbeat = t.ownerRevision, t.heartbeat
 	value, err := json.Marshal(holder)
 	if err != nil {
 		t.log.Error("alive-row-encode-failed", logs.Error(err))
--- a/internal/owner/elector.go
+++ b/internal/owner/elector.go
@@ -56,6 +56,12 @@
 	Outranked func() bool
 	// Suspended returns for how long the machine has been suspended in all. nil means never.
 	Suspended func() time.Duration
+	// Standby marks a process that owns the shard only while no other kind of process does. It
+	// claims later than they do, and they claim from it.
+	Standby bool
+	// Served reports whether the process is served by another owner, so that it need not watch
+	// the alive row. nil means that it always watches.
+	Served func() bool
 }
 
 // Elector watches which process owns the shard, claims the ownership when the owner has
@@ -74,11 +80,13 @@
 
 	holder         Holder    // as last read
 	aliveRevision  uint64    // revision of the alive row
+	holderSince    time.Time // when holder became the owner, as seen by this process
 	changedAt      time.Time // from when on the row counts as unchanged
 	unchangedReads int       // reads since the alive row changed; 2 are needed before the owner counts as failed
 	lastReadAt     time.Time // when the last successful read returned
 	claiming       bool
 	resigning      bool
+	standbyDelay   time.Duration // of a standby, see minStandbyDelay
 	term           *term
 	readFailures   *logs.FailureLogger
 }
@@ -88,18 +96,20 @@
 func New(settings Settings, store *table.Store, health *table.Health, l *loop.Loop, log *zap.Logger, registry *metrics.Registry, nowMillis func() int64, onOwnerChange func(Holder)) *Elector {
 	return &Elector{
 		settings: settings, store: store, health: health, loop: l, log: log, registry: registry, nowMillis: nowMillis, onOwnerChange: onOwnerChange,
-		changedAt: time.Now(), readFailures: logs.NewFailureLogger(log, "watch-owner-failed"),
+		changedAt: time.Now(), holderSince: time.Now(), standbyDelay: newStandbyDelay(), readFailures: logs.NewFailureLogger(log, "watch-owner-failed"),
 	}
 }
 
-// Run starts to read the alive row every watchPeriod, until the loop ends. It returns at
-// once.
+// Run starts to read the alive row periodically, until the loop ends. It returns at once.
 func (e *Elector) Run() {
-	e.loop.GoEvery(watchPeriod, e.readAliveRow)
+	e.loop.GoEvery(e.watchPeriod(), e.readAliveRow)
 }
 
 // readAliveRow reads the alive row once and handles the result on the loop.
 func (e *Elector) readAliveRow(ctx context.Context) {
+	if e.settings.Served != nil && e.settings.Served() {
+		return
+	}
 	callCtx, cancel := e.withCallTimeout(ctx)
 	defer cancel()
 	began := time.Now()
@@ -117,7 +127,7 @@
 // ownership if the owner has failed, has handed over or never existed.
 func (e *Elector) handleRead(rows []table.Record, took time.Duration) {
 	now := time.Now()
-	if now.Sub(e.lastReadAt) > watchPeriod+outageThreshold+max(took, e.health.ReadLatency()) && e.aliveRevision > 0 {
+	if now.Sub(e.lastReadAt) > e.watchPeriod()+outageThreshold+max(took, e.health.ReadLatency()) && e.aliveRevision > 0 {
 		// The row may have stayed unchanged only because of the outage: the owner could not
 		// write it, or this process could not read it. So the silence is counted anew,
 		// postOutageGrace later.
@@ -147,6 +157,8 @@
 		// The reply to a claim of this process was lost, or an earlier incarnation of it
 		// was the owner.
 		e.claim("own earlier claim")
+	case e.term == nil && e.outranksOwner():
+		e.claim("the owner is a standby")
 	case e.term == nil && e.holder.Name != "" && e.unchangedReads >= 2 && silent > bound:
 		e.claim("owner silent", zap.Duration("silent", silent), zap.Uint64("epoch", e.holder.Epoch))
 	}
@@ -154,6 +166,9 @@
 
 // yield returns how long this process waits so that a better suited one can claim first.
 func (e *Elector) yield() time.Duration {
+	if e.settings.Standby {
+		return e.standbyDelay + readLatencyFactor*e.health.ReadLatency()
+	}
 	if e.settings.Outranked != nil && e.settings.Outranked() {
 		return yieldDelay
 	}
@@ -170,6 +185,7 @@
 	changed := holder.OwnerRevision != e.holder.OwnerRevision
 	e.holder = holder
 	if changed {
+		e.holderSince = time.Now()
 		e.log.Info("owner", zap.String("owner", holder.Name), zap.Uint64("epoch", holder.Epoch), zap.Uint64("version", holder.OwnerRevision))
 		e.onOwnerChange(holder)
 	}
@@ -187,7 +203,7 @@
 	}
 	e.claiming = true
 	e.log.Info("claim", append(fields, zap.String("reason", why), zap.Uint64("version", e.holder.OwnerRevision))...)
-	next := Holder{Epoch: e.holder.Epoch + 1, Name: e.settings.Name, Address: e.settings.Address}
+	next := e.self(e.holder.Epoch + 1)
 	txn, err := handoverTxn(e.holder.OwnerRevision, next)
 	if err != nil {
 		e.log.Error("claim-failed", logs.Error(err))
@@ -208,6 +224,11 @@
 	})
 }
 
+// self returns this process as the owner with the given epoch.
+func (e *Elector) self(epoch uint64) Holder {
+	return Holder{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Address, Standby: e.settings.Standby}
+}
+
 // handoverTxn returns the transaction that makes next the owner if the owner's row is at
 // ownerRevision.
 func handoverTxn(ownerRevision uint64, next Holder) (table.Txn, error) {
@@ -237,6 +258,7 @@
 // instant claimed.
 func (e *Elector) startTerm(holder Holder, claimed instant) {
 	e.aliveRevision, e.holder, e.changedAt, e.unchangedReads = holder.OwnerRevision, holder, time.Now(), 0
+	e.holderSince = time.Now()
 	e.term = newTerm(e, holder, claimed)
 	e.registry.Add("terms", 1)
 	e.onOwnerChange(holder)
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -1,5 +1,5 @@
-// Package owner runs in the entry. It elects the one entry that owns the shard and does that
-// owner's work: it renews the ownership in the table, runs the scheduler of package dispatch,
+// Package owner runs in the entry and, as a standby, in the agent. It elects the one process that
+// owns the shard, an entry as long as one runs, and does that owner's work: it renews the ownership in the table, runs the scheduler of package dispatch,
 // sends the scheduler's orders to the agents and stores its state in the table. Scheduling
 // decisions are left to package dispatch, the execution of orders to the agents.
 //
@@ -67,7 +67,8 @@
 	// handover writes: one transaction writes both rows, so the revision of the row itself
 	// is meant.
 	OwnerRevision uint64 `json:"under,omitempty"`
-	Heartbeat     uint64 `json:"beat,omitempty"` // counter, so that each write changes the row
+	Heartbeat     uint64 `json:"beat,omitempty"`    // counter, so that each write changes the row
+	Standby       bool   `json:"standby,omitempty"` // the owner is a standby, see Settings
 }
 
 func ownerRowKey() table.RowKey {
--- a/internal/process/job_agent.go
+++ b/internal/process/job_agent.go
@@ -27,12 +27,18 @@
 	watchGrace = 1500 * time.Millisecond
 	// watchRetryDelay is the delay before the next read after a failed one.
 	watchRetryDelay = 200 * time.Millisecond
+	// maxUnserved is the time without an answer of an owner after which an agent watches whether
+	// there still is one. It exceeds the time of a usual handover.
+	maxUnserved = time.Second
+	// resignTimeout bounds how long an agent that stops takes to give up the ownership.
+	resignTimeout = time.Second
 )
 
 // JobAgentSettings configure a JobAgent.
 type JobAgentSettings struct {
-	Name                  string
-	Registration, Metrics string // listen addresses, host:port; empty: not served
+	Name                        string
+	Registration, Metrics, Link string        // listen addresses, host:port; empty: not served
+	Retention                   time.Duration // how long a finished job's state stays readable, while this agent is the owner
 }
 
 // JobAgentDeps are the parts of an agent that depend on the protocols of the platform
@@ -45,7 +51,8 @@
 }
 
 // JobAgent is the process that runs beside one worker and runs the tasks of jobs with
-// steps on it. It takes its orders from the entry that is the owner.
+// steps on it. It takes its orders from the owner, which is one of the entries. While no entry
+// runs, one of the agents that have a link address is the owner, so that tasks go on.
 type JobAgent struct {
 	settings JobAgentSettings
 	deps     JobAgentDeps
@@ -54,6 +61,7 @@
 	loop     *loop.Loop
 	runner   *runner.Runner
 	holder   atomic.Pointer[owner.Holder]
+	elector  *owner.Elector // nil without a link address
 	servers  []*http.Server
 }
 
@@ -61,11 +69,18 @@
 // error reports a listener that cannot be opened.
 func NewJobAgent(ctx context.Context, settings JobAgentSettings, deps JobAgentDeps, network Network, log *zap.Logger) (*JobAgent, error) {
 	a := &JobAgent{settings: settings, deps: deps, log: log, metrics: metrics.New(), loop: loop.New(ctx)}
+	if err := a.addElector(); err != nil {
+		a.loop.Stop()
+		return nil, err
+	}
 	a.runner = runner.New(runner.Settings{Name: settings.Name, AgentIncarnation: newIncarnation()}, deps.Worker, a.loop, log, a.metrics)
 	if err := a.listen(network); err != nil {
 		a.loop.Stop()
 		return nil, err
 	}
+	if a.elector != nil {
+		a.elector.Run()
+	}
 	a.runner.StartPolling()
 	a.loop.Go(a.watchOwner)
 	dial := func(ctx context.Context, address string) (net.Conn, error) { return network.Dial(ctx, "tcp", address) }
@@ -79,6 +94,31 @@
 	return a, nil
 }
 
+// addElector adds the part of the agent that can be the owner, if the agent has a link address.
+func (a *JobAgent) addElector() error {
+	if a.settings.Link == "" {
+		return nil
+	}
+	suspended, err := newSuspensionClock()
+	if err != nil {
+		return err
+	}
+	var health *table.Health
+	a.deps.Store, health = table.WithHealth(a.deps.Store)
+	a.elector = owner.New(owner.Settings{
+		Name: a.settings.Name, Address: a.settings.Link, Retention: a.settings.Retention, Suspended: suspended,
+		Standby: true, Served: a.served,
+	}, a.deps.Store, health, a.loop, a.log, a.metrics, monotonicUnix(), func(holder owner.Holder) { a.setHolder(holder) })
+	return nil
+}
+
+// served reports whether another process is the owner and has answered this agent lately.
+func (a *JobAgent) served() bool {
+	holder := a.holder.Load()
+	owns := holder != nil && holder.Name == a.settings.Name
+	return !owns && a.runner.UnservedFor() < maxUnserved
+}
+
 func (a *JobAgent) listen(network Network) error {
 	health := httprouter.New()
 	addHealthRoutes(health, a.metrics, func() error { return nil })
@@ -105,10 +145,22 @@
 			}
 		})
 	}
+	if a.elector == nil {
+		return nil
+	}
+	links, err := network.Listen(a.settings.Link)
+	if err != nil {
+		return errors.Wrapf(err, "setting link: cannot listen on %s", a.settings.Link)
+	}
+	a.loop.Go(func() {
+		serveLinks(links, a.loop, a.metrics, func(ctx context.Context, conn *owner.Conn, method string, params []byte) (any, error) {
+			return serveElector(ctx, a.elector, conn, method, params)
+		})
+	})
 	return nil
 }
 
-// watchOwner tracks which entry is the owner, until the loop ends.
+// watchOwner tracks which process is the owner, until the loop ends.
 func (a *JobAgent) watchOwner() {
 	ctx := a.loop.Context()
 	failures := logs.NewFailureLogger(a.log, "follow-owner-failed")
@@ -148,17 +200,34 @@
 		a.log.Warn("row-ignored", logs.Error(err))
 		return
 	}
-	if known := a.holder.Load(); known != nil && known.OwnerRevision >= holder.OwnerRevision {
-		return
+	if a.setHolder(holder) {
+		a.log.Info("owner", zap.String("owner", holder.Name), zap.Uint64("epoch", holder.Epoch))
 	}
-	a.holder.Store(&holder)
-	a.log.Info("owner", zap.String("owner", holder.Name), zap.Uint64("epoch", holder.Epoch))
 }
 
-// Drain stops the agent. The worker continues to run its tasks under its lease, and the
-// next agent takes the worker over. The error reports goroutines that did not end in time.
+// setHolder records the owner, unless a later one is known. It reports whether it did.
+func (a *JobAgent) setHolder(holder owner.Holder) bool {
+	for {
+		known := a.holder.Load()
+		if known != nil && known.OwnerRevision >= holder.OwnerRevision {
+			return false
+		}
+		if a.holder.CompareAndSwap(known, &holder) {
+			return true
+		}
+	}
+}
+
+// Drain stops the agent, which hands over the ownership if it has it. The worker continues to run
+// its tasks under its lease, and the next agent takes the worker over. The error reports
+// goroutines that did not end in time.
 func (a *JobAgent) Drain() error {
 	a.log.Info("stopping")
+	if a.elector != nil {
+		ctx, cancel := context.WithTimeout(a.loop.Context(), resignTimeout)
+		a.elector.Resign(ctx)
+		cancel()
+	}
 	a.loop.Stop()
 	a.closeServers()
 	return a.loop.WaitFor(stopTimeout)
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -163,38 +162,16 @@
 	if err != nil {
 		return errors.Wrapf(err, "setting link: cannot listen on %s", e.settings.Link)
 	}
-	e.loop.Go(func() { e.serveLinks(links) })
+	e.loop.Go(func() { serveLinks(links, e.loop, e.metrics, e.handleCall) })
 	return nil
 }
 
-// serveLinks accepts links from agents and other entries until the loop ends.
-func (e *JobEntry) serveLinks(listener net.Listener) {
-	e.loop.Go(func() {
-		<-e.loop.Context().Done()
-		// The loop has ended, so an error has no receiver.
-		_ = listener.Close()
-	})
-	for e.loop.Context().Err() == nil {
-		stream, err := listener.Accept()
-		if err != nil {
-			loop.Sleep(e.loop.Context(), 10*time.Millisecond) // so that a lasting error does not spin
-			continue
-		}
-		conn := owner.NewConn()
-		bound := make(chan struct{}) // closed once Bind was called: calls are served only after that
-		conn.Bind(link.New(e.loop.Context(), stream, stream.RemoteAddr().String(), e.metrics, func(ctx context.Context, method string, params json.RawMessage) (any, error) {
-			<-bound
-			if result, ok, err := e.service.Serve(ctx, method, params); ok {
-				return result, err
-			}
-			result, ok, err := e.elector.Serve(ctx, conn, method, params)
-			if !ok {
-				return nil, link.UnknownMethod(method)
-			}
-			return result, err
-		}))
-		close(bound)
+// handleCall handles a call of an agent or another entry.
+func (e *JobEntry) handleCall(ctx context.Context, conn *owner.Conn, method string, params []byte) (any, error) {
+	if result, ok, err := e.service.Serve(ctx, method, params); ok {
+		return result, err
 	}
+	return serveElector(ctx, e.elector, conn, method, params)
 }
 
 // Drain stops the entry gracefully. It reports that it is not ready, resigns as owner and removes
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
@@ -73,19 +74,32 @@
 	pollWake             chan struct{}
 
 	session     *session
-	lastSession uint64 // number of the last session
+	lastSession uint64                    // number of the last session
+	servedAt    atomic.Pointer[time.Time] // when an owner last answered a report
 	pacer       pacer
 }
 
 // New returns a runner for a worker that has not registered yet.
 func New(settings Settings, worker Worker, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Runner {
-	return &Runner{
+	r := &Runner{
 		settings: settings, worker: worker, loop: l, log: log, registry: registry,
 		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, leasesExpireAt: time.Now().Add(initialLeaseBound),
 		lastAnswerAt: time.Now(), pollWake: make(chan struct{}, 1), pacer: newPacer(),
 	}
+	r.noteServed()
+	return r
 }
 
+// noteServed records that an owner has answered.
+func (r *Runner) noteServed() {
+	now := time.Now()
+	r.servedAt.Store(&now)
+}
+
+// UnservedFor returns the time since an owner last answered a report of this agent, or since the
+// agent's start.
+func (r *Runner) UnservedFor() time.Duration { return time.Since(*r.servedAt.Load()) }
+
 // Register records the worker's registration. It ignores a registration that is older than
 // the last one, by the start of the incarnation or by sequence.
 func (r *Runner) Register(registration dispatch.Registration, sequence int64) {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -199,6 +199,7 @@
 	if err := s.conn.Call(callCtx, link.MethodReport, report, &reply); err != nil {
 		return false, err
 	}
+	r.noteServed()
 	loopErr = r.loop.Do(func() {
 		if r.session != s {
 			return
--- a/internal/submission/peers.go
+++ b/internal/submission/peers.go
@@ -265,12 +265,12 @@
 
 // Forward forwards a call to one other entry and decodes the reply into result. It tries the
 // entry at address preferred, unless that is empty or this entry's, then others in random
-// order, at most maxForwardPeers in all, until one can be connected to. errNoPeer means that the
-// call was not sent. After any other error the call may have taken effect.
+// order, at most maxForwardPeers in all, until one can be connected to and knows the method, which
+// an agent that is the owner does not. errNoPeer means that no process has handled the call. After any other error the call may have taken effect.
 func (p *Peers) Forward(ctx context.Context, preferred, method string, params, result any) error {
 	for _, address := range p.candidates(preferred) {
 		err := p.pool.Call(ctx, address, forwardTimeout, method, params, result)
-		if !errors.Is(err, link.ErrNotConnected) {
+		if !errors.Is(err, link.ErrNotConnected) && !link.IsUnknownMethod(err) {
 			p.registry.Add("peer-asked", 1)
 			return err
 		}
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -154,7 +154,9 @@
 	defer c.mu.Unlock()
 	a := c.agents[i]
 	ctx, stop := context.WithCancel(c.ctx)
-	proc, err := process.NewJobAgent(ctx, process.JobAgentSettings{Name: a.name, Registration: "control-" + a.name}, process.JobAgentDeps{
+	proc, err := process.NewJobAgent(ctx, process.JobAgentSettings{
+		Name: a.name, Registration: "control-" + a.name, Link: fmt.Sprintf("10.1.0.%d:1", i+1), Retention: jobRetention,
+	}, process.JobAgentDeps{
 		Store: c.Store.View(a.name), Worker: c.Workers[i].Calls(),
 		Registration: func(r *runner.Runner, _ *zap.Logger) http.Handler {
 			a.runner.Store(r)
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -36,6 +36,7 @@
 	flags          *flag.FlagSet
 	name, level    *string
 	store, metrics *addressFlag
+	retention      *time.Duration
 }
 
 func newPlatformFlags(flags *flag.FlagSet) platformFlags {
@@ -45,6 +46,8 @@
 		level:   flags.String("log", "info", "log `level`: debug, info, warn, error"),
 		store:   addressVar(flags, "store", "", "`address` of the platform's store"),
 		metrics: addressVar(flags, "metrics", "", "`address` of metrics and health; none if empty"),
+
+		retention: durationVar(flags, "keep", 150*time.Second, time.Second, maxRetention, "`time` for which a finished job's state is kept"),
 	}
 }
 
@@ -65,7 +68,6 @@
 	platformFlags
 	domain           *string
 	api, ready, link *addressFlag
-	retention        *time.Duration
 	processors       *float64
 }
 
@@ -77,7 +79,6 @@
 		ready:         addressVar(flags, "ready", "", "`address` of the readiness check"),
 		link:          addressVar(flags, "link", "", "`address` for agents and other entries"),
 		processors:    floatVar(flags, "cpu", 0, 0, maxProcessors, "`share` of a core that the process may use (0: unknown); an entry with 1.5 times as much is preferred as owner"),
-		retention:     durationVar(flags, "keep", 150*time.Second, time.Second, maxRetention, "`time` for which a finished job's state is kept"),
 	}
 }
 
@@ -106,12 +107,13 @@
 Runs the agent beside one worker of the users' platform until SIGTERM. The worker
 registers with it; it passes the owner's orders on and keeps the worker's lease.
 At SIGTERM it ends at once: the worker continues under its lease, and the next
-agent takes it over. deploy/agent.yaml is the template of its settings.
+agent takes it over. While no entry runs, one of the agents that have a link
+address owns the shard. deploy/agent.yaml is the template of its settings.
 
 Example:
   apricotwind platform agent --settings agent.yaml
   apricotwind platform agent --name a1 --store 127.0.0.1:7000 \
-      --control 127.0.0.1:7200 --worker 127.0.0.1:9000`,
+      --control 127.0.0.1:7200 --worker 127.0.0.1:9000 --link 127.0.0.1:7201`,
 		Setup: func(flags *flag.FlagSet) Run { return newPlatformAgentCommand(flags).run },
 	}
 }
@@ -119,7 +121,7 @@
 // platformAgentCommand holds the flags of the verb platform agent.
 type platformAgentCommand struct {
 	platformFlags
-	control, worker *addressFlag
+	control, worker, link *addressFlag
 }
 
 func newPlatformAgentCommand(flags *flag.FlagSet) *platformAgentCommand {
@@ -127,6 +129,7 @@
 		platformFlags: newPlatformFlags(flags),
 		control:       addressVar(flags, "control", "", "`address` where the worker registers"),
 		worker:        addressVar(flags, "worker", "", "`address` of the worker"),
+		link:          addressVar(flags, "link", "", "`address` for agents and entries while this agent owns the shard; it never does if empty"),
 	}
 }
 
@@ -138,6 +141,7 @@
 	defer closeLog()
 	running, err := platform.NewAgent(ctx, c.store.String(), c.worker.String(), process.JobAgentSettings{
 		Name: *c.name, Registration: c.control.String(), Metrics: c.metrics.String(),
+		Link: c.link.String(), Retention: *c.retention,
 	}, process.NewNetwork(), log)
 	if err != nil {
 		return err
