A long-running task that finds no other room starts on a quarantined instance

Cause: an instance on which two jobs have failed in a row gets no new task for 4 s. While all others are full it empties, and is the only one with room. The class of the fault: a precaution that excludes, where a preference is meant.

Change: a task of a long-running step for which no usable instance has room is placed on a quarantined one. It may fail any number of times; batch tasks, whose failures count, still avoid such instances. Each task tries an instance once only, so that an instance that fails everything is not tried all the time.

Measured: TestLongRunningTasksStartOnAQuarantinedInstanceIfNoOtherHasRoom failed before ("started: []") and passes.

--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -124,7 +124,13 @@
 
 // usable reports whether new tasks may be placed on the instance.
 func (in *instance) usable(now time.Time) bool {
-	return in.rowWritten && in.reconciled && in.reachable && in.unknownSteps == 0 && !in.registration.Draining && !now.Before(in.quarantinedUntil)
+	return in.ready() && !now.Before(in.quarantinedUntil)
+}
+
+// ready reports whether orders can be sent to the instance and its free resources are known. It
+// may be quarantined.
+func (in *instance) ready() bool {
+	return in.rowWritten && in.reconciled && in.reachable && in.unknownSteps == 0 && !in.registration.Draining
 }
 
 // free returns the resources left for tasks that are not best-effort.
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -42,11 +42,14 @@
 	s.evacuate(now)
 	p := newPlanner(s, now)
 	for _, in := range s.byID {
-		if in.usable(now) {
+		switch {
+		case in.usable(now):
 			p.usable = append(p.usable, in)
+		case in.ready():
+			p.quarantined = append(p.quarantined, in)
 		}
 	}
-	if len(p.usable) == 0 {
+	if len(p.usable)+len(p.quarantined) == 0 {
 		return nil
 	}
 	p.bestEffortImages = s.costModel.BestEffortImages()
@@ -82,10 +85,11 @@
 
 // planner holds the state of one call of Plan.
 type planner struct {
-	scheduler *Scheduler
-	now       time.Time
-	usable    []*instance
-	starts    []Start
+	scheduler   *Scheduler
+	now         time.Time
+	usable      []*instance
+	quarantined []*instance // usable but for the quarantine
+	starts      []Start
 	// bestEffortImages are the known best-effort images. openShares, excludedShares and neighbors
 	// cache, by instance, the results of openShare, newlyExcludedShare and neighborsOn.
 	bestEffortImages []string
@@ -144,6 +148,7 @@
 			in := p.findInstance(j, t, o)
 			if in == nil {
 				p.addUnmetDemand(j, step, o.steps[stepIndex])
+				p.planQuarantined(j, step, o.steps[stepIndex])
 				break // the tasks of a step are identical
 			}
 			p.place(j.jobState, t, in, t.lastRun+1)
@@ -245,12 +250,17 @@
 	p.starts = p.starts[:first]
 }
 
-// bestInstance returns the suitable instance with the lowest penalty for a task, or nil.
+// bestInstance returns the suitable usable instance with the lowest penalty for a task, or nil.
 // Unless rack is "", only instances in that rack count.
 func (p *planner) bestInstance(j *jobState, t *task, rack string) *instance {
+	return p.bestOf(p.usable, j, t, rack)
+}
+
+// bestOf is bestInstance among the given instances.
+func (p *planner) bestOf(instances []*instance, j *jobState, t *task, rack string) *instance {
 	var best *instance
 	var lowest int
-	for _, in := range p.usable {
+	for _, in := range instances {
 		if rack != "" && in.registration.Rack != rack || !p.suitable(j, t, in) {
 			continue
 		}
--- /dev/null
+++ b/internal/decision/dispatch/quarantine.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import "slices"
+
+// planQuarantined places tasks of a long-running step, for which no usable instance has room, on
+// quarantined instances. Such a task is to run whenever there is room for it, and may fail any
+// number of times.
+func (p *planner) planQuarantined(j ranked, step *Step, tasks []*task) {
+	if !step.LongRunning || len(p.quarantined) == 0 {
+		return
+	}
+	for _, t := range tasks {
+		if !p.startable(t) {
+			continue
+		}
+		if in := p.bestOf(p.untried(t), j.jobState, t, ""); in != nil {
+			p.place(j.jobState, t, in, t.lastRun+1)
+		}
+	}
+}
+
+// untried returns the quarantined instances on which a task has not failed. A task tries each once
+// only, since an instance that fails all its tasks would otherwise start it again and again.
+func (p *planner) untried(t *task) []*instance {
+	if len(t.failedOn) == 0 {
+		return p.quarantined
+	}
+	return slices.DeleteFunc(slices.Clone(p.quarantined), func(in *instance) bool {
+		return slices.Contains(t.failedOn, in.registration.Incarnation.ID)
+	})
+}
