--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -7,8 +7,10 @@
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/metrics"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -51,6 +53,7 @@
 	log      *zap.Logger
 	registry *metrics.Registry
 
+	ignored             *logs.FailureLogger    // of registrations that cannot be used
 	registration        *dispatch.Registration // nil until the worker has registered
 	registrationVersion int                    // increases with each change of registration
 	sequence            int64                  // of the worker's last registration
@@ -80,7 +83,7 @@
 // New returns a runner for a worker that has not registered yet.
 func New(settings Settings, worker Worker, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Runner {
 	return &Runner{
-		settings: settings, worker: worker, loop: l, log: log, registry: registry,
+		settings: settings, worker: worker, loop: l, log: log, registry: registry, ignored: logs.NewFailureLogger(log, "registration-ignored"),
 		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, leasesExpireAt: time.Now().Add(initialLeaseBound),
 		lastAnswerAt: time.Now(), pollWake: make(chan struct{}, 1), pacer: newPacer(),
 	}
@@ -110,6 +113,12 @@
 	})
 }
 
+// IgnoreRegistration logs and counts a registration of the given ID that cannot be used.
+func (r *Runner) IgnoreRegistration(id string, err error) {
+	r.registry.Add("registration-ignored", 1)
+	r.ignored.Note(errors.Wrapf(err, "instance %.80q", id))
+}
+
 // startIncarnation resets the state for a new incarnation of the worker. No run of the
 // previous incarnation exists any more.
 func (r *Runner) startIncarnation(registration dispatch.Registration) {
