A registration of another incarnation is used once the worker has answered as that one

Cause: the agent took any registration with a later start for the worker's next incarnation and ended the session, so that the runs of the true worker counted as lost. The registrations of the true worker, which started earlier, were ignored from then on, and answers to polls that stated an earlier start changed nothing: one odd registration displaced the worker for ever.

Change: once an owner has attached, the agent polls the worker as the incarnation that has registered, and uses the registration only if the worker answers as that one. An answer to a poll that states another start, earlier ones included, is believed: the poll was sent after the registration. So the agent returns to the worker that answers.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -118,11 +118,11 @@
 		r.log.Info("worker-answers", zap.String("instance", call.Incarnation.ID))
 	}
 	if result.StartedAt != 0 && result.StartedAt != r.registration.Incarnation.StartedAt {
-		if result.StartedAt > r.registration.Incarnation.StartedAt {
-			registration := *r.registration
-			registration.Incarnation.StartedAt = result.StartedAt
-			r.startIncarnation(registration)
-		}
+		// The poll was sent after the registration, so the worker has restarted since then, or the
+		// registration is not its own.
+		registration := *r.registration
+		registration.Incarnation.StartedAt = result.StartedAt
+		r.startIncarnation(registration)
 		return false
 	}
 	if result.Clock < r.workerClock && !r.clockReadAt.IsZero() {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,6 +57,7 @@
 	registration        *dispatch.Registration // nil until the worker has registered
 	registrationVersion int                    // increases with each change of registration
 	sequence            int64                  // of the worker's last registration
+	probing             bool                   // a poll is to show whether another incarnation has replaced the known one
 	fence               uint64                 // highest epoch of an owner that this agent has attached to
 	runs                runsByTask
 	// unanswered holds the last start of each task that got no answer. The worker may still
@@ -89,15 +90,19 @@
 	}
 }
 
-// Register records the worker's registration. It ignores a registration that is older than
-// the last one, by the start of the incarnation or by sequence.
+// Register records the worker's registration. It ignores a registration whose sequence is not above
+// the last one's. A registration of another incarnation than the known one replaces that only once the
+// worker has answered a poll as the new one, since another writer may have sent it.
 func (r *Runner) Register(registration dispatch.Registration, sequence int64) {
 	registration.Agent, registration.AgentIncarnation = r.settings.Name, r.settings.AgentIncarnation
 	r.loop.Post(func() {
 		switch {
-		case r.registration == nil || registration.Incarnation.StartedAt > r.registration.Incarnation.StartedAt:
+		case r.registration == nil:
 			r.startIncarnation(registration)
-		case registration.Incarnation != r.registration.Incarnation || sequence <= r.sequence:
+		case registration.Incarnation != r.registration.Incarnation:
+			r.registerOther(registration, sequence)
+			return
+		case sequence <= r.sequence:
 			return
 		}
 		changed := registration.Draining != r.registration.Draining
