An odd row of a job does not end the term of each owner

Cause: a job's row that names an owner's row later than itself ended the term of the owner that read it, and of each one after it, since the row stays. A row whose job has another ID than its key submitted a job that nobody had submitted.

Change: such a row is ignored and logged, as one that cannot be decoded. A job's row is written after the owner's row that it names, so a true one never names a later revision than its own. The rows of FuzzRows get a revision that is later than their owner's, which true rows have.

--- a/internal/owner/fuzz_test.go
+++ b/internal/owner/fuzz_test.go
@@ -84,10 +84,12 @@
 	for _, job := range badJobs {
 		f.Add("j"+suffixJob, []byte(job), "j"+suffixProgress, []byte(`{"occ":[{"done":["3","ffff"],"failed":{"7.-1":[1]},"saved":{"x":"y"}}]}`))
 	}
+	f.Add("j"+suffixJob, []byte(`{"id":"j","under":18446744073709551615,"policy":{"service":"s"},"steps":[{"count":1}]}`), "j"+suffixProgress, []byte(`null`))
+	f.Add("w", []byte(`{"life":{"id":"x","born":9223372036854775807},"capacity":{"cpu":9223372036854775807}}`), "j"+suffixJob, []byte(`{"id":"k"}`))
 	f.Fuzz(func(t *testing.T, firstKey string, first []byte, secondKey string, second []byte) {
 		onTerm(t, func(current *term, _ *Conn) {
 			row := func(name, key string, value []byte) table.Record {
-				return table.Record{RowKey: table.RowKey{Table: name, Partition: shardPartition, Key: key}, Value: value, Revision: 5}
+				return table.Record{RowKey: table.RowKey{Table: name, Partition: shardPartition, Key: key}, Value: value, Revision: 50}
 			}
 			current.restore(persistedRows{
 				instances: []table.Record{row(tableInstances, firstKey, first)}, costs: []table.Record{row(tableCosts, firstKey, first)},
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -131,21 +131,24 @@
 			stored = &jobRows{}
 			jobs[id] = stored
 		}
-		if err := stored.setField("/"+suffix, row); err != nil {
+		if err := stored.setField(id, "/"+suffix, row); err != nil {
 			bad(row.Key, err)
 		}
 	}
 	return jobs
 }
 
-func (r *jobRows) setField(suffix string, row table.Record) error {
+func (r *jobRows) setField(id, suffix string, row table.Record) error {
 	switch suffix {
 	case suffixJob:
-		r.job = &dispatch.Job{}
-		if err := json.Unmarshal(row.Value, r.job); err != nil {
-			r.job = nil
+		job := &dispatch.Job{}
+		if err := json.Unmarshal(row.Value, job); err != nil {
 			return errors.Wrap(err, "decode job")
 		}
+		if job.ID != id || job.OwnerRevision > row.Revision {
+			return errors.Newf("the row at revision %d has job %.80q, accepted at revision %d", row.Revision, job.ID, job.OwnerRevision)
+		}
+		r.job = job
 	case suffixProgress:
 		r.progress = &dispatch.Progress{}
 		if err := json.Unmarshal(row.Value, r.progress); err != nil {
