A new owner does not wait for the instance of an odd row

Cause: any row of the instances that could be decoded stood for an instance, whatever its ID and its values: a new owner held the tasks of earlier owners back until that instance was lost (8.3 s), and each owner after it did so again, since the row under its own key stayed. An agent's registration was attached unchecked.

Change: the ID in the row is its key, and the registration is valid by dispatch.Registration.Validate; else the row is ignored and logged. An attach is checked in the same way.

--- a/internal/owner/odd_rows_test.go
+++ b/internal/owner/odd_rows_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
 )
 
@@ -28,3 +29,35 @@
 		})
 	}
 }
+
+// An odd row of an instance is none that a new owner waits for, and displaces no instance.
+func TestAnOddInstanceRowIsNotWaitedFor(t *testing.T) {
+	for _, odd := range []string{
+		`{}`, `null`, `7`, `{"life":{"id":"w","born":1}}`, `{"life":{"id":"other"}}`,
+		`{"life":{"id":"odd","born":9223372036854775807}}`, `{"life":{"id":"odd"},"capacity":{"cpu":9223372036854775807}}`,
+		`{"life":{"id":"odd"},"capacity":{"mem":-1}}`,
+	} {
+		onTerm(t, func(current *term, _ *Conn) {
+			current.restore(persistedRows{instances: []table.Record{
+				oddRow(tableInstances, "odd", odd), oddRow(tableInstances, "true", `{"life":{"id":"true","born":7},"service":"s"}`),
+			}})
+			if waited := current.scheduler.Unconfirmed(); len(waited) != 1 || waited[0] != "true" {
+				t.Errorf("%s: waits for %v, want [true]", odd, waited)
+			}
+		})
+	}
+}
+
+// The owner does not attach an instance with a registration that cannot be used.
+func TestAnOddRegistrationIsNotAttached(t *testing.T) {
+	for _, odd := range []string{
+		`{}`, `{"offer":{"life":{"id":"odd","born":9223372036854775807},"service":"s"}}`,
+		`{"offer":{"life":{"id":"odd"},"service":"s","capacity":{"cpu":9223372036854775807}}}`,
+	} {
+		onTerm(t, func(current *term, conn *Conn) {
+			if _, err := current.handleCall(conn, link.MethodAttach, []byte(odd)); err == nil {
+				t.Errorf("%s was attached", odd)
+			}
+		})
+	}
+}
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
 	"go.uber.org/zap"
@@ -63,8 +61,8 @@
 // is, since the read did not look at the owner's row.
 func (t *term) restore(persisted persistedRows) {
 	for _, row := range persisted.instances {
-		var registration dispatch.Registration
-		if err := json.Unmarshal(row.Value, &registration); err != nil {
+		registration, err := readInstance(row)
+		if err != nil {
 			t.log.Warn("row-ignored", zap.String("key", row.Key), logs.Error(err))
 			continue
 		}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -31,6 +31,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
@@ -109,6 +110,18 @@
 	return holder, nil
 }
 
+// readInstance decodes the row of an instance.
+func readInstance(row table.Record) (dispatch.Registration, error) {
+	var registration dispatch.Registration
+	if err := json.Unmarshal(row.Value, &registration); err != nil {
+		return registration, errors.Wrap(err, "decode instance")
+	}
+	if registration.Incarnation.ID != row.Key {
+		return registration, errors.Newf("the row has instance %.80q", registration.Incarnation.ID)
+	}
+	return registration, registration.Validate(time.Now())
+}
+
 // jobRows holds the decoded rows of one job.
 type jobRows struct {
 	job              *dispatch.Job
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -181,6 +181,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := attach.Registration.Validate(time.Now()); err != nil {
+			return nil, errors.Wrap(err, "attach")
+		}
 		return t.handleAttach(conn, attach), nil
 	case link.MethodReport:
 		report, err := link.Decode[link.Report](params)
