A row of the owner that cannot be true names no owner

Cause: the alive row may state the revision of the owner's row. One later than the row's own hid each later owner from entries and agents, and claims named a revision that never comes; an epoch near the end of 64 bits would overflow the next epoch and the run numbers.

Change: ReadHolder rejects both.

--- a/internal/owner/odd_rows_test.go
+++ b/internal/owner/odd_rows_test.go
@@ -61,3 +61,18 @@
 		})
 	}
 }
+
+// A row of the owner that cannot be true is not read: it would hide each later owner.
+func TestAnOddOwnerRowNamesNoOwner(t *testing.T) {
+	for _, odd := range []string{
+		`{"epoch":3,"name":"e9","under":18446744073709551615}`, `{"epoch":3,"name":"e9","under":51}`,
+		`{"epoch":18446744073709551615,"name":"e9"}`, `{"epoch":1e400}`, `{"epoch":-1}`, `7`,
+	} {
+		if holder, err := ReadHolder(oddRow(tableAlive, singleRowKey, odd)); err == nil {
+			t.Errorf("%s is read as %+v", odd, holder)
+		}
+	}
+	if holder, err := ReadHolder(oddRow(tableAlive, singleRowKey, `{"epoch":3,"name":"e9","under":49}`)); err != nil || holder.OwnerRevision != 49 {
+		t.Errorf("a true row is read as %+v, %v", holder, err)
+	}
+}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -71,6 +71,9 @@
 	Heartbeat     uint64 `json:"beat,omitempty"` // counter, so that each write changes the row
 }
 
+// maxEpoch bounds the epoch, so that the run numbers of an epoch do not overflow.
+const maxEpoch = 1 << 40
+
 func ownerRowKey() table.RowKey {
 	return table.RowKey{Table: tableOwner, Partition: shardPartition, Key: singleRowKey}
 }
@@ -104,6 +107,9 @@
 	if err := json.Unmarshal(row.Value, &holder); err != nil {
 		return Holder{}, errors.Wrapf(err, "decode row %s/%s", row.Table, row.Key)
 	}
+	if holder.OwnerRevision > row.Revision || holder.Epoch > maxEpoch {
+		return Holder{}, errors.Newf("row %s/%s at revision %d: owner's row at revision %d, epoch %d", row.Table, row.Key, row.Revision, holder.OwnerRevision, holder.Epoch)
+	}
 	if holder.OwnerRevision == 0 {
 		holder.OwnerRevision = row.Revision
 	}
