An odd row of an entry names no entry

Cause: a row of the entries with an unusable address was called for other entries, and one with a huge number of cores made each entry wait 0.9 s longer before it replaces a failed owner, until its row had been unchanged for 30 s.

Change: the address needs a host and a valid port, the number of cores lies between 0 and 4,096; else the row is ignored and logged.

--- a/internal/submission/peers.go
+++ b/internal/submission/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,6 +79,27 @@
 	Cores   float64 `json:"cpu,omitempty"`
 }
 
+// maxCores bounds the cores that an entry states.
+const maxCores = 4096
+
+// decode decodes the value of an entry's row.
+func (r *entryRow) decode(value []byte) error {
+	if err := json.Unmarshal(value, r); err != nil {
+		return errors.Wrap(err, "decode entry")
+	}
+	host, port, err := net.SplitHostPort(r.Address)
+	if err != nil {
+		return errors.Wrap(err, "address of an entry")
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); host == "" || err != nil || number == 0 {
+		return errors.Newf("address of an entry: %.80q has no host or no valid port", r.Address)
+	}
+	if r.Cores < 0 || r.Cores > maxCores {
+		return errors.Newf("an entry with %g cores", r.Cores)
+	}
+	return nil
+}
+
 // peerState is what an entry knows of another one from its row.
 type peerState struct {
 	row       entryRow
@@ -212,7 +235,7 @@
 	others := map[string]peerState{}
 	for _, row := range rows {
 		other := peerState{revision: row.Revision}
-		if err := json.Unmarshal(row.Value, &other.row); err != nil {
+		if err := other.row.decode(row.Value); err != nil {
 			p.log.Warn("row-ignored", zap.String("key", row.Key), logs.Error(err))
 			continue
 		}
--- a/internal/submission/peers_test.go
+++ b/internal/submission/peers_test.go
@@ -85,3 +85,17 @@
 		t.Error("an entry that is back does not count")
 	}
 }
+
+// An odd row of an entry names no entry to forward to and none that would be the better owner.
+func TestAnOddEntryRowNamesNoEntry(t *testing.T) {
+	for _, odd := range []string{
+		`{"address":"a:1","cpu":1e300}`, `{"address":"a:1","cpu":-1}`, `{"address":"a:99999","cpu":9}`, `{"address":"a:0","cpu":9}`,
+		`{"address":":1","cpu":9}`, `{"address":"a","cpu":9}`, `{"address":7,"cpu":9}`, `{"cpu":9}`, `{}`, `null`, ``, `{"address":"a:1","cpu":1e400}`,
+	} {
+		p := NewPeers(EntryInfo{Name: "e0", Address: "z:1", Cores: 1}, nil, nil, nil, nil, zap.NewNop(), nil)
+		p.setPeers([]table.Record{newRow("odd", odd), newRow("e1", `{"address":"e1:1","cpu":1}`)})
+		if addresses := p.candidates(""); len(addresses) != 1 || addresses[0] != "e1:1" || p.Outranked() {
+			t.Errorf("%s: forwards to %v, outranked %v", odd, addresses, p.Outranked())
+		}
+	}
+}
