A cost that cannot have been measured is not restored

Cause: each owner took the costs in the table as they were. One of 1e308 kept a pair of images apart for good, and was sent to the agents and stored again.

Change: Model.Restore leaves out costs above 1,000 in headroom per core. More seeds for FuzzCalls.

--- a/internal/decision/interference/model.go
+++ b/internal/decision/interference/model.go
@@ -335,9 +335,15 @@
 	return known[:min(len(known), limit)]
 }
 
+// maxCost bounds a cost that is restored, in headroom per core. A larger one is no measurement.
+const maxCost = 1000
+
 // Restore adds stored estimates. Pairs that already have an estimate are left unchanged.
 func (m *Model) Restore(estimates []Estimate) {
 	for _, e := range estimates {
+		if math.Abs(e.Mean) > maxCost {
+			continue
+		}
 		im := m.image(e.LatencyCritical)
 		if _, known := im.costs[e.BestEffort]; !known {
 			m.addBestEffort(e.BestEffort)
--- a/internal/owner/fuzz_test.go
+++ b/internal/owner/fuzz_test.go
@@ -71,6 +71,8 @@
 	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s"},"full":true,"running":[{"task":"j.0.0.1","run":3}]}`))
 	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s"},"ends":[{"task":"j.-1.7.99","run":-3}],"figures":[{}]}`))
 	f.Add(0, []byte(`{"offer":{"life":{"id":"x","born":-1},"capacity":{"cpu":-9}},"session":7}`))
+	f.Add(0, []byte(`{"offer":{"life":{"id":"x","born":9223372036854775807},"service":"s","capacity":{"cpu":9223372036854775807}},"session":7}`))
+	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s","remaining":9223372036854775807,"leaving":true},"figures":[{"task":"j.0.0.1","v":1e308}]}`))
 	f.Fuzz(func(t *testing.T, method int, params []byte) {
 		onTerm(t, func(current *term, conn *Conn) {
 			// A call with wrong parameters may fail.
--- a/internal/owner/odd_rows_test.go
+++ b/internal/owner/odd_rows_test.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"encoding/json"
+	"math"
 	"testing"
 
 	"github.com/apricotwind/apricotwind/internal/link"
@@ -76,3 +78,20 @@
 		t.Errorf("a true row is read as %+v, %v", holder, err)
 	}
 }
+
+// A cost that cannot have been measured is not restored.
+func TestAnOddCostIsNotRestored(t *testing.T) {
+	for _, odd := range []string{`[{"s":"a","f":"b","m":1e308,"d":1e200}]`, `[{"s":"a","f":"b","m":-1e308,"d":-1e200}]`, `null`, `{}`, `[7]`} {
+		onTerm(t, func(current *term, _ *Conn) {
+			current.restoreCosts([]table.Record{oddRow(tableCosts, singleRowKey, odd)})
+			if _, err := json.Marshal(current.scheduler.LearnedCosts(9)); err != nil {
+				t.Errorf("%s: %v", odd, err)
+			}
+			for _, e := range current.scheduler.LearnedCosts(9) {
+				if math.Abs(e.Mean) > 1e6 {
+					t.Errorf("%s: cost %g", odd, e.Mean)
+				}
+			}
+		})
+	}
+}
