--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -31,6 +31,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
@@ -71,6 +72,9 @@
 	Standby       bool   `json:"standby,omitempty"` // the owner is a standby, see Settings
 }
 
+// maxEpoch bounds the epoch, so that the run numbers of an epoch do not overflow.
+const maxEpoch = 1 << 40
+
 func ownerRowKey() table.RowKey {
 	return table.RowKey{Table: tableOwner, Partition: shardPartition, Key: singleRowKey}
 }
@@ -104,12 +108,27 @@
 	if err := json.Unmarshal(row.Value, &holder); err != nil {
 		return Holder{}, errors.Wrapf(err, "decode row %s/%s", row.Table, row.Key)
 	}
+	if holder.OwnerRevision > row.Revision || holder.Epoch > maxEpoch {
+		return Holder{}, errors.Newf("row %s/%s at revision %d: owner's row at revision %d, epoch %d", row.Table, row.Key, row.Revision, holder.OwnerRevision, holder.Epoch)
+	}
 	if holder.OwnerRevision == 0 {
 		holder.OwnerRevision = row.Revision
 	}
 	return holder, nil
 }
 
+// readInstance decodes the row of an instance.
+func readInstance(row table.Record) (dispatch.Registration, error) {
+	var registration dispatch.Registration
+	if err := json.Unmarshal(row.Value, &registration); err != nil {
+		return registration, errors.Wrap(err, "decode instance")
+	}
+	if registration.Incarnation.ID != row.Key {
+		return registration, errors.Newf("the row has instance %.80q", registration.Incarnation.ID)
+	}
+	return registration, registration.Validate(time.Now())
+}
+
 // jobRows holds the decoded rows of one job.
 type jobRows struct {
 	job              *dispatch.Job
@@ -132,21 +151,24 @@
 			stored = &jobRows{}
 			jobs[id] = stored
 		}
-		if err := stored.setField("/"+suffix, row); err != nil {
+		if err := stored.setField(id, "/"+suffix, row); err != nil {
 			bad(row.Key, err)
 		}
 	}
 	return jobs
 }
 
-func (r *jobRows) setField(suffix string, row table.Record) error {
+func (r *jobRows) setField(id, suffix string, row table.Record) error {
 	switch suffix {
 	case suffixJob:
-		r.job = &dispatch.Job{}
-		if err := json.Unmarshal(row.Value, r.job); err != nil {
-			r.job = nil
+		job := &dispatch.Job{}
+		if err := json.Unmarshal(row.Value, job); err != nil {
 			return errors.Wrap(err, "decode job")
 		}
+		if job.ID != id || job.OwnerRevision > row.Revision {
+			return errors.Newf("the row at revision %d has job %.80q, accepted at revision %d", row.Revision, job.ID, job.OwnerRevision)
+		}
+		r.job = job
 	case suffixProgress:
 		r.progress = &dispatch.Progress{}
 		if err := json.Unmarshal(row.Value, r.progress); err != nil {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -8,8 +8,10 @@
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/metrics"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -52,9 +54,11 @@
 	log      *zap.Logger
 	registry *metrics.Registry
 
+	ignored             *logs.FailureLogger    // of registrations that cannot be used
 	registration        *dispatch.Registration // nil until the worker has registered
 	registrationVersion int                    // increases with each change of registration
 	sequence            int64                  // of the worker's last registration
+	probing             bool                   // a poll is to show whether another incarnation has replaced the known one
 	fence               uint64                 // highest epoch of an owner that this agent has attached to
 	runs                runsByTask
 	// unanswered holds the last start of each task that got no answer. The worker may still
@@ -82,7 +86,7 @@
 // New returns a runner for a worker that has not registered yet.
 func New(settings Settings, worker Worker, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Runner {
 	r := &Runner{
-		settings: settings, worker: worker, loop: l, log: log, registry: registry,
+		settings: settings, worker: worker, loop: l, log: log, registry: registry, ignored: logs.NewFailureLogger(log, "registration-ignored"),
 		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, leasesExpireAt: time.Now().Add(initialLeaseBound),
 		lastAnswerAt: time.Now(), pollWake: make(chan struct{}, 1), pacer: newPacer(),
 	}
@@ -100,15 +104,19 @@
 // agent's start.
 func (r *Runner) UnservedFor() time.Duration { return time.Since(*r.servedAt.Load()) }
 
-// Register records the worker's registration. It ignores a registration that is older than
-// the last one, by the start of the incarnation or by sequence.
+// Register records the worker's registration. It ignores a registration whose sequence is not above
+// the last one's. A registration of another incarnation than the known one replaces that only once the
+// worker has answered a poll as the new one, since another writer may have sent it.
 func (r *Runner) Register(registration dispatch.Registration, sequence int64) {
 	registration.Agent, registration.AgentIncarnation = r.settings.Name, r.settings.AgentIncarnation
 	r.loop.Post(func() {
 		switch {
-		case r.registration == nil || registration.Incarnation.StartedAt > r.registration.Incarnation.StartedAt:
+		case r.registration == nil:
 			r.startIncarnation(registration)
-		case registration.Incarnation != r.registration.Incarnation || sequence <= r.sequence:
+		case registration.Incarnation != r.registration.Incarnation:
+			r.registerOther(registration, sequence)
+			return
+		case sequence <= r.sequence:
 			return
 		}
 		changed := registration.Draining != r.registration.Draining
@@ -124,6 +132,12 @@
 	})
 }
 
+// IgnoreRegistration logs and counts a registration of the given ID that cannot be used.
+func (r *Runner) IgnoreRegistration(id string, err error) {
+	r.registry.Add("registration-ignored", 1)
+	r.ignored.Note(errors.Wrapf(err, "instance %.80q", id))
+}
+
 // startIncarnation resets the state for a new incarnation of the worker. No run of the
 // previous incarnation exists any more.
 func (r *Runner) startIncarnation(registration dispatch.Registration) {
