--- a/internal/decision/dispatch/waits.go
+++ b/internal/decision/dispatch/waits.go
@@ -10,6 +10,7 @@
 	Unplaced         int // tasks that may start: no instance suits them, or the next plan places them
 	Instances        int // known instances
 	UsableInstances  int // instances on which a task may be placed now
+	Quarantined      int // further instances, on which only tasks of long-running steps may be placed
 	MissingInstances int // instances of an earlier owner that have not reported yet
 }
 
@@ -20,8 +21,11 @@
 func (s *Scheduler) LongRunningWaits(now time.Time) Waits {
 	waits := Waits{Instances: len(s.byID), MissingInstances: len(s.unconfirmed)}
 	for _, in := range s.byID {
-		if in.usable(now) {
+		switch {
+		case in.usable(now):
 			waits.UsableInstances++
+		case in.ready():
+			waits.Quarantined++
 		}
 	}
 	for _, j := range s.jobs {
