The agent logs which runs may have crashed its worker

The log showed that a worker was gone, and how many runs were lost, but not whether one of them had crashed it. An answer of another incarnation no longer counts as an answer of the current one, or a new incarnation found by a poll would clear all suspects.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -112,11 +112,6 @@
 		r.handlePollFailure(result, err)
 		return true
 	}
-	r.lastAnswerAt, r.incarnationUncertain = got, false
-	if r.silent {
-		r.silent = false
-		r.log.Info("worker-answers", zap.String("instance", call.Incarnation.ID))
-	}
 	if result.StartedAt != 0 && result.StartedAt != r.registration.Incarnation.StartedAt {
 		if result.StartedAt > r.registration.Incarnation.StartedAt {
 			registration := *r.registration
@@ -125,6 +120,7 @@
 		}
 		return false
 	}
+	r.recordAnswer(got)
 	if result.Clock < r.workerClock && !r.clockReadAt.IsZero() {
 		return false // a later answer of the worker arrived first
 	}
@@ -138,6 +134,15 @@
 	return false
 }
 
+// recordAnswer records that the current incarnation of the worker has answered a poll.
+func (r *Runner) recordAnswer(got time.Time) {
+	r.lastAnswerAt, r.incarnationUncertain = got, false
+	if r.silent {
+		r.silent = false
+		r.log.Info("worker-answers", zap.String("instance", r.registration.Incarnation.ID))
+	}
+}
+
 // handlePollFailure handles a poll that the worker rejected or did not answer.
 func (r *Runner) handlePollFailure(result PollResult, err error) {
 	r.registry.Add("hold-failed", 1)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -114,6 +114,7 @@
 // previous incarnation exists any more.
 func (r *Runner) startIncarnation(registration dispatch.Registration) {
 	r.log.Info("worker-life", zap.String("instance", registration.Incarnation.ID), zap.Int64("born", registration.Incarnation.StartedAt), zap.Int("lost", len(r.runs)))
+	r.crashSuspects()
 	unsettled := r.unsettled(registration)
 	if r.registration != nil && r.registration.Incarnation.ID == registration.Incarnation.ID {
 		r.leasesExpireAt = latest(r.leasesExpireAt, time.Now().Add(link.MaxStaleLease))
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -36,12 +36,14 @@
 	// settledAt is the time from which on no order in flight can start the run any more. If the
 	// result of a poll that is sent later does not show the run, it does not exist. The zero
 	// time means that a start may be in flight.
-	settledAt time.Time
+	settledAt   time.Time
+	confirmedAt time.Time // when the worker first confirmed that it began the run; zero before that
 }
 
 // settleStart records that the start has reached the worker. A stop that is in flight settles
 // the run later: until the worker has carried it out, its lists may omit the run.
 func (k *run) settleStart() {
+	k.confirmStart()
 	if !k.stopping && k.settledAt.IsZero() {
 		k.settledAt = time.Now()
 	}
