A task that crashes its workers is given up

Cause: only an end as failed counts against a task; an end by the loss of the worker counts nothing.

An agent outlives a crash of its worker. It now reports, when it attaches with the next incarnation, when the worker last answered and which runs it had begun just before; each attach repeats it, so that a new owner learns it too. The scheduler holds the crash against these tasks, stores it with the progress once per run, starts suspects apart, and fails the job when the evidence suffices. A common loss of workers is no evidence.

--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -90,11 +90,13 @@
 // instance is the owner's view of one worker and its current incarnation.
 type instance struct {
 	registration              Registration
-	rowWritten                bool // its row is in the table
-	rowChangeRequested        bool // the owner was asked to write or delete its row
-	restarted                 bool // a new incarnation has registered and not reported its runs yet
-	reconciled                bool // it has reported its runs since the owner took over
-	reachable                 bool // its agent has a session with the owner, and the worker answers the agent
+	rowWritten                bool      // its row is in the table
+	rowChangeRequested        bool      // the owner was asked to write or delete its row
+	restarted                 bool      // a new incarnation has registered and not reported its runs yet
+	reconciled                bool      // it has reported its runs since the owner took over
+	reachable                 bool      // its agent has a session with the owner, and the worker answers the agent
+	isolated                  bool      // a suspect has started there so recently that nothing else may
+	lastStartAt               time.Time // when a run was last placed there
 	reservations              map[TaskName]*reservation
 	unknownSteps              int                  // reservations of unknown steps, whose resource use is unknown
 	used                      Resources            // by all tasks, but for the processors of best-effort ones
@@ -192,10 +194,11 @@
 	in.used = in.used.minus(reserved)
 }
 
-// excludes reports whether runs that the instance has keep a task off it: an earlier run of the
-// task that has not ended yet, or as many tasks of its step as may run on one instance.
+// excludes reports whether runs that the instance has keep a task off it: a recent one of a
+// suspect, an earlier run of the task that has not ended yet, or as many tasks of its step as may
+// run on one instance.
 func (in *instance) excludes(t *task) bool {
-	if _, placed := in.reservations[t.name]; placed {
+	if _, placed := in.reservations[t.name]; placed || in.isolated {
 		return true
 	}
 	return t.step.MaxPerInstance > 0 && in.countStep(t.name) >= t.step.MaxPerInstance
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -27,6 +27,7 @@
 const (
 	penaltyRemoteData           = 1000 // not in the rack of the data, where tasks take longer
 	penaltyFailedBefore         = 600  // the task has failed there before
+	penaltyRecentStart          = 300  // a suspect where another task has just started
 	penaltyLoad                 = 100  // all processors of the instance are reserved, or best-effort tasks request as many
 	penaltyInterference         = 300  // a best-effort task that takes all the slack of a latency-critical one
 	penaltyOpenInstance         = 100  // a best-effort task on an instance open to all best-effort images
@@ -49,6 +50,7 @@
 	if len(p.usable) == 0 {
 		return nil
 	}
+	p.updateSuspects()
 	p.bestEffortImages = s.costModel.BestEffortImages()
 	p.moveStalled()
 	for _, j := range s.byUrgency(now, p.available()) {
@@ -86,6 +88,8 @@
 	now       time.Time
 	usable    []*instance
 	starts    []Start
+	// isolatedCount is the number of instances that suspects have to themselves.
+	isolatedCount int
 	// bestEffortImages are the known best-effort images. openShares, excludedShares and neighbors
 	// cache, by instance, the results of openShare, newlyExcludedShare and neighborsOn.
 	bestEffortImages []string
@@ -184,7 +188,7 @@
 
 // startable reports whether a task waits and may start now.
 func (p *planner) startable(t *task) bool {
-	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore)
+	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore) && !p.awaitsIsolation(t)
 }
 
 // placeGang places all tasks of a step or none.
@@ -258,6 +262,9 @@
 		if slices.Contains(t.failedOn, in.registration.Incarnation.ID) {
 			penalty += penaltyFailedBefore
 		}
+		if t.isolated(p.now) && p.now.Sub(in.lastStartAt) < isolationPeriod {
+			penalty += penaltyRecentStart
+		}
 		if best == nil || penalty < lowest {
 			best, lowest = in, penalty
 		}
@@ -345,6 +352,10 @@
 	placed.setStep(t.step)
 	in.add(placed)
 	p.updateCaches(in, t.step, true)
+	in.lastStartAt = p.now
+	if t.isolated(p.now) {
+		p.isolate(in)
+	}
 	p.starts = append(p.starts, Start{
 		Instance: in.registration.Incarnation.ID, Task: t.name, Run: run, Step: t.step,
 		Payload: j.spec.Payload, Checkpoint: t.checkpoint,
--- a/internal/decision/dispatch/progress.go
+++ b/internal/decision/dispatch/progress.go
@@ -5,7 +5,7 @@
 )
 
 // Progress is what is stored of a job in addition to the accepted job itself: its state, and
-// the tasks that are done, failed or have a checkpoint. Starts are not stored: instances
+// the tasks that are done, failed, are suspected of a crash or have a checkpoint. Starts are not stored: instances
 // report what they run.
 type Progress struct {
 	State       State         `json:"state,omitempty"` // final state, or Queued while the job is unfinished
@@ -18,6 +18,8 @@
 	Done []string `json:"done,omitempty"`
 	// Failed maps step.index of each unfinished task to its failed runs.
 	Failed map[string][]int64 `json:"failed,omitempty"`
+	// Crashed maps step.index of each unfinished task to the crashes held against it.
+	Crashed map[string]Crashes `json:"crashed,omitempty"`
 	// Checkpoints maps step.index of each unfinished task that is not placed to its latest
 	// checkpoint.
 	Checkpoints map[string]string `json:"saved,omitempty"`
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -46,6 +46,8 @@
 	instances          map[string]*instance // by the ID of their incarnation
 	byID               []*instance          // the same, sorted by that ID
 	unconfirmed        map[string]bool      // instances of earlier owners that have not reported yet
+	suspects           map[TaskName]*task   // tasks that a crash of a worker is held against
+	lostAt             map[string]time.Time // by agent: when its worker last fell silent or crashed
 	stops              []Stop
 	postponements      []Postponement
 	instanceChanges    []InstanceChange
@@ -69,7 +71,7 @@
 	return &Scheduler{
 		ownerRevision: ownerRevision, runBase: int64(epoch-1) * runNumbersPerEpoch,
 		jobs: map[string]*jobState{}, finished: map[string]finishedJob{},
-		instances: map[string]*instance{}, unconfirmed: map[string]bool{},
+		instances: map[string]*instance{}, unconfirmed: map[string]bool{}, suspects: map[TaskName]*task{}, lostAt: map[string]time.Time{},
 		costModel: interference.NewModel(),
 	}
 }
@@ -97,6 +99,7 @@
 		for k, occ := range stored.Occurrences {
 			o := s.newOccurrence(j, k, unconfirmed)
 			o.restore(occ)
+			s.restoreSuspects(now, o)
 			j.occurrences = append(j.occurrences, o)
 			j.started = true
 		}
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -2,23 +2,27 @@
 
 import (
 	"math/big"
+	"slices"
 	"strconv"
 	"time"
 )
 
 // task is one task of one occurrence of a job.
 type task struct {
-	name       TaskName
-	job        *jobState
-	step       *Step
-	instance   string // where it is placed; "" while it waits
-	run        int64  // number of the run that is placed now
-	lastRun    int64  // highest run number assigned or reported
-	startedAt  time.Time
-	checkpoint string   // latest checkpoint, "" if none
-	failedRuns []int64  // runs that ended as failed
-	failedOn   []string // instances on which they failed
-	done       bool
+	name        TaskName
+	job         *jobState
+	step        *Step
+	instance    string // where it is placed; "" while it waits
+	run         int64  // number of the run that is placed now
+	lastRun     int64  // highest run number assigned or reported
+	startedAt   time.Time
+	checkpoint  string     // latest checkpoint, "" if none
+	failedRuns  []int64    // runs that ended as failed
+	failedOn    []string   // instances on which they failed
+	crashes     Crashes    // cleared by a run that lasts
+	accusation  accusation // zero once it is judged
+	lastCrashAt time.Time  // when the last of them was recorded or, by a later owner, restored
+	done        bool
 	// unconfirmed is set while an earlier owner may have started the task on an instance that
 	// has not reported yet. The task must not start until then.
 	unconfirmed bool
@@ -155,6 +159,12 @@
 				}
 				progress.Failed[t.progressKey()] = t.failedRuns
 			}
+			if t.suspect() {
+				if progress.Crashed == nil {
+					progress.Crashed = map[string]Crashes{}
+				}
+				progress.Crashed[t.progressKey()] = t.crashes
+			}
 			if t.checkpoint != "" && t.instance == "" {
 				if progress.Checkpoints == nil {
 					progress.Checkpoints = map[string]string{}
@@ -185,8 +195,9 @@
 				t.unconfirmed = false
 			}
 			t.failedRuns = stored.Failed[t.progressKey()]
+			t.crashes = stored.Crashed[t.progressKey()]
 			t.checkpoint = stored.Checkpoints[t.progressKey()]
-			for _, run := range t.failedRuns {
+			for _, run := range slices.Concat(t.failedRuns, t.crashes.Runs) {
 				t.lastRun = max(t.lastRun, run)
 			}
 		}
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -41,8 +41,20 @@
 type Attach struct {
 	Registration dispatch.Registration `json:"offer"`
 	Session      uint64                `json:"session"` // increases with each attach of this agent
+	// Crash is the last crash of the worker that the agent has seen. Each attach repeats it, since
+	// the owner may have changed.
+	Crash *Crash `json:"crash,omitempty"`
 }
 
+// Crash is a crash of a worker.
+type Crash struct {
+	Age      int64                `json:"age"`                // ms since the worker last answered
+	Suspects []dispatch.RunStatus `json:"suspects,omitempty"` // runs that it had begun shortly before
+}
+
+// SilenceTimeout is the time without an answer after which an agent reports its worker as silent.
+const SilenceTimeout = 900 * time.Millisecond
+
 // AttachReply is the reply to Attach. Epoch is the fencing token of the owner's orders.
 type AttachReply struct {
 	Epoch uint64 `json:"epoch"`
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -29,6 +29,7 @@
 	conn             *Conn
 	number           uint64
 	incarnation      dispatch.Incarnation
+	agent            string    // name of the agent
 	full             bool      // the agent has sent its full run list
 	silent           bool      // the worker did not answer its agent at the last report
 	lastSeenEnd      int64     // highest sequence number of an end that the scheduler has recorded
@@ -55,9 +56,10 @@
 	if t.scheduler.IsNewIncarnation(a.Registration.Incarnation) {
 		t.staleLeaseUntil[id] = time.Now().Add(link.StaleOrderWindow)
 	}
+	t.recordCrash(a)
 	t.scheduler.Register(time.Now(), a.Registration)
 	t.scheduler.SetReachable(id, false) // until the agent has sent its full run list
-	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}}
+	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, agent: a.Registration.Agent, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}}
 	t.sessions[id] = s
 	delete(t.leaseExpiry, id)
 	if t.removing[id] || t.removalUncertain[id] {
@@ -78,6 +80,18 @@
 	return link.AttachReply{Epoch: t.epoch, Incremental: true}
 }
 
+// recordCrash passes the crash of a worker that its agent reports to the scheduler.
+func (t *term) recordCrash(a link.Attach) {
+	if a.Crash == nil {
+		return
+	}
+	now := time.Now()
+	crash := dispatch.Crash{Agent: a.Registration.Agent, At: now.Add(-time.Duration(a.Crash.Age) * time.Millisecond), Runs: a.Crash.Suspects}
+	for _, task := range t.scheduler.Crashed(now, crash) {
+		t.log.Warn("crash", zap.Stringer("task", task), zap.String("agent", a.Registration.Agent))
+	}
+}
+
 // endSilentSessions ends the sessions without a report for sessionTimeout.
 func (t *term) endSilentSessions(now time.Time) {
 	for id, s := range t.sessions {
@@ -129,6 +143,9 @@
 	}
 	t.scheduler.Observe(now, s.incarnation, r.Measurements)
 	t.scheduler.SetReachable(id, s.full && !r.Silent)
+	if r.Silent && !s.silent {
+		t.scheduler.Silent(now.Add(-link.SilenceTimeout), s.agent)
+	}
 	if r.LeasesExpired {
 		t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", "worker silent, its leases are over"))
 		t.scheduler.Lost(now, s.incarnation)
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -1,39 +1,78 @@
 package runner
 
 import (
+	"syscall"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
 // crashWindow is the time after its start in which a run may be the cause of a crash of its
 // worker. A run that the worker reported as running after that is not.
-const crashWindow = 500 * time.Millisecond
+const crashWindow = 200 * time.Millisecond
 
-// confirmStart records that the worker has begun the run.
-func (k *run) confirmStart() {
-	if k.confirmedAt.IsZero() {
-		k.confirmedAt = time.Now()
+// recordBegun records that the worker has begun the run, or may have.
+func (k *run) recordBegun() {
+	if k.begunAt.IsZero() {
+		k.begunAt = time.Now()
+	}
+}
+
+// recordStartAnswer records the answer to a start. A worker that refused the connection has not
+// begun the run; one that gave no answer may have, and crashed.
+func (r *Runner) recordStartAnswer(known *run, call StartCall, answer Answer, err error) {
+	if r.registration == nil || r.registration.Incarnation != call.Incarnation {
+		return
+	}
+	if err == nil {
+		r.lastStartAnswerAt = time.Now()
+	}
+	if err == nil && answer.Status == Applied || err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		known.recordBegun()
 	}
 }
 
 // mayHaveCrashed reports whether the run may be the cause of a crash of the worker, which last
-// answered at lastAnswerAt.
-func (k *run) mayHaveCrashed(lastAnswerAt time.Time) bool {
-	return !k.confirmedAt.IsZero() && lastAnswerAt.Sub(k.confirmedAt) < crashWindow
+// answered a call at lastAliveAt.
+func (k *run) mayHaveCrashed(lastAliveAt time.Time) bool {
+	return !k.begunAt.IsZero() && lastAliveAt.Sub(k.begunAt) < crashWindow
 }
 
-// crashSuspects returns the runs that may be the cause if the current incarnation of the worker
-// has crashed. There are none if it was draining.
-func (r *Runner) crashSuspects() []dispatch.RunStatus {
-	if r.registration == nil || r.registration.Draining {
+// crash is a crash of the worker. The zero value is none.
+type crash struct {
+	at       time.Time // when the worker last answered
+	suspects []dispatch.RunStatus
+}
+
+// report returns what the owner learns of the crash, or nil if there was none.
+func (c crash) report() *link.Crash {
+	if c.at.IsZero() {
 		return nil
 	}
+	return &link.Crash{Age: time.Since(c.at).Milliseconds(), Suspects: c.suspects}
+}
+
+// recordCrash records the end of the current incarnation of the worker if it may have crashed.
+func (r *Runner) recordCrash() {
+	if r.registration != nil && !r.registration.Draining {
+		r.lastCrash = crash{r.aliveAt(), r.crashSuspects()}
+	}
+}
+
+// aliveAt returns when the worker last answered a poll or a start.
+func (r *Runner) aliveAt() time.Time { return latest(r.lastStartAnswerAt, r.lastAnswerAt) }
+
+// crashSuspects returns the runs that may be the cause if the current incarnation of the worker
+// has crashed.
+func (r *Runner) crashSuspects() []dispatch.RunStatus {
 	var suspects []dispatch.RunStatus
+	lastAliveAt := r.aliveAt()
 	for name, known := range r.runs {
-		if known.mayHaveCrashed(r.lastAnswerAt) {
-			r.log.Warn("crash-suspect", zap.String("instance", r.registration.Incarnation.ID), zap.Stringer("task", name), zap.Int64("run", known.number), zap.Duration("age", r.lastAnswerAt.Sub(known.confirmedAt)))
+		if known.mayHaveCrashed(lastAliveAt) {
+			r.log.Warn("crash-suspect", zap.String("instance", r.registration.Incarnation.ID), zap.Stringer("task", name), zap.Int64("run", known.number), zap.Duration("age", lastAliveAt.Sub(known.begunAt)))
 			suspects = append(suspects, dispatch.RunStatus{Task: name, Run: known.number})
 		}
 	}
--- a/internal/runner/crashes_test.go
+++ b/internal/runner/crashes_test.go
@@ -2,44 +2,42 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/cockroachdb/errors"
 )
 
 // Only a run that the worker began shortly before it was last heard of may have crashed it.
 func TestOnlyRecentRunsAreCrashSuspects(t *testing.T) {
+	refused := errors.Wrap(syscall.ECONNREFUSED, "dial")
 	cases := []struct {
-		name       string
-		unanswered bool
-		draining   bool
-		alive      time.Duration // how long the worker answers polls after the start
-		want       int
+		name     string
+		startErr error
+		draining bool
+		alive    time.Duration // how long the worker answers polls after the start
+		want     int
 	}{
-		{"silent since the start", false, false, 0, 1},
-		{"answered just after the start", false, false, crashWindow / 2, 1},
-		{"answered long after the start", false, false, crashWindow, 0},
-		{"the start was never confirmed", true, false, 0, 0},
-		{"the worker was draining", false, true, 0, 0},
+		{"silent since the start", nil, false, 0, 1},
+		{"answered just after the start", nil, false, crashWindow / 2, 1},
+		{"answered long after the start", nil, false, crashWindow, 0},
+		{"the start got no answer", errors.New("reset"), false, 0, 1},
+		{"the start was refused", refused, false, 0, 0},
+		{"the worker was draining", nil, true, 0, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			worker := Worker{Start: func(ctx context.Context, _ StartCall) (Answer, error) {
-				if c.unanswered {
-					<-ctx.Done()
-				}
-				return Answer{}, ctx.Err()
-			}}
+			worker := Worker{Start: func(context.Context, StartCall) (Answer, error) { return Answer{}, c.startErr }}
 			withRunner(t, worker, func(t *testing.T, r *Runner) {
-				onLoop(t, r, func() {
-					r.registration.Draining = c.draining
-					r.applyOrders(link.Orders{Session: 1, Starts: []link.StartOrder{{Task: task, Run: 1}}})
-				})
+				onLoop(t, r, func() { r.applyOrders(link.Orders{Session: 1, Starts: []link.StartOrder{{Task: task, Run: 1}}}) })
 				time.Sleep(time.Millisecond)
 				onLoop(t, r, func() {
+					r.registration.Draining = c.draining
 					r.recordAnswer(time.Now().Add(c.alive))
-					if got := r.crashSuspects(); len(got) != c.want {
+					r.recordCrash()
+					if got := r.lastCrash.suspects; len(got) != c.want {
 						t.Errorf("suspects %v, want %d", got, c.want)
 					}
 				})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -23,7 +23,7 @@
 	pollPause = 25 * time.Millisecond
 	// silenceTimeout is the time without an answer after which a worker counts as silent and
 	// no more runs are started on it.
-	silenceTimeout = 900 * time.Millisecond
+	silenceTimeout = link.SilenceTimeout
 	// incarnationTrustPeriod is the time after its last answer in which a worker is assumed to
 	// be the same incarnation.
 	incarnationTrustPeriod = 450 * time.Millisecond
@@ -69,7 +69,9 @@
 	clockReadAt          time.Time // when the answer with that reading arrived
 	lastAnswerAt         time.Time // when the worker last answered
 	silent               bool
-	incarnationUncertain bool // the last poll failed
+	lastStartAnswerAt    time.Time // when the worker last answered a start
+	incarnationUncertain bool      // the last poll failed
+	lastCrash            crash     // of the worker
 	pollWake             chan struct{}
 
 	session     *session
@@ -114,7 +116,7 @@
 // previous incarnation exists any more.
 func (r *Runner) startIncarnation(registration dispatch.Registration) {
 	r.log.Info("worker-life", zap.String("instance", registration.Incarnation.ID), zap.Int64("born", registration.Incarnation.StartedAt), zap.Int("lost", len(r.runs)))
-	r.crashSuspects()
+	r.recordCrash()
 	unsettled := r.unsettled(registration)
 	if r.registration != nil && r.registration.Incarnation.ID == registration.Incarnation.ID {
 		r.leasesExpireAt = latest(r.leasesExpireAt, time.Now().Add(link.MaxStaleLease))
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -36,14 +36,14 @@
 	// settledAt is the time from which on no order in flight can start the run any more. If the
 	// result of a poll that is sent later does not show the run, it does not exist. The zero
 	// time means that a start may be in flight.
-	settledAt   time.Time
-	confirmedAt time.Time // when the worker first confirmed that it began the run; zero before that
+	settledAt time.Time
+	begunAt   time.Time // since when the worker has or may have begun the run; zero before that
 }
 
 // settleStart records that the start has reached the worker. A stop that is in flight settles
 // the run later: until the worker has carried it out, its lists may omit the run.
 func (k *run) settleStart() {
-	k.confirmStart()
+	k.recordBegun()
 	if !k.stopping && k.settledAt.IsZero() {
 		k.settledAt = time.Now()
 	}
@@ -149,6 +149,7 @@
 	if err != nil {
 		r.noteUnanswered(call)
 	}
+	r.recordStartAnswer(known, call, answer, err)
 	if !r.isCurrent(call.Incarnation, known, call.Task) {
 		return
 	}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -121,7 +121,7 @@
 		r.endSession()
 		r.lastSession++
 		version = r.registrationVersion
-		request = link.Attach{Registration: *r.registration, Session: r.lastSession}
+		request = link.Attach{Registration: *r.registration, Session: r.lastSession, Crash: r.lastCrash.report()}
 	})
 	if err != nil {
 		return nil, err
--- a/internal/testcluster/checker.go
+++ b/internal/testcluster/checker.go
@@ -20,8 +20,7 @@
 	ackedDone     map[dispatch.TaskName]bool   // the agent acknowledged that the task is done
 	endedDone     map[dispatch.TaskName]bool   // the task has ended as done on its worker, acknowledged or not
 	ackedFailures map[dispatch.TaskName]int    // acknowledged failed runs
-	starts        int
-	startedJobs   map[string]bool // jobs with at least one started task
+	starts        map[string]int               // by job
 	violations    []string
 }
 
@@ -30,7 +29,7 @@
 	return &Checker{
 		jobs: map[string]*dispatch.Job{}, capacity: capacity, used: map[string]dispatch.Resources{},
 		runningOn: map[dispatch.TaskName]string{}, ackedDone: map[dispatch.TaskName]bool{},
-		endedDone: map[dispatch.TaskName]bool{}, ackedFailures: map[dispatch.TaskName]int{}, startedJobs: map[string]bool{},
+		endedDone: map[dispatch.TaskName]bool{}, ackedFailures: map[dispatch.TaskName]int{}, starts: map[string]int{},
 	}
 }
 
@@ -53,7 +52,7 @@
 func (c *Checker) Started(job string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.startedJobs[job]
+	return c.starts[job] > 0
 }
 
 // AllDone reports whether every task of a job without repetition has ended as done.
@@ -78,7 +77,18 @@
 func (c *Checker) Starts() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.starts
+	sum := 0
+	for _, starts := range c.starts {
+		sum += starts
+	}
+	return sum
+}
+
+// StartsOf returns the number of starts of tasks of one job.
+func (c *Checker) StartsOf(job string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts[job]
 }
 
 // addViolation records a violation. The caller holds the lock.
@@ -90,8 +100,7 @@
 func (c *Checker) checkStart(worker string, call runner.StartCall) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.starts++
-	c.startedJobs[call.Task.Job] = true
+	c.starts[call.Task.Job]++
 	job := c.jobs[call.Task.Job]
 	if job == nil {
 		c.addViolation("UNASKED %v: nobody handed the job in", call.Task)
@@ -173,8 +182,20 @@
 	}
 }
 
-// failingPayload is the payload of jobs whose tasks always fail.
-const failingPayload = "bad"
+const (
+	// failingPayload is the payload of jobs whose tasks always fail.
+	failingPayload = "bad"
+	// CrashingPayload is the payload of jobs whose first task in each step crashes its worker.
+	CrashingPayload = "crashing"
+)
+
+// crashesWorkers reports whether the task crashes each worker that starts it.
+func (c *Checker) crashesWorkers(name dispatch.TaskName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job := c.jobs[name.Job]
+	return job != nil && job.Payload == CrashingPayload && name.Index == 0
+}
 
 // endReason returns how a task ends if it is not stopped: tasks of jobs with failingPayload
 // fail, all others are done.
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -22,6 +22,10 @@
 	restartUndetected = 700 * time.Millisecond
 	// workerPollInterval is how often the worker checks its runs.
 	workerPollInterval = 20 * time.Millisecond
+	// crashDelay is how long a task of a job with CrashingPayload runs before it crashes the
+	// worker, and crashDowntime how long the worker is down then.
+	crashDelay    = 10 * time.Millisecond
+	crashDowntime = 3 * time.Second
 )
 
 // OrderFault is the fault that the worker injects into one call.
@@ -244,6 +248,10 @@
 		return runner.Answer{Status: runner.Rejected, Reason: "old"}
 	}
 	w.runs[call.Task] = &workerRun{number: call.Run, endsAt: time.Now().Add(w.checker.checkStart(w.name, call))}
+	if w.checker.crashesWorkers(call.Task) {
+		time.AfterFunc(crashDelay, w.Crash)
+		time.AfterFunc(crashDelay+crashDowntime, w.Restart)
+	}
 	return runner.Answer{}
 }
 
