The last change of an instance's row is the one that waits for a commit

What callers could see: a task started a second time while it runs (TWICE).

Cause: a batch that held two changes of one row put the second back, but counted it as written: a task could start on an instance without a row, for which a later owner does not wait. A change that was put back came after newer ones of its row, and a commit that failed multiplied them. An instance that is lost and attaches again within one commit has two changes.

Change: the queue holds one change for each row, the last one.

Measured: TestTasksStartOnlyWhereTheRowIsInTheTable, TestTheLastChangeOfARowHolds and TestChangesDoNotMultiplyInAnOutage failed before ("after commit 11, a task runs on an instance without a row", "the row was removed after its last write", "499 changes of 2 rows wait") and pass.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -123,7 +124,7 @@
 func (t *term) nextBatch() *batch {
 	b := &batch{sent: t.elector.now(), txn: table.Txn{Preconditions: []table.Precondition{t.ownerPrecondition()}}}
 	b.instances = t.changes[:min(len(t.changes), maxCommitInstances)]
-	t.changes = t.changes[len(b.instances):]
+	t.changes = slices.Clone(t.changes[len(b.instances):])
 	for _, change := range b.instances {
 		t.putInstance(b, change)
 	}
@@ -162,12 +163,6 @@
 
 func (t *term) putInstance(b *batch, change dispatch.InstanceChange) {
 	rowKey := instanceRowKey(change.Registration.Incarnation.ID)
-	for _, precondition := range b.txn.Preconditions {
-		if precondition.RowKey == rowKey {
-			t.changes = append(t.changes, change) // a commit can change a row only once
-			return
-		}
-	}
 	if change.Gone {
 		t.putRemoval(&b.txn, rowKey)
 		return
@@ -222,9 +217,25 @@
 	t.schedulePlan()
 }
 
-// requeueChanges makes the instance rows and the removals of a commit wait for the next one.
+// queueChange makes the change of an instance's row wait for the next commit. It replaces a change of
+// the same row that still waits, so that a commit changes each row once.
+func (t *term) queueChange(change dispatch.InstanceChange) {
+	t.changes = slices.DeleteFunc(t.changes, func(waiting dispatch.InstanceChange) bool { return sameRow(waiting, change) })
+	t.changes = append(t.changes, change)
+}
+
+func sameRow(a, b dispatch.InstanceChange) bool {
+	return a.Registration.Incarnation.ID == b.Registration.Incarnation.ID
+}
+
+// requeueChanges makes the instance rows and the removals of a commit wait for the next one, except
+// the rows of which a later change waits already.
 func (t *term) requeueChanges(b *batch) {
-	t.changes = append(b.instances, t.changes...)
+	later := t.changes
+	t.changes = slices.Clone(b.instances)
+	for _, change := range later {
+		t.queueChange(change)
+	}
 	t.finished = append(b.removed, t.finished...)
 }
 
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -79,7 +79,7 @@
 // removed. The lease of a removed instance is no longer waited for.
 func (t *term) collectInstanceChanges() {
 	for _, change := range t.scheduler.TakeInstanceChanges() {
-		t.changes = append(t.changes, change)
+		t.queueChange(change)
 		if change.Gone {
 			delete(t.leaseExpiry, change.Registration.Incarnation.ID)
 		}
