A late word that leases are over loses no live instance

What callers could see: tasks of a live instance started a second time (TWICE).

Cause: the attach by which an agent says that its worker's leases are over can time out at the agent and arrive later, when the worker has answered again and runs tasks, or at a later owner. The owner took the instance for lost on it.

Change: the attach names the epoch that it is meant for, and counts only if the instance has had no session in this term.

Measured: TestALateReportOfExpiredLeasesLosesNothing failed before ("the instance was lost", connected and not) and passes; TestATakeoverDoesNotWaitForAWorkerWhoseLeasesAreOver still passes.

--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -42,8 +42,10 @@
 	Registration dispatch.Registration `json:"offer"`
 	Session      uint64                `json:"session"` // increases with each attach of this agent
 	// LeasesExpired says that the worker is silent and all leases given to it have expired. No
-	// session starts then.
-	LeasesExpired bool `json:"over,omitempty"`
+	// session starts then. Epoch is that of the owner that it is meant for: a later owner may
+	// receive it late, after it has ceased to be true.
+	LeasesExpired bool   `json:"over,omitempty"`
+	Epoch         uint64 `json:"epoch,omitempty"`
 	// Crash is the last crash of the worker, if it was lately. Each attach repeats it, since the
 	// owner may have changed.
 	Crash *Crash `json:"crash,omitempty"`
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -50,9 +50,14 @@
 func (t *term) handleAttach(conn *Conn, a link.Attach) link.AttachReply {
 	id := a.Registration.Incarnation.ID
 	if a.LeasesExpired {
-		t.lose(id, a.Registration.Incarnation)
+		// The message may arrive late. Once the instance has attached in this term, its worker
+		// may have been given leases since, and the owner waits for those instead.
+		if a.Epoch == t.epoch && !t.attached[id] {
+			t.lose(id, a.Registration.Incarnation)
+		}
 		return link.AttachReply{Epoch: t.epoch, Incremental: true}
 	}
+	t.attached[id] = true
 	if old := t.sessions[id]; old != nil && old.conn != conn {
 		old.conn.link.Close()
 	}
@@ -163,9 +168,6 @@
 // lose ends the session of an instance whose agent has reported that its worker is silent and all
 // leases given to it have expired: nothing runs there any more.
 func (t *term) lose(id string, incarnation dispatch.Incarnation) {
-	if s := t.sessions[id]; s != nil && s.incarnation != incarnation {
-		return
-	}
 	t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", "worker silent, its leases are over"))
 	t.scheduler.Lost(time.Now(), incarnation)
 	delete(t.sessions, id)
--- a/internal/owner/sessions_test.go
+++ b/internal/owner/sessions_test.go
@@ -115,3 +115,44 @@
 		t.Error("an acknowledgement that was carried is owed")
 	}
 }
+
+// That the leases of an instance are over may be heard late: the instance may have attached again, and
+// run tasks, by then. Its tasks must not start elsewhere.
+func TestALateReportOfExpiredLeasesLosesNothing(t *testing.T) {
+	registration := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "w", StartedAt: 1}, Service: "s"}
+	cases := []struct {
+		name      string
+		connected bool
+	}{
+		{"while the instance is connected", true},
+		{"while its leases are waited for", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			onTerm(t, func(current *term, conn *Conn) { // the instance has attached
+				job := dispatch.Job{ID: "j", Policy: dispatch.Policy{Service: "s"}, Steps: []dispatch.Step{{Count: 1}}}
+				current.scheduler.Accept(time.Now(), &job, nil)
+				if starts := current.scheduler.Plan(time.Now()); len(starts) != 1 {
+					t.Fatalf("%d starts, want 1", len(starts))
+				}
+				if !c.connected {
+					current.disconnected("w", current.sessions["w"])
+				}
+				current.handleAttach(conn, link.Attach{Registration: registration, LeasesExpired: true, Epoch: current.epoch})
+				if len(current.scheduler.Runs("w")) != 1 {
+					t.Error("the instance was lost")
+				}
+			})
+		})
+	}
+	for _, epoch := range []uint64{1, 2} {
+		onTerm(t, func(current *term, conn *Conn) {
+			restored := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "r", StartedAt: 1}, Service: "s"}
+			current.scheduler.RestoreInstance(restored)
+			current.handleAttach(conn, link.Attach{Registration: restored, LeasesExpired: true, Epoch: epoch})
+			if waits := len(current.scheduler.Unconfirmed()) > 0; waits != (epoch < current.epoch) {
+				t.Errorf("meant for epoch %d, heard in epoch %d: the owner waits for the instance: %v", epoch, current.epoch, waits)
+			}
+		})
+	}
+}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -63,6 +63,7 @@
 	ended         bool
 	scheduler     *dispatch.Scheduler
 	sessions      map[string]*session // by ID of the worker's incarnation
+	attached      map[string]bool     // instances that have had a session in this term
 
 	leaseExpiry      map[string]time.Time      // of instances without a session: when their last lease expires
 	revisions        map[table.RowKey]uint64   // last known revision per row
@@ -106,7 +107,7 @@
 	return &term{
 		elector: e, log: log, commitFailures: logs.NewFailureLogger(log, "commit-unanswered"),
 		epoch: holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
-		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{},
+		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{}, attached: map[string]bool{},
 		leaseExpiry: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, staleLeaseUntil: map[string]time.Time{},
 		ctx: ctx, stop: stop,
 	}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -71,7 +71,7 @@
 				sleep(ctx, reconnectDelay)
 				continue
 			}
-			attachFailures.Note(r.runOneSession(ctx, dial, address, func() bool {
+			attachFailures.Note(r.runOneSession(ctx, dial, address, epoch, func() bool {
 				current, _ := find()
 				return current == address
 			}))
@@ -98,7 +98,7 @@
 // runOneSession attaches to the owner and reports to it until the session ends. It returns an
 // error if no session started or the loop has ended. Why a session ended is only logged. If the
 // worker's leases have expired, the attach itself tells the owner, and no session starts.
-func (r *Runner) runOneSession(ctx context.Context, dial link.Dial, address string, isOwner func() bool) error {
+func (r *Runner) runOneSession(ctx context.Context, dial link.Dial, address string, epoch uint64, isOwner func() bool) error {
 	callCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	stream, err := dial(callCtx, address)
@@ -107,7 +107,7 @@
 	}
 	conn := link.New(ctx, stream, address, r.registry, r.handle)
 	defer conn.Close()
-	s, err := r.attach(callCtx, conn)
+	s, err := r.attach(callCtx, conn, epoch)
 	if err != nil || s == nil {
 		return err
 	}
@@ -121,10 +121,11 @@
 	}), "end session")
 }
 
-// attach ends the previous session and starts a new one. It fails if the call to the owner
-// fails, if the owner's epoch is lower than one that this agent has attached to, or if the
-// worker has restarted meanwhile. The session is nil if the worker's leases have expired.
-func (r *Runner) attach(ctx context.Context, conn *link.Conn) (*session, error) {
+// attach ends the previous session and starts a new one with the owner, whose epoch is epoch as far as
+// this agent knows. It fails if the call to the owner fails, if the owner's epoch is lower than one
+// that this agent has attached to, or if the worker has restarted meanwhile. The session is nil if the
+// worker's leases have expired.
+func (r *Runner) attach(ctx context.Context, conn *link.Conn, epoch uint64) (*session, error) {
 	var request link.Attach
 	version := 0
 	err := r.loop.Do(func() {
@@ -132,7 +133,7 @@
 		r.lastSession++
 		version = r.registrationVersion
 		request = link.Attach{
-			Registration: *r.registration, Session: r.lastSession, LeasesExpired: r.leasesExpired(), Crash: r.lastCrash.report(),
+			Registration: *r.registration, Session: r.lastSession, LeasesExpired: r.leasesExpired(), Epoch: epoch, Crash: r.lastCrash.report(),
 		}
 	})
 	if err != nil {
@@ -150,7 +151,7 @@
 		case r.registration.Incarnation != request.Registration.Incarnation:
 			err = errors.New("the worker has restarted during the attach")
 		case request.LeasesExpired:
-			r.lossReportedTo, s = attached.Epoch, nil
+			r.lossReportedTo, s = epoch, nil
 		default:
 			r.fence, r.session = attached.Epoch, s
 			r.wakePoll()
