A worker whose leases are over gets no lease from an earlier grant

What callers could see: a late start carried out while its task runs elsewhere (TWICE).

Cause: while a worker is silent its agent goes on to collect grants, also in the reply to the very report that says that its leases are over. The owner starts the tasks elsewhere on that report; a worker that answered again at that moment got up to 3.5 s of lease from the earlier grant.

Change: an agent that says that its worker's leases are over voids the last grant, and takes none from the reply.

Measured: TestAWorkerWhoseLeasesAreOverGetsNoLeaseFromAnEarlierGrant failed before in both cases ("a lease until 3600", "a lease until 3100") and passes.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -158,6 +158,17 @@
 // leasesExpired reports whether the worker is silent and all leases given to it have expired.
 func (r *Runner) leasesExpired() bool { return r.silent && time.Now().After(r.leasesExpireAt) }
 
+// declareLeasesExpired returns leasesExpired for a message to the owner. Since the owner starts the
+// tasks elsewhere then, the last grant is void: a worker that answers again gets no lease, with which
+// it would carry out a late start, before the next session has earned one.
+func (r *Runner) declareLeasesExpired() bool {
+	expired := r.leasesExpired()
+	if expired {
+		r.grantDeadline = time.Time{}
+	}
+	return expired
+}
+
 // reconcile updates the known runs from the result of a poll that was sent at the time sent.
 func (r *Runner) reconcile(result PollResult, sent time.Time) {
 	changed := false
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -133,7 +133,7 @@
 		r.lastSession++
 		version = r.registrationVersion
 		request = link.Attach{
-			Registration: *r.registration, Session: r.lastSession, LeasesExpired: r.leasesExpired(), Epoch: epoch, Crash: r.lastCrash.report(),
+			Registration: *r.registration, Session: r.lastSession, LeasesExpired: r.declareLeasesExpired(), Epoch: epoch, Crash: r.lastCrash.report(),
 		}
 	})
 	if err != nil {
@@ -224,7 +224,9 @@
 		}
 		s.full = s.full || report.Full
 		s.lastReportedEnd = s.reportingEnd
-		r.extendGrant(sent, time.Duration(reply.Grant)*time.Millisecond)
+		if !report.LeasesExpired {
+			r.extendGrant(sent, time.Duration(reply.Grant)*time.Millisecond)
+		}
 		r.forget(reply.Committed)
 		for _, cost := range reply.Costs {
 			r.pacer.model.Set(cost)
