A task tries a quarantined instance once in each quarantine

Found by a review.

Change: an instance knows which tasks have failed since its quarantine began. A task lists each instance on which it has failed once.

A comment named a field that does not exist.

--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -76,7 +76,8 @@
 		s.completeTask(t)
 	case EndFailed:
 		s.recordFailure(now, in, t)
-		t.failedOn = append(t.failedOn, in.registration.Incarnation.ID)
+		in.recordQuarantinedFailure(now, t)
+		t.recordFailedOn(in.registration.Incarnation.ID)
 		if t.step.LongRunning {
 			t.notBefore = now.Add(restartDelay)
 			return
@@ -123,7 +124,7 @@
 	in.lastFailedJob = t.name.Job
 	in.consecutiveFailures++
 	if in.consecutiveFailures >= quarantineThreshold {
-		in.quarantinedUntil = now.Add(quarantineDuration)
+		in.quarantine(now)
 		in.consecutiveFailures = quarantineThreshold - 1
 	}
 }
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -108,7 +108,8 @@
 	bestEffortCores           map[string]float64   // cores used by each best-effort image at that time, smoothed
 	consecutiveFailures       int                  // failed runs since the last done run; a failure of lastFailedJob is not counted
 	lastFailedJob             string               // job of the last failed run that was counted
-	quarantinedUntil          time.Time            // gets no new tasks before then
+	quarantinedUntil          time.Time            // gets no new tasks before then, see planQuarantined
+	failedInQuarantine        map[TaskName]bool    // tasks that have failed there since the quarantine began
 	drainDeadline             time.Time            // when a draining instance may be gone
 }
 
--- a/internal/decision/dispatch/quarantine_test.go
+++ b/internal/decision/dispatch/quarantine_test.go
@@ -34,3 +34,21 @@
 	expect(t, "the starts where the task has failed", len(s.Plan(at(1))), 0)
 	expect(t, "the starts after the quarantine", len(s.Plan(at(5))), 3) // with the tasks of j and k
 }
+
+func TestAFailureOfAnEarlierQuarantineDoesNotExcludeTheTask(t *testing.T) {
+	s, free := quarantined(t)
+	step := stepOf(1, 2)
+	step.LongRunning = true
+	s.Accept(at(0), jobOf("n", step), nil)
+	fail := func(seconds float64, sequence int64, start Start) {
+		s.Ended(at(seconds), Incarnation{free, 1}, []End{{Sequence: sequence, Task: start.Task, Run: start.Run, Reason: EndFailed}})
+	}
+	fail(0.3, 3, s.Plan(at(0.2))[0])
+	for i, start := range s.Plan(at(5)) { // n, j and k fail after the quarantine, which begins anew
+		fail(5.1, int64(4+i), start)
+	}
+	again := s.Plan(at(5.2))
+	if len(again) != 1 || again[0].Task.Job != "n" {
+		t.Errorf("started in the second quarantine: %v", startsOf(again))
+	}
+}
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -32,6 +32,13 @@
 // waiting reports whether the task is neither done nor placed.
 func (t *task) waiting() bool { return !t.done && t.instance == "" }
 
+// recordFailedOn records an instance on which the task has failed.
+func (t *task) recordFailedOn(id string) {
+	if !slices.Contains(t.failedOn, id) {
+		t.failedOn = append(t.failedOn, id)
+	}
+}
+
 // progressKey is the task's key in Occurrence.Failed and Occurrence.Checkpoints: step.index.
 func (t *task) progressKey() string {
 	return strconv.Itoa(t.name.Step) + "." + strconv.Itoa(t.name.Index)
--- a/internal/decision/dispatch/waits.go
+++ b/internal/decision/dispatch/waits.go
@@ -5,12 +5,12 @@
 // Waits counts the tasks of long-running steps that wait, by what they wait for, and the
 // instances that they could use.
 type Waits struct {
-	Unconfirmed      int // tasks that an instance of an earlier owner may run, see UnconfirmedInstances
+	Unconfirmed      int // tasks that an instance of an earlier owner may run, see MissingInstances
 	Delayed          int // tasks that wait for their restart delay
 	Unplaced         int // tasks that may start: no instance suits them, or the next plan places them
 	Instances        int // known instances
 	UsableInstances  int // instances on which a task may be placed now
-	Quarantined      int // further instances, on which only tasks of long-running steps may be placed
+	Quarantined      int // instances on which only tasks of long-running steps may be placed
 	MissingInstances int // instances of an earlier owner that have not reported yet
 }
 
