--- a/internal/decision/dispatch/progress.go
+++ b/internal/decision/dispatch/progress.go
@@ -5,8 +5,8 @@
 )
 
 // Progress is what is stored of a job in addition to the accepted job itself: its state, and
-// the tasks that are done, failed, are suspected of a crash or have a checkpoint. Starts are not stored: instances
-// report what they run.
+// the tasks that are done, have failed, are suspected of a crash or have a checkpoint. Starts are
+// not stored: instances report what they run.
 type Progress struct {
 	State       State         `json:"state,omitempty"` // final state, or Queued while the job is unfinished
 	Occurrences []*Occurrence `json:"occ,omitempty"`   // by occurrence number; nil where nothing is stored
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -1,7 +1,8 @@
 // Package owner runs in the entry and, as a standby, in the agent. It elects the one process that
-// owns the shard, an entry as long as one runs, and does that owner's work: it renews the ownership in the table, runs the scheduler of package dispatch,
-// sends the scheduler's orders to the agents and stores its state in the table. Scheduling
-// decisions are left to package dispatch, the execution of orders to the agents.
+// owns the shard, an entry as long as one runs, and does that owner's work: it renews the
+// ownership in the table, runs the scheduler of package dispatch, sends the scheduler's orders to
+// the agents and stores its state in the table. Scheduling decisions are left to package dispatch,
+// the execution of orders to the agents.
 //
 // Only the owner starts tasks of jobs with steps (dispatch.Job), once it has loaded its state
 // from the table. Starts are not stored: the table holds the jobs, their progress and the
