The soak's workers register with their address, and its agents may own the shard

Cause: the stand-in registered its workers with the address "x", which no worker can have. The stand-in was wrong, not the check.

Change: the registration has the address at which the agent reaches the worker. Agents get a link address, so that the soak plays standbys too.

--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -255,25 +255,25 @@
 	if err != nil {
 		return err
 	}
-	p, err := c.addProcess(ctx, binary, "a"+name, "agent", "--control", registrationAddress, "--worker", workerProxy.address())
+	p, err := c.addProcess(ctx, binary, "a"+name, "agent", "--control", registrationAddress, "--worker", workerProxy.address(), "--link", assignAddress())
 	if err != nil {
 		return err
 	}
 	p.workerProxy, p.standinWorker = workerProxy, worker
 	c.workers = append(c.workers, worker)
 	go worker.Run(ctx)
-	go keepRegistered(ctx, worker, registrationAddress)
+	go keepRegistered(ctx, worker, registrationAddress, workerProxy.address())
 	return nil
 }
 
-// keepRegistered registers a worker with its agent once each registrationInterval until ctx
-// ends.
-func keepRegistered(ctx context.Context, worker *testcluster.Worker, registrationAddress string) {
+// keepRegistered registers a worker, which is reached at address, with its agent once each
+// registrationInterval until ctx ends.
+func keepRegistered(ctx context.Context, worker *testcluster.Worker, registrationAddress, address string) {
 	client := &http.Client{Timeout: registrationTimeout}
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		if incarnation, up := worker.Incarnation(); up {
-			body := fmt.Sprintf(`{"service":"s","address":"x","zone":"z","state":"ready","seq":%d,"born":%d,"capacity":{"cpu":%d,"mem_mb":%d}}`,
-				sequence, incarnation.StartedAt, workerCapacity.Processors, workerCapacity.Memory)
+			body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","state":"ready","seq":%d,"born":%d,"capacity":{"cpu":%d,"mem_mb":%d}}`,
+				address, sequence, incarnation.StartedAt, workerCapacity.Processors, workerCapacity.Memory)
 			request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+registrationAddress+"/api/instances/"+incarnation.ID, strings.NewReader(body))
 			if err != nil {
 				return
