--- /dev/null
+++ b/review/lab/cases.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// playEnds: the store is down while more tasks end on a worker than one list of ends holds.
+// Rule TWICE: no start after a run has ended done, if that end is noted then or later.
+func playEnds(d *deployment, trouble bool) (string, error) {
+	const (
+		job     = "00000000000000e1"
+		outage  = 4200 * time.Millisecond
+		tasks   = 6000
+		calm    = 3 * time.Second
+		maxTime = 60 * time.Second
+	)
+	if err := d.up(3, 3, resources{CPU: 48000, Mem: 125000}, "a", "a", "a"); err != nil {
+		return "", err
+	}
+	if err := d.submit(job, jobSpec{work: 640 * time.Millisecond}, step{Count: tasks, CPU: 400, Mem: 300, EstimateMS: 640}); err != nil {
+		return "", err
+	}
+	time.Sleep(calm)
+	if trouble {
+		d.store.setDown(true)
+		time.Sleep(outage)
+		d.store.setDown(false)
+	}
+	state := d.waitState(job, maxTime, "completed", "failed")
+	d.rec.add("job %s: %s", job, state)
+	if state != "completed" {
+		return "", fmt.Errorf("the job is %q and not completed after %v", state, maxTime)
+	}
+	time.Sleep(2 * time.Second) // the last ends are noted
+	for _, w := range d.workers {
+		w.mu.Lock()
+		d.rec.add("worker %s: at most %d ends were not noted at a time", w.name, w.peak)
+		w.mu.Unlock()
+	}
+	return d.twice(), nil
+}
+
+// twice returns the starts of tasks that had ended done, if that end was noted, in words.
+func (d *deployment) twice() string {
+	done := map[string]span{}
+	count, first := 0, ""
+	for _, s := range allSpans(d.workers) {
+		if before, known := done[s.task]; known && s.began.After(before.ended) {
+			count++
+			line := fmt.Sprintf("%s run %d starts on %s %v after run %d ended done on %s, an end that was noted", s.task, s.run, s.worker, s.began.Sub(before.ended).Round(time.Millisecond), before.run, before.worker)
+			d.rec.add("TWICE: %s", line)
+			if first == "" {
+				first = line
+			}
+		}
+		if s.how == "done" && s.noted {
+			if _, known := done[s.task]; !known {
+				done[s.task] = s
+			}
+		}
+	}
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprintf("TWICE, %d tasks; the first: %s", count, first)
+}
+
+// playProgress: the one worker that may run a large job crashes, and all its tasks wait with their
+// checkpoints. Rule LOST: no job has nothing running for 3 s while its tasks' turn has come and there
+// is room for it twice over.
+func playProgress(d *deployment, trouble bool) (string, error) {
+	const (
+		large, small = "00000000000000b1", "00000000000000b2"
+		tasks        = 2600
+		down         = 2 * time.Second
+		finish       = 14 * time.Second // finish_s
+		idleBound    = 3 * time.Second
+	)
+	if err := d.up(3, 3, resources{CPU: 64000, Mem: 250000}, "b", "a", "a"); err != nil {
+		return "", err
+	}
+	spec := jobSpec{work: 8 * time.Second, checkpoint: true}
+	if err := d.submit(large, spec, step{Count: tasks, CPU: 10, Mem: 40, EstimateMS: 8000, Checkpoint: true, Requires: "b"}); err != nil {
+		return "", err
+	}
+	only := d.workers[0]
+	deadline := time.Now().Add(15 * time.Second)
+	for only.runningOf(large) < tasks {
+		if time.Now().After(deadline) {
+			return "", fmt.Errorf("%d of %d tasks run", only.runningOf(large), tasks)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	d.rec.add("all %d tasks run", tasks)
+	time.Sleep(3 * time.Second) // each has a checkpoint
+	if trouble {
+		only.crash()
+		time.Sleep(down)
+		if err := only.start(); err != nil {
+			return "", err
+		}
+	}
+	if err := d.submit(small, jobSpec{work: 640 * time.Millisecond}, step{Count: 6, CPU: 480, Mem: 300, EstimateMS: 640}); err != nil {
+		return "", err
+	}
+	lastSend := time.Now()
+	time.Sleep(finish)
+	began := time.Now()
+	idle := true
+	for time.Since(began) < 2*idleBound {
+		if only.runningOf(large) > 0 {
+			idle = false
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	largeState, smallState := d.state(large), d.state(small)
+	d.rec.add("%v after the last request of a client: the large job is %s, the small one %s", time.Since(lastSend).Round(time.Second), largeState, smallState)
+	remaining := d.undone(large, tasks)
+	smallRemaining := d.undone(small, 6)
+	d.rec.add("tasks that have not ended done: %d of the large job, %d of the small one", remaining, smallRemaining)
+	d.rec.add("store: %d transactions done, %d refused as too large", d.store.answered, d.store.refused)
+	switch {
+	case idle && remaining > 0 && largeState != "completed":
+		return fmt.Sprintf("LOST: job %s is %s, %d of its tasks wait, nothing of it runs for %v and its worker is empty; job %s, whose tasks have all but %d ended done, is %s", large, largeState, remaining, 2*idleBound, small, smallRemaining, smallState), nil
+	case largeState != "completed" && d.waitState(large, 30*time.Second, "completed") != "completed":
+		return "", errors.New("the large job still runs")
+	case smallState != "completed":
+		return "", fmt.Errorf("the small job is %s", smallState)
+	}
+	return "", nil
+}
+
+// undone returns how many of a job's tasks have no run that ended done.
+func (d *deployment) undone(job string, tasks int) int {
+	done := map[string]bool{}
+	for _, s := range allSpans(d.workers) {
+		if s.how == "done" && len(s.task) > len(job) && s.task[:len(job)+1] == job+"." {
+			done[s.task] = true
+		}
+	}
+	return tasks - len(done)
+}
+
+// playCrashes: a worker crashes twice, each time before it has begun a task that is ordered there.
+// Rule LOST: no job is shown as failed without cause, and only ends that are failed count as attempts.
+func playCrashes(d *deployment, trouble bool) (string, error) {
+	const (
+		job      = "00000000000000c1"
+		down     = 1500 * time.Millisecond
+		maxTime  = 30 * time.Second
+		attempts = 4
+	)
+	if err := d.up(3, attempts, resources{CPU: 32000, Mem: 125000}, "b", "a", "a"); err != nil {
+		return "", err
+	}
+	only := d.workers[0]
+	if trouble {
+		only.goDark()
+	}
+	if err := d.submit(job, jobSpec{work: 2 * time.Second}, step{Count: 1, CPU: 480, Mem: 300, EstimateMS: 2000, Requires: "b"}); err != nil {
+		return "", err
+	}
+	if trouble {
+		time.Sleep(down)
+		only.crash()
+		if err := only.start(); err != nil {
+			return "", err
+		}
+		time.Sleep(400 * time.Millisecond)
+		only.goDark()
+		time.Sleep(down)
+		only.crash()
+		if err := only.start(); err != nil {
+			return "", err
+		}
+	}
+	state := d.waitState(job, maxTime, "completed", "failed")
+	failed, begun := 0, 0
+	for _, s := range allSpans(d.workers) {
+		begun++
+		if s.how == "failed" {
+			failed++
+		}
+	}
+	d.rec.add("job %s: %s; %d runs were begun, %d of them ended failed, and %d may", job, state, begun, failed, attempts)
+	switch {
+	case state == "failed" && failed < attempts:
+		return fmt.Sprintf("LOST: job %s is shown as failed; %d of its runs were begun, %d ended failed", job, begun, failed), nil
+	case state != "completed":
+		return "", fmt.Errorf("the job is %q after %v", state, maxTime)
+	}
+	return "", nil
+}
+
+// up starts entries, and workers of the given kinds with their agents.
+func (d *deployment) up(entries, attempts int, capacity resources, kinds ...string) error {
+	d.configure(attempts)
+	if err := d.addEntries(entries); err != nil {
+		return err
+	}
+	for _, kind := range kinds {
+		if _, err := d.addWorker(capacity, kind); err != nil {
+			return err
+		}
+	}
+	return d.waitReady()
+}
