--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -194,6 +194,49 @@
 	return "", nil
 }
 
+// playTimed: the process that owns the shard is killed while tasks of jobs with a first run in the
+// future run; they end before another process takes over. Rule TWICE.
+func playTimed(d *deployment, trouble bool) (string, error) {
+	const (
+		jobs      = 24
+		tasks     = 6
+		ahead     = 4 * time.Second
+		killAfter = 400 * time.Millisecond
+		back      = 3500 * time.Millisecond
+		maxTime   = 40 * time.Second
+	)
+	if err := d.up(3, 4, resources{CPU: 32000, Mem: 125000}, "a", "a", "a", "a", "a", "a"); err != nil {
+		return "", err
+	}
+	due := time.Now().Add(ahead)
+	for i := range jobs {
+		if err := d.submitAt(due, fmt.Sprintf("00000000000000%02x", 0xd0-i), jobSpec{work: 900 * time.Millisecond}, step{Count: tasks, CPU: 480, Mem: 300, EstimateMS: 900}); err != nil {
+			return "", err
+		}
+	}
+	owner, err := d.owner()
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(time.Until(due.Add(killAfter)))
+	if trouble {
+		d.rec.add("process %s is killed", owner.name)
+		d.kill(owner)
+		time.Sleep(back)
+		if err := d.start(owner); err != nil {
+			return "", err
+		}
+	}
+	for i := range jobs {
+		id := fmt.Sprintf("00000000000000%02x", 0xd0-i)
+		if state := d.waitState(id, maxTime, "completed", "failed"); state != "completed" {
+			return "", fmt.Errorf("job %s is %q", id, state)
+		}
+	}
+	time.Sleep(2 * time.Second) // the last ends are noted
+	return d.twice(), nil
+}
+
 // up starts entries, and workers of the given kinds with their agents.
 func (d *deployment) up(entries, attempts int, capacity resources, kinds ...string) error {
 	d.configure(attempts)
--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -184,6 +184,20 @@
 	return nil
 }
 
+// owner returns the entry that last wrote to the store under a condition on the owner's row.
+func (d *deployment) owner() (*process, error) {
+	var holder struct{ Name string }
+	if err := json.Unmarshal(d.store.value(rowKey{Table: "owner", Part: "0", Key: "0"}), &holder); err != nil {
+		return nil, err
+	}
+	for _, e := range d.entries {
+		if e.name == holder.Name {
+			return e, nil
+		}
+	}
+	return nil, fmt.Errorf("the owner %q is no entry", holder.Name)
+}
+
 // kill ends a process at once.
 func (d *deployment) kill(p *process) {
 	_ = p.command.Process.Signal(syscall.SIGKILL) // it may have ended
@@ -339,7 +353,16 @@
 
 // submit submits a job of one step and requires that it is accepted.
 func (d *deployment) submit(id string, spec jobSpec, s step) error {
-	status, _, err := d.request(http.MethodPost, id, map[string]any{"spec": spec.String(), "steps": []step{s}})
+	return d.submitBody(id, map[string]any{"spec": spec.String(), "steps": []step{s}})
+}
+
+// submitAt submits a job of one step that runs once, at the time due.
+func (d *deployment) submitAt(due time.Time, id string, spec jobSpec, s step) error {
+	return d.submitBody(id, map[string]any{"spec": spec.String(), "steps": []step{s}, "first_run_ms": due.UnixMilli(), "interval_ms": 60000, "repeat_count": 1})
+}
+
+func (d *deployment) submitBody(id string, body map[string]any) error {
+	status, _, err := d.request(http.MethodPost, id, body)
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("job %s: status %d", id, status)
 	}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -33,6 +33,7 @@
 	"ends":     playEnds,
 	"progress": playProgress,
 	"crashes":  playCrashes,
+	"timed":    playTimed,
 }
 
 func main() {
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -78,6 +78,13 @@
 	s.notify()
 }
 
+// value returns the value of a row, nil if it does not exist.
+func (s *store) value(key rowKey) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key].Value
+}
+
 func (s *store) write(key rowKey, value []byte) {
 	r := row{rowKey: key, Value: value, Ver: s.ver}
 	s.rows[key] = r
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -22,6 +22,7 @@
 	checkpointPeriod = 2 * time.Second
 	maxListedEnds    = 500
 	workerTick       = 5 * time.Millisecond
+	maxConnections   = 64
 )
 
 type resources struct {
@@ -101,7 +102,8 @@
 	w.server = server
 	w.mu.Unlock()
 	w.rec.add("worker %s: starts as %s", w.name, id)
-	go func() { _ = server.Serve(listener) }() // it ends with the incarnation
+	limited := &limitedListener{Listener: listener, slots: make(chan struct{}, maxConnections)}
+	go func() { _ = server.Serve(limited) }() // it ends with the incarnation
 	go w.work(id)
 	go w.beat(id)
 	return nil
@@ -346,7 +348,9 @@
 	checkpoint bool
 }
 
-func (s jobSpec) String() string { return fmt.Sprintf("work=%d checkpoint=%v", s.work.Milliseconds(), s.checkpoint) }
+func (s jobSpec) String() string {
+	return fmt.Sprintf("work=%d checkpoint=%v", s.work.Milliseconds(), s.checkpoint)
+}
 
 func parseSpec(text string) jobSpec {
 	var s jobSpec
@@ -396,3 +400,30 @@
 	slices.SortFunc(spans, func(a, b span) int { return a.began.Compare(b.began) })
 	return spans
 }
+
+// limitedListener has as many connections open as it has slots; others wait to be accepted.
+type limitedListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func (l *limitedListener) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, slots: l.slots}, nil
+}
+
+type limitedConn struct {
+	net.Conn
+	once  sync.Once
+	slots chan struct{}
+}
+
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.slots })
+	return c.Conn.Close()
+}
