--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -237,6 +239,52 @@
 	return d.twice(), nil
 }
 
+// playWaiting: the one worker that may run some jobs is lost for good as they are ordered there. Rule
+// MIXED: no entry gives as waiting under half of the jobs that were accepted over visible_ms + 2 s
+// before and haven't begun.
+func playWaiting(d *deployment, trouble bool) (string, error) {
+	const (
+		jobs  = 8
+		bound = 3*time.Second + 2*time.Second // visible_ms + 2 s
+	)
+	if err := d.up(3, 4, resources{CPU: 32000, Mem: 125000}, "b", "a", "a"); err != nil {
+		return "", err
+	}
+	if trouble {
+		d.workers[0].goDark()
+	}
+	for i := range jobs {
+		if err := d.submit(fmt.Sprintf("00000000000000a%d", i), jobSpec{work: time.Second}, step{Count: 4, CPU: 480, Mem: 300, EstimateMS: 1000, Requires: "b"}); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(bound + time.Second)
+	violation := ""
+	for range 3 {
+		for _, e := range d.entries {
+			begun := map[string]bool{}
+			for _, s := range allSpans(d.workers) {
+				begun[s.task[:16]] = true
+			}
+			status, answer, err := d.ask(e, http.MethodGet, "", nil)
+			if err != nil || status != http.StatusOK {
+				continue // a refusal gives no number
+			}
+			var body struct{ Waiting int }
+			if err := json.Unmarshal([]byte(answer), &body); err != nil {
+				return "", err
+			}
+			notBegun := jobs - len(begun)
+			d.rec.add("%s gives %d jobs as waiting; %d accepted jobs have not begun", e.name, body.Waiting, notBegun)
+			if 2*body.Waiting < notBegun {
+				violation = fmt.Sprintf("MIXED: %s gives %d jobs as waiting, and %d jobs that were accepted over %v before have not begun", e.name, body.Waiting, notBegun, bound)
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	return violation, nil
+}
+
 // up starts entries, and workers of the given kinds with their agents.
 func (d *deployment) up(entries, attempts int, capacity resources, kinds ...string) error {
 	d.configure(attempts)
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -34,6 +34,7 @@
 	"progress": playProgress,
 	"crashes":  playCrashes,
 	"timed":    playTimed,
+	"waiting":  playWaiting,
 }
 
 func main() {
