--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -44,11 +44,21 @@
 	return d.twice(), nil
 }
 
-// twice returns the starts of tasks that had ended done, if that end was noted, in words.
+// twice returns the starts of tasks that had ended done, if that end was noted, and those of tasks that
+// still ran on another worker, in words.
 func (d *deployment) twice() string {
-	done := map[string]span{}
+	done, last := map[string]span{}, map[string]span{}
 	count, first := 0, ""
 	for _, s := range allSpans(d.workers) {
+		if before, known := last[s.task]; known && (before.ended.IsZero() || s.began.Before(before.ended)) {
+			count++
+			line := fmt.Sprintf("%s run %d starts on %s while run %d still runs on %s, which ends %q %v later", s.task, s.run, s.worker, before.run, before.worker, before.how, before.ended.Sub(s.began).Round(time.Millisecond))
+			d.rec.add("TWICE: %s", line)
+			if first == "" {
+				first = line
+			}
+		}
+		last[s.task] = s
 		if before, known := done[s.task]; known && s.began.After(before.ended) {
 			count++
 			line := fmt.Sprintf("%s run %d starts on %s %v after run %d ended done on %s, an end that was noted", s.task, s.run, s.worker, s.began.Sub(before.ended).Round(time.Millisecond), before.run, before.worker)
@@ -197,7 +207,7 @@
 }
 
 // playTimed: the process that owns the shard is killed while tasks of jobs with a first run in the
-// future run; they end before another process takes over. Rule TWICE.
+// future run. Those of every second job end before another process takes over. Rule TWICE.
 func playTimed(d *deployment, trouble bool) (string, error) {
 	const (
 		jobs      = 24
@@ -210,9 +220,15 @@
 	if err := d.up(3, 4, resources{CPU: 32000, Mem: 125000}, "a", "a", "a", "a", "a", "a"); err != nil {
 		return "", err
 	}
+	workOf := func(i int) time.Duration { // every second job still runs at the takeover
+		if i%2 == 0 {
+			return 900 * time.Millisecond
+		}
+		return 6 * time.Second
+	}
 	due := time.Now().Add(ahead)
 	for i := range jobs {
-		if err := d.submitAt(due, fmt.Sprintf("00000000000000%02x", 0xd0-i), jobSpec{work: 900 * time.Millisecond}, step{Count: tasks, CPU: 480, Mem: 300, EstimateMS: 900}); err != nil {
+		if err := d.submitAt(due, fmt.Sprintf("00000000000000%02x", 0xd0-i), jobSpec{work: workOf(i)}, step{Count: tasks, CPU: 480, Mem: 300, EstimateMS: int(workOf(i).Milliseconds())}); err != nil {
 			return "", err
 		}
 	}
