--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -252,7 +252,7 @@
 		return nil, err
 	}
 	name, zone := fmt.Sprintf("side-%d", i+1), d.zones[i%len(d.zones)]
-	w := &worker{rec: d.rec, name: name, zone: zone, labels: []string{kind, fmt.Sprintf("r1-%d", 1+i/3)}, capacity: capacity, address: address, control: control}
+	w := &worker{rec: d.rec, name: name, zone: zone, labels: []string{kind, fmt.Sprintf("r1-%d", 1+i/3)}, capacity: capacity, address: address, control: control, lapses: map[string][]time.Time{}}
 	values := map[string]string{"ip": host, "listen.control": control, "app": address}
 	if err := withLink(host, values); err != nil {
 		return nil, err
