A report of a run creates its occurrence, before the owner's clock does

Cause: an owner created occurrences from its clock only, in its first tick, 50 ms after it had begun to serve agents. Until then an end, a run or a crash of such a task was taken for one of an unknown job: it left no trace, an end was acknowledged all the same, and a run was stopped. An owner whose clock is behind that of its predecessor dropped them for as long. Ruled out: unconfirmed tasks (all instances had reported) and acknowledgements by the killed owner (the ends came after the kill).

Change: findReported creates the occurrence that a report names, and those before it, if the job has it and no clock can be so far ahead that it is not due. Ends, runs and crashes use it. So neither the time of the tick nor the clock matters. The times of occurrences no longer overflow. The schedules draw scheduled jobs, and the checker finds starts before their time.

--- a/internal/decision/dispatch/crashes.go
+++ b/internal/decision/dispatch/crashes.go
@@ -65,7 +65,7 @@
 // main suspect. Crashed returns the tasks against which the crash was not held before.
 func (s *Scheduler) Crashed(now time.Time, crash Crash) []TaskName {
 	s.lostAt[crash.Agent] = crash.At
-	main := s.mainSuspect(crash.Runs)
+	main := s.mainSuspect(now, crash.Runs)
 	evidence := evidenceShared
 	if len(crash.Runs) == 1 {
 		evidence = sufficientEvidence
@@ -135,11 +135,11 @@
 
 // mainSuspect returns the task among the runs against which the most crashes are held, or nil
 // if there are several such tasks.
-func (s *Scheduler) mainSuspect(runs []RunStatus) *task {
+func (s *Scheduler) mainSuspect(now time.Time, runs []RunStatus) *task {
 	var main *task
 	most := -1
 	for _, run := range runs {
-		t := s.findTask(run.Task)
+		t := s.findReported(now, run.Task)
 		switch {
 		case t == nil || len(t.crashes.Runs) < most:
 		case len(t.crashes.Runs) == most:
--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -25,7 +25,7 @@
 		in.remove(p)
 		s.stopOrderedRun(in, p)
 	}
-	t := s.findTask(end.Task)
+	t := s.findReported(now, end.Task)
 	if t == nil || t.done {
 		return
 	}
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 )
@@ -77,6 +78,14 @@
 // Occurrences returns how many times the steps run.
 func (j *Job) Occurrences() int { return max(j.Repeat, 1) }
 
+// dueAt returns when an occurrence is due, in Unix ms, or the latest time if it would be later.
+func (j *Job) dueAt(occurrence int) int64 {
+	if j.Interval > 0 && int64(occurrence) > (math.MaxInt64-j.FirstDue)/j.Interval {
+		return math.MaxInt64
+	}
+	return j.FirstDue + int64(occurrence)*j.Interval
+}
+
 // LongRunning reports whether the job runs until it is cancelled.
 func (j *Job) LongRunning() bool {
 	for _, step := range j.Steps {
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -52,7 +52,7 @@
 	p.setStep(s.findStep(status.Task))
 	s.replaceOrderedRun(now, in, p)
 	in.add(p)
-	t := s.findTask(status.Task)
+	t := s.findReported(now, status.Task)
 	if t == nil {
 		s.stop(in, p, StopJobEnded)
 		return
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -118,13 +118,19 @@
 		if j.spec.FirstDue == 0 {
 			continue
 		}
-		for k := len(j.occurrences); k < j.spec.Occurrences(); k++ {
-			if j.spec.FirstDue+int64(k)*j.spec.Interval > nowMillis {
-				break
-			}
-			unconfirmed := j.spec.OwnerRevision != s.ownerRevision && len(s.unconfirmed) > 0
-			j.occurrences = append(j.occurrences, s.newOccurrence(j, k, unconfirmed))
+		count := len(j.occurrences)
+		for count < j.spec.Occurrences() && j.spec.dueAt(count) <= nowMillis {
+			count++
 		}
+		s.addOccurrences(j, count)
+	}
+}
+
+// addOccurrences creates the next occurrences of a job, until it has count of them.
+func (s *Scheduler) addOccurrences(j *jobState, count int) {
+	unconfirmed := j.spec.OwnerRevision != s.ownerRevision && len(s.unconfirmed) > 0
+	for k := len(j.occurrences); k < count; k++ {
+		j.occurrences = append(j.occurrences, s.newOccurrence(j, k, unconfirmed))
 	}
 }
 
@@ -201,6 +207,17 @@
 	return o.steps[name.Step][name.Index]
 }
 
+// findReported returns the task of a run that an instance reports, or nil. The report shows that an
+// earlier owner has begun the task's occurrence, so it is created if this owner's clock has not reached
+// its time yet. No clock is ahead by more than MaxClockAhead.
+func (s *Scheduler) findReported(now time.Time, name TaskName) *task {
+	j, ok := s.jobs[name.Job]
+	if ok && name.Occurrence < j.spec.Occurrences() && j.spec.dueAt(name.Occurrence) <= now.Add(MaxClockAhead).UnixMilli() {
+		s.addOccurrences(j, name.Occurrence+1)
+	}
+	return s.findTask(name)
+}
+
 // Stop is an order to end a run on an instance.
 type Stop struct {
 	Instance string
--- a/internal/decision/dispatch/takeover_test.go
+++ b/internal/decision/dispatch/takeover_test.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // An instance may report another run of a task than the one ordered there, because of a
 // delayed start order. The task must still make progress.
@@ -72,3 +75,72 @@
 		expect(t, "open", s.findTask(task) != nil, false)
 	}
 }
+
+// A new owner hears of runs of a scheduled job before its own clock has reached their occurrence. None
+// of what it hears may be lost: tasks that are done, run, have failed or have crashed their worker.
+func TestReportsOfAnOccurrenceThatIsNotDueYet(t *testing.T) {
+	const due = 1_000_000_000 // Unix ms, startTime
+	second := TaskName{"j", 1, 0, 0}
+	ended := func(reason EndReason) func(*Scheduler) {
+		return func(s *Scheduler) {
+			s.Ended(at(0), Incarnation{"a", 1}, []End{{Sequence: 1, Task: second, Run: 3, Reason: reason}})
+			s.Reconcile(at(0), Incarnation{"a", 1}, nil)
+		}
+	}
+	cases := []struct {
+		name   string
+		report func(*Scheduler)
+		starts []string // of the second occurrence, once it is due
+		check  func(*task) bool
+	}{
+		{"done", ended(EndDone), nil, func(t *task) bool { return t.done }},
+		{"failed", ended(EndFailed), []string{"j.1.0.0 1000001 a"}, func(t *task) bool { return len(t.failedRuns) == 1 }},
+		{"running", func(s *Scheduler) {
+			s.Reconcile(at(0), Incarnation{"a", 1}, []RunStatus{{Task: second, Run: 3, Checkpoint: "c"}})
+		}, nil, func(t *task) bool { return t.instance == "a" && t.checkpoint == "c" }},
+		{"crashed", func(s *Scheduler) {
+			s.Crashed(at(0), Crash{"agent-a", at(0), []RunStatus{{Task: second, Run: 3}}})
+			s.Reconcile(at(0), Incarnation{"a", 1}, nil)
+		}, []string{"j.1.0.0 1000001 a"}, func(t *task) bool { return len(t.crashes.Runs) == 1 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(2, 9)
+			s.RestoreInstance(registrationOf("a", 8))
+			job := jobOf("j", stepOf(1, 1))
+			job.FirstDue, job.Interval, job.Repeat = due-2000, 2000, 3
+			s.Accept(startTime, job, &Progress{Occurrences: []*Occurrence{{Done: []string{"1"}}}})
+			s.Register(at(0), registrationOf("a", 8))
+			c.report(s)
+			s.Trigger(due)
+			expect(t, "stops", s.TakeStops(), []Stop(nil))
+			expect(t, "starts", startsOf(s.Plan(at(1))), c.starts)
+			expect(t, "occurrences", len(s.jobs["j"].occurrences), 2)
+			if reported := s.findTask(second); !c.check(reported) {
+				t.Errorf("the report has left no trace: %+v", reported)
+			}
+		})
+	}
+}
+
+// A report that names an occurrence which nobody can have begun creates no tasks.
+func TestReportsOfImpossibleOccurrencesAreIgnored(t *testing.T) {
+	cases := []struct {
+		name       string
+		occurrence int
+	}{
+		{"beyond the last one", 3},
+		{"a day ahead", 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(2, 9)
+			job := jobOf("j", stepOf(1, 1))
+			job.FirstDue, job.Interval, job.Repeat = 1_000_000_000, (24*time.Hour).Milliseconds()/2, 3
+			s.Accept(startTime, job, nil)
+			registerOn(s, registrationOf("a", 8))
+			s.Ended(at(0), Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{"j", c.occurrence, 0, 0}, Run: 3, Reason: EndDone}})
+			expect(t, "occurrences", len(s.jobs["j"].occurrences), 0)
+		})
+	}
+}
--- a/internal/process/shard_test.go
+++ b/internal/process/shard_test.go
@@ -82,6 +82,10 @@
 	if s.random.IntN(12) == 0 {
 		job.Payload = "bad"
 	}
+	if s.random.IntN(6) == 0 {
+		job.FirstDue = job.Accepted + int64(s.random.IntN(3000))
+		job.Interval, job.Repeat = int64(s.random.IntN(1500)), 1+s.random.IntN(3)
+	}
 	return job
 }
 
--- a/internal/testcluster/checker.go
+++ b/internal/testcluster/checker.go
@@ -120,6 +120,9 @@
 			}
 		}
 	}
+	if due := job.FirstDue + int64(call.Task.Occurrence)*job.Interval; time.Now().UnixMilli() < due {
+		c.addViolation("ORDER %v %d ms before it is due", call.Task, due-time.Now().UnixMilli())
+	}
 	if c.ackedFailures[call.Task] >= job.Policy.Attempts {
 		c.addViolation("BUDGET %v run %d after %d failed", call.Task, call.Run, c.ackedFailures[call.Task])
 	}
