A job that runs several times and names no first run is due at once

What callers saw: such a job ran once and stayed `running` for ever.

Cause: Trigger left out jobs without a FirstDue, for which Accept creates the first occurrence only.

Change: Trigger looks at all jobs; one that has its only occurrence needs none.

Result: TestOccurrencesWithoutATimeAreDueAtOnce fails before (j.1.0.0 and j.2.0.0 do not start) and passes.

--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -67,7 +67,7 @@
 	Steps    []Step `json:"steps"`
 	FirstDue int64  `json:"first,omitempty"`    // Unix ms at which occurrence 0 is due; 0: at once
 	Interval int64  `json:"interval,omitempty"` // ms between occurrences
-	Repeat   int    `json:"repeat,omitempty"`   // number of occurrences; 0: one; more than one needs FirstDue
+	Repeat   int    `json:"repeat,omitempty"`   // number of occurrences; 0: one
 	Accepted int64  `json:"accepted"`           // Unix ms
 	// OwnerRevision is the revision of the owner's table row when the job was accepted.
 	// Only the owner of this revision and later ones start the job's tasks. An owner that
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -111,13 +111,9 @@
 	return true
 }
 
-// Trigger creates the occurrences that are due at nowMillis, in Unix ms, of the jobs with a
-// FirstDue.
+// Trigger creates the occurrences that are due at nowMillis, in Unix ms.
 func (s *Scheduler) Trigger(nowMillis int64) {
 	for _, j := range s.jobs {
-		if j.spec.FirstDue == 0 {
-			continue
-		}
 		count := len(j.occurrences)
 		for count < j.spec.Occurrences() && j.spec.dueAt(count) <= nowMillis {
 			count++
--- a/internal/decision/dispatch/scheduler_test.go
+++ b/internal/decision/dispatch/scheduler_test.go
@@ -302,6 +302,16 @@
 	expect(t, "second", startsOf(s.Plan(at(0))), []string{"j.1.0.0 1 a"})
 }
 
+// A job that is to run several times and names no time must not wait for ever after the first one.
+func TestOccurrencesWithoutATimeAreDueAtOnce(t *testing.T) {
+	s := schedulerWith(registrationOf("a", 8))
+	job := jobOf("j", stepOf(1, 1))
+	job.Repeat = 3
+	s.Accept(startTime, job, nil)
+	s.Trigger(startTime.UnixMilli())
+	expect(t, "starts", startsOf(s.Plan(at(0))), []string{"j.0.0.0 1 a", "j.1.0.0 1 a", "j.2.0.0 1 a"})
+}
+
 func TestCancelStopsWhatRuns(t *testing.T) {
 	s := schedulerWith(registrationOf("a", 8))
 	s.Accept(startTime, jobOf("j", stepOf(2, 1)), nil)
