Only a run that the worker says to have begun is held against its task in a crash

Cause: the agent took a start without an answer for a run that had begun. A worker that is gone before the start arrives looks the same as one that the run has crashed; the negative age in the agent's line crash-suspect (-0.113 s) shows which of the two it was here. Ruled out: one crash counted twice (the runs are 1 and 2) and a common loss.

Change: a run has begun once the worker has said so, in the answer to the start or in a list.

--- a/internal/process/crashes_test.go
+++ b/internal/process/crashes_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/submission"
 	"github.com/apricotwind/apricotwind/internal/testcluster"
+	"github.com/apricotwind/apricotwind/pkg/platform/table"
 )
 
 // maxCrashingStarts is how often a task that crashes its workers may start.
@@ -88,3 +90,50 @@
 		}
 	})
 }
+
+// A crash before a task has begun says nothing against the task: a start that got no answer may never
+// have reached the worker.
+func TestCrashesBeforeATaskHasBegunFailNoJob(t *testing.T) {
+	const (
+		downtime = 1500 * time.Millisecond
+		settling = 450 * time.Millisecond // until the agent of a restarted worker knows that no start is in flight
+	)
+	withJobCluster(t, 2, 1, func(t *testing.T, system *testcluster.JobCluster) {
+		worker := system.Workers[0]
+		worker.Crash()
+		if outcome := submit(t, system, 0, newJob("j", 1, 1000)); outcome != submission.Accepted {
+			t.Fatal(outcome)
+		}
+		time.Sleep(downtime)
+		worker.Restart()
+		waitRegistered(t, system, worker)
+		time.Sleep(settling)
+		worker.Crash()
+		time.Sleep(downtime)
+		worker.Restart()
+		time.Sleep(20 * time.Second)
+		if state := stateAt(t, system, 0, "j"); state != dispatch.Completed {
+			t.Errorf("the job is %v after %d starts", state, system.Checker.StartsOf("j"))
+		}
+	})
+}
+
+// waitRegistered waits until the owner has stored the worker's current incarnation.
+func waitRegistered(t *testing.T, system *testcluster.JobCluster, worker *testcluster.Worker) {
+	t.Helper()
+	incarnation, _ := worker.Incarnation()
+	stored := fmt.Sprintf(`"born":%d`, incarnation.StartedAt)
+	store := system.Store.View("test")
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		rows, _, err := store.Read(t.Context(), table.Range{Table: "instances", Partition: "0"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, row := range rows {
+			if strings.Contains(string(row.Value), stored) {
+				return
+			}
+		}
+	}
+	t.Fatalf("the owner has not stored %+v", incarnation)
+}
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -1,12 +1,10 @@
 package runner
 
 import (
-	"syscall"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/link"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -18,23 +16,21 @@
 // the table.
 const crashReportPeriod = 20 * time.Second
 
-// recordBegun records that the worker has begun the run, or may have.
+// recordBegun records that the worker has begun the run.
 func (k *run) recordBegun() {
 	if k.begunAt.IsZero() {
 		k.begunAt = time.Now()
 	}
 }
 
-// recordStartAnswer records the answer to a start. A worker that refused the connection has not
-// begun the run; one that gave no answer may have, and crashed.
+// recordStartAnswer records the answer to a start. Only a worker that says so has begun the run: a call
+// without an answer may never have reached it, and a job must not fail for a run that never was.
 func (r *Runner) recordStartAnswer(known *run, call StartCall, answer Answer, err error) {
-	if r.registration == nil || r.registration.Incarnation != call.Incarnation {
+	if err != nil || r.registration == nil || r.registration.Incarnation != call.Incarnation {
 		return
 	}
-	if err == nil {
-		r.lastStartAnswerAt = time.Now()
-	}
-	if err == nil && answer.Status == Applied || err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+	r.lastStartAnswerAt = time.Now()
+	if answer.Status == Applied {
 		known.recordBegun()
 	}
 }
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -37,7 +37,7 @@
 	// result of a poll that is sent later does not show the run, it does not exist. The zero
 	// time means that a start may be in flight.
 	settledAt time.Time
-	begunAt   time.Time // since when the worker has or may have begun the run; zero before that
+	begunAt   time.Time // when the worker first said that it has begun the run; zero before that
 }
 
 // settleStart records that the start has reached the worker. A stop that is in flight settles
