A job fails by crashes no sooner than its queue allows attempts

What callers saw: with max_attempts 3 or more, a job was shown as failed after two crashes of workers, sooner than after failed runs.

Cause: the bound of the crashes held against a task was 2, or 4 with weak evidence, whatever the queue says.

Change: it is the number of attempts if that is higher. Two crashes are still needed if the queue allows one attempt, since one may have another cause.

Result: TestCrashesFailAJobAfterItsAttempts fails before (2 crashes in place of 3 and 6) and passes.

--- a/internal/decision/dispatch/crashes.go
+++ b/internal/decision/dispatch/crashes.go
@@ -7,7 +7,8 @@
 
 const (
 	// A job fails after minCrashes crashes held against one of its tasks if the evidence is
-	// sufficient, and after maxCrashes in any case.
+	// sufficient, and after maxCrashes in any case, but not before there are as many crashes as its
+	// queue allows attempts.
 	minCrashes = 2
 	maxCrashes = 4
 	// sufficientEvidence is also the evidence of a crash with one suspect, and evidenceShared that
@@ -45,9 +46,13 @@
 	Evidence int `json:"evidence,omitempty"`
 }
 
-// excessive reports whether the task counts as the cause.
-func (c Crashes) excessive() bool {
-	return len(c.Runs) >= minCrashes && c.Evidence >= sufficientEvidence || len(c.Runs) >= maxCrashes
+// excessive reports whether a task counts as the cause if its queue allows so many attempts.
+func (c Crashes) excessive(attempts int) bool {
+	limit := maxCrashes
+	if c.Evidence >= sufficientEvidence {
+		limit = minCrashes
+	}
+	return len(c.Runs) >= max(limit, attempts)
 }
 
 // Crash is a crash of a worker, as its agent reports it.
@@ -103,7 +108,7 @@
 	if !t.pendingCrash.due.IsZero() {
 		s.countEvidence(t)
 	}
-	if t.crashes.excessive() {
+	if t.crashes.excessive(t.job.spec.Policy.Attempts) {
 		s.finish(t.job, Failed)
 	}
 }
@@ -156,7 +161,7 @@
 	t.crashes.Runs = append(t.crashes.Runs, run)
 	t.lastRun = max(t.lastRun, run)
 	t.lastCrashAt = now
-	if t.pendingCrash.evidence > 0 || t.crashes.excessive() {
+	if t.pendingCrash.evidence > 0 || t.crashes.excessive(t.job.spec.Policy.Attempts) {
 		t.notBefore = t.pendingCrash.due
 	}
 	s.suspects[t.name] = t
--- a/internal/decision/dispatch/crashes_test.go
+++ b/internal/decision/dispatch/crashes_test.go
@@ -43,6 +43,28 @@
 	expect(t, "state", s.Dirty(1)[0].Progress.State, Failed)
 }
 
+// A job fails for crashes no sooner than for failed runs: a task may have as many as the queue allows
+// attempts. A single crash is never enough, since it may have another cause.
+func TestCrashesFailAJobAfterItsAttempts(t *testing.T) {
+	cases := []struct{ attempts, crashes int }{{1, minCrashes}, {2, 2}, {3, 3}, {maxCrashes + 2, maxCrashes + 2}}
+	for _, c := range cases {
+		s := schedulerWith(registrationOf("a", 8))
+		job := jobOf("j", stepOf(1, 1))
+		job.Policy.Attempts = c.attempts
+		s.Accept(startTime, job, nil)
+		crashes := 0
+		for now := 0.0; s.findTask(TaskName{"j", 0, 0, 0}) != nil && crashes < 20; now += 4 {
+			starts := s.Plan(at(now))
+			if len(starts) == 0 {
+				continue
+			}
+			crashes++
+			restartedAfterCrash(s, at(now+3), "a", runsOf(starts)...)
+		}
+		expect(t, fmt.Sprint("crashes with ", c.attempts, " attempts"), crashes, c.crashes)
+	}
+}
+
 // The crashes under a task are known to a later owner, which may hear of the last one again.
 func TestCrashesUnderATaskSurviveATakeover(t *testing.T) {
 	s := schedulerWith(registrationOf("a", 8))
