A long-running task never fails its job by crashes

A long-running task whose worker crashed twice shortly after the start was given up.

Cause: settle failed the job of any task with excessive crashes, while failed runs of long-running tasks are exempt; only a run of 4 s cleared the task.

Change: settle spares long-running tasks. The last four crashes are kept, so that the progress row does not grow with each.

Result: TestCrashesFailNoJobOfALongRunningTask fails before (0 starts before crash 3) and passes.

--- a/internal/decision/dispatch/crashes.go
+++ b/internal/decision/dispatch/crashes.go
@@ -100,7 +100,7 @@
 }
 
 // settle settles the last crash that is held against a suspect, if it is due, and fails the job of a
-// task that counts as the cause of its crashes.
+// task that counts as the cause of its crashes. A long-running task starts again however its runs end.
 func (s *Scheduler) settle(now time.Time, t *task) {
 	if now.Before(t.pendingCrash.due) {
 		return
@@ -108,7 +108,7 @@
 	if !t.pendingCrash.due.IsZero() {
 		s.countEvidence(t)
 	}
-	if t.crashes.excessive(t.job.spec.Policy.Attempts) {
+	if !t.step.LongRunning && t.crashes.excessive(t.job.spec.Policy.Attempts) {
 		s.finish(t.job, Failed)
 	}
 }
@@ -159,6 +159,9 @@
 // recordCrash holds a crash during a run against its task.
 func (s *Scheduler) recordCrash(now time.Time, t *task, run int64) {
 	t.crashes.Runs = append(t.crashes.Runs, run)
+	if excess := len(t.crashes.Runs) - maxCrashes; t.step.LongRunning && excess > 0 {
+		t.crashes.Runs = t.crashes.Runs[excess:] // nothing else bounds them
+	}
 	t.lastRun = max(t.lastRun, run)
 	t.lastCrashAt = now
 	if t.pendingCrash.evidence > 0 || t.crashes.excessive(t.job.spec.Policy.Attempts) {
--- a/internal/decision/dispatch/crashes_test.go
+++ b/internal/decision/dispatch/crashes_test.go
@@ -195,6 +195,25 @@
 	}
 }
 
+// A long-running task starts again however often its workers crash, also if none of its runs lasts. Its
+// progress does not grow with each crash.
+func TestCrashesFailNoJobOfALongRunningTask(t *testing.T) {
+	const crashes = 5 * maxCrashes
+	s := schedulerWith(registrationOf("a", 8))
+	step := stepOf(1, 1)
+	step.LongRunning = true
+	s.Accept(startTime, jobOf("j", step), nil)
+	task := TaskName{"j", 0, 0, 0}
+	for crash := range crashes {
+		starts := s.Plan(at(float64(4 * crash)))
+		if len(starts) != 1 {
+			t.Fatalf("%d starts before crash %d", len(starts), crash+1)
+		}
+		restartedAfterCrash(s, at(float64(4*crash+3)), "a", runsOf(starts)...)
+	}
+	expect(t, "crashes held against it", s.findTask(task).crashes.Runs, []int64{crashes - 3, crashes - 2, crashes - 1, crashes})
+}
+
 // A crash that may have another cause, such as a loss of power, is weak evidence.
 func TestSharedCrashesAreWeakEvidence(t *testing.T) {
 	cases := []struct {
