A start whose connection breaks while the worker has it counts as begun

What was seen: counted only starts that were answered.

Cause: a call without an answer is of three kinds. Refused, it was not carried out. Broken, it was with a worker that was there and went away at that moment.

Result: in this test two cases fail before ("the connection was reset", "was closed": no suspect).

--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -1,10 +1,13 @@
 package runner
 
 import (
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -16,25 +19,40 @@
 // the table.
 const crashReportPeriod = 20 * time.Second
 
-// recordBegun records that the worker has begun the run.
+// recordBegun records that the worker has begun the run, or counts as having done so.
 func (k *run) recordBegun() {
 	if k.begunAt.IsZero() {
 		k.begunAt = time.Now()
 	}
 }
 
-// recordStartAnswer records the answer to a start. Only a worker that says so has begun the run: a call
-// without an answer may never have reached it, and a job must not fail for a run that never was.
-func (r *Runner) recordStartAnswer(known *run, call StartCall, answer Answer, err error) {
-	if err != nil || r.registration == nil || r.registration.Incarnation != call.Incarnation {
+// recordStartAnswer records the answer to a start that was sent at the time sent. A run has begun if the
+// worker says so. It counts as begun, too, if the connection broke while the worker had the start: that
+// is all that is seen of a run which crashes the worker at once. A start that is refused or stays without
+// an answer may never have reached the worker, and a job must not fail for a run that never was.
+func (r *Runner) recordStartAnswer(known *run, call StartCall, sent time.Time, answer Answer, err error) {
+	if r.registration == nil || r.registration.Incarnation != call.Incarnation {
 		return
 	}
-	r.lastStartAnswerAt = time.Now()
-	if answer.Status == Applied {
+	if err == nil {
+		r.lastStartAnswerAt = time.Now()
+	}
+	if err == nil && answer.Status == Applied || isBroken(err) && r.hadStart(sent) {
 		known.recordBegun()
 	}
 }
 
+// hadStart reports whether a start whose connection has just broken was with a worker that was alive: it
+// had answered shortly before, and the start had not been with it for long.
+func (r *Runner) hadStart(sent time.Time) bool {
+	return sent.Sub(r.aliveAt()) < incarnationTrustPeriod && time.Since(sent) < crashWindow
+}
+
+// isBroken reports whether a call failed because its connection broke.
+func isBroken(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // mayHaveCrashed reports whether the run may be the cause of a crash of the worker, which last
 // answered a call at lastAliveAt.
 func (k *run) mayHaveCrashed(lastAliveAt time.Time) bool {
--- a/internal/runner/crashes_test.go
+++ b/internal/runner/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"syscall"
 	"testing"
 	"time"
@@ -11,31 +12,44 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Only a run that the worker began shortly before it was last heard of may have crashed it.
+// Only a run that the worker began shortly before it was last heard of may have crashed it. A worker that
+// is gone breaks a connection, refuses one, or gives no answer; only the first shows that it had the start.
 func TestOnlyRecentRunsAreCrashSuspects(t *testing.T) {
-	reset, refused := errors.New("reset"), errors.Wrap(syscall.ECONNREFUSED, "dial")
+	reset, eof := errors.Wrap(syscall.ECONNRESET, "read"), errors.Wrap(io.EOF, "post")
+	refused := errors.Wrap(syscall.ECONNREFUSED, "dial")
 	cases := []struct {
 		name     string
+		silence  time.Duration // of the worker before the start
 		startErr error
-		listed   bool // a poll shows the run
+		takes    time.Duration // until the start fails
+		listed   bool          // a poll shows the run
 		draining bool
 		alive    time.Duration // how long the worker answers polls after the start
 		want     int
 	}{
-		{"silent since the start", nil, false, false, 0, 1},
-		{"answered just after the start", nil, false, false, crashWindow / 2, 1},
-		{"answered long after the start", nil, false, false, crashWindow, 0},
-		{"the start got no answer", reset, false, false, 0, 0},
-		{"the start got no answer, and the run is listed", reset, true, false, 0, 1},
-		{"the start was refused", refused, false, false, 0, 0},
-		{"the worker was draining", nil, false, true, 0, 0},
+		{name: "silent since the start", want: 1},
+		{name: "answered just after the start", alive: crashWindow / 2, want: 1},
+		{name: "answered long after the start", alive: crashWindow},
+		{name: "the connection was reset", startErr: reset, want: 1},
+		{name: "the connection was closed", startErr: eof, want: 1},
+		{name: "it was closed, and the worker answered long after that", startErr: eof, alive: crashWindow},
+		{name: "it was closed long after the start", startErr: eof, takes: crashWindow},
+		{name: "it was closed, and the worker was silent before", silence: incarnationTrustPeriod, startErr: eof},
+		{name: "the start got no answer", startErr: context.DeadlineExceeded, takes: orderTimeout},
+		{name: "the start got no answer, and the run is listed", startErr: context.DeadlineExceeded, takes: orderTimeout, listed: true, want: 1},
+		{name: "the start was refused", startErr: refused},
+		{name: "the worker was draining", draining: true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			worker := Worker{Start: func(context.Context, StartCall) (Answer, error) { return Answer{}, c.startErr }}
+			worker := Worker{Start: func(context.Context, StartCall) (Answer, error) {
+				time.Sleep(c.takes)
+				return Answer{}, c.startErr
+			}}
 			withRunner(t, worker, func(t *testing.T, r *Runner) {
+				time.Sleep(c.silence)
 				onLoop(t, r, func() { r.applyOrders(link.Orders{Session: 1, Starts: []link.StartOrder{{Task: task, Run: 1}}}) })
-				time.Sleep(time.Millisecond)
+				time.Sleep(c.takes + time.Millisecond)
 				onLoop(t, r, func() {
 					if c.listed {
 						r.runs.recordRunning(r, RunStatus{RunStatus: dispatch.RunStatus{Task: task, Run: 1}})
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -171,7 +171,7 @@
 	}{
 		{"the start is answered late", func(r *Runner) {
 			call := StartCall{Incarnation: r.registration.Incarnation, Task: task, Run: 1}
-			r.startAnswered(r.runs[task], call, 1, Answer{}, nil)
+			r.startAnswered(r.runs[task], call, 1, time.Now(), Answer{}, nil)
 		}},
 		{"a list shows it once more", func(r *Runner) {
 			r.reconcile(pollResultOf(200, task), time.Now())
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -37,7 +37,7 @@
 	// result of a poll that is sent later does not show the run, it does not exist. The zero
 	// time means that a start may be in flight.
 	settledAt time.Time
-	begunAt   time.Time // when the worker first said that it has begun the run; zero before that
+	begunAt   time.Time // since when the run counts as begun, see recordStartAnswer; zero before that
 }
 
 // settleStart records that the start has reached the worker. A stop that is in flight settles
@@ -140,16 +140,16 @@
 		answer, err := r.worker.Start(callCtx, call)
 		r.loop.Post(func() {
 			r.registry.Observe("start-order", time.Since(sent))
-			r.startAnswered(known, call, try, answer, err)
+			r.startAnswered(known, call, try, sent, answer, err)
 		})
 	})
 }
 
-func (r *Runner) startAnswered(known *run, call StartCall, try int, answer Answer, err error) {
+func (r *Runner) startAnswered(known *run, call StartCall, try int, sent time.Time, answer Answer, err error) {
 	if err != nil {
 		r.noteUnanswered(call)
 	}
-	r.recordStartAnswer(known, call, answer, err)
+	r.recordStartAnswer(known, call, sent, answer, err)
 	if !r.isCurrent(call.Incarnation, known, call.Task) {
 		return
 	}
