An agent that has started again tells each owner that it has no worker

Cause: a worker is gone for good and its agent is killed before it could tell the owner that the leases are over. The next process of the agent knows of no worker and attached to nobody. An owner that took over then found the worker's row and held back all tasks of earlier owners for 8.25 s: unconfirmed=24 to 29, missing=5 in tasks-wait from 17.4 to 23.4 s, the tasks start at 24.2 s. Ruled out by the same line: no room (unplaced=0) and quarantine.

Change: a process that no worker has registered with for 4 s, the longest that leases of its predecessor last, says so once to each new owner. The owner loses what earlier processes of that agent registered, unless it has attached in its term; a message for an earlier owner counts for nothing.

--- a/internal/decision/dispatch/instances.go
+++ b/internal/decision/dispatch/instances.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// RegisteredBy returns the registrations of the instances of an agent.
+func (s *Scheduler) RegisteredBy(agent string) []Registration {
+	var registrations []Registration
+	for _, in := range s.byID {
+		if in.registration.Agent == agent && agent != "" {
+			registrations = append(registrations, in.registration)
+		}
+	}
+	return registrations
+}
+
 // RowWritten records that the row of the instance's incarnation was written.
 func (s *Scheduler) RowWritten(incarnation Incarnation) {
 	if in, ok := s.instances[incarnation.ID]; ok && in.registration.Incarnation == incarnation {
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -46,6 +46,10 @@
 	// receive it late, after it has ceased to be true.
 	LeasesExpired bool   `json:"over,omitempty"`
 	Epoch         uint64 `json:"epoch,omitempty"`
+	// Vacant says that no worker has registered with this agent process, and that all leases which
+	// an earlier process of the agent gave have expired. Registration then names the agent only, and
+	// no session starts. Epoch is as above.
+	Vacant bool `json:"vacant,omitempty"`
 	// Crash is the last crash of the worker, if it was lately. Each attach repeats it, since the
 	// owner may have changed.
 	Crash *Crash `json:"crash,omitempty"`
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -53,7 +53,7 @@
 		// The message may arrive late. Once the instance has attached in this term, its worker
 		// may have been given leases since, and the owner waits for those instead.
 		if a.Epoch == t.epoch && !t.attached[id] {
-			t.lose(id, a.Registration.Incarnation)
+			t.lose(id, a.Registration.Incarnation, "worker silent, its leases are over")
 		}
 		return link.AttachReply{Epoch: t.epoch, Incremental: true}
 	}
@@ -156,7 +156,7 @@
 		t.scheduler.Silent(now.Add(-link.SilenceTimeout), s.agent)
 	}
 	if r.LeasesExpired {
-		t.lose(id, s.incarnation)
+		t.lose(id, s.incarnation, "worker silent, its leases are over")
 	}
 	if changesPlan(s, r) {
 		t.schedulePlan()
@@ -165,10 +165,22 @@
 	return link.ReportReply{Grant: t.grant(s, now).Milliseconds(), Committed: s.lastCommittedEnd, Costs: s.changedCosts(t.scheduler.Costs(id))}, nil
 }
 
-// lose ends the session of an instance whose agent has reported that its worker is silent and all
-// leases given to it have expired: nothing runs there any more.
-func (t *term) lose(id string, incarnation dispatch.Incarnation) {
-	t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", "worker silent, its leases are over"))
+// handleVacant handles the message of an agent process without a worker. The instances in the table that
+// earlier processes of the agent registered are lost, unless they have attached in this term.
+func (t *term) handleVacant(a link.Attach) link.AttachReply {
+	for _, registration := range t.scheduler.RegisteredBy(a.Registration.Agent) {
+		id := registration.Incarnation.ID
+		if a.Epoch == t.epoch && !t.attached[id] && registration.AgentIncarnation != a.Registration.AgentIncarnation {
+			t.lose(id, registration.Incarnation, "its agent has restarted and has no worker")
+		}
+	}
+	return link.AttachReply{Epoch: t.epoch, Incremental: true}
+}
+
+// lose ends the session of an instance if its agent has reported that all leases given to the worker
+// have expired: nothing runs there any more.
+func (t *term) lose(id string, incarnation dispatch.Incarnation, reason string) {
+	t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", reason))
 	t.scheduler.Lost(time.Now(), incarnation)
 	delete(t.sessions, id)
 	t.schedulePlan()
@@ -244,8 +256,8 @@
 // expired. Such an instance counts as lost only after its row is removed: the removal has the
 // owner's row as a precondition, so it confirms that this process still is the owner. Two other
 // kinds of instance count as lost at once, and a later commit removes their rows: one whose
-// agent reports LeasesExpired, and one whose agent attaches with a later incarnation of the
-// worker under another ID. There the report or the attach shows that nothing runs any more.
+// agent reports LeasesExpired or Vacant, and one whose agent attaches with a later incarnation of
+// the worker under another ID. There the report or the attach shows that nothing runs any more.
 func (t *term) removeExpired() {
 	now := time.Now()
 	for id, expiry := range t.leaseExpiry {
--- a/internal/owner/sessions_test.go
+++ b/internal/owner/sessions_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -156,3 +157,57 @@
 		})
 	}
 }
+
+// An agent process without a worker speaks for the workers of its predecessors only. It must not take a
+// worker from an agent that is connected, nor be heard by another owner than the one that it means.
+func TestAnAgentWithoutAWorkerLosesOnlyWhatItsPredecessorsHad(t *testing.T) {
+	cases := []struct {
+		name               string
+		agent, incarnation string // of the agent process that has no worker
+		epoch              uint64
+		lost               bool
+	}{
+		{"the next process of the agent", "a", "p2", 2, true},
+		{"the process that registered the worker", "a", "p1", 2, false},
+		{"another agent", "b", "p2", 2, false},
+		{"no name", "", "p2", 2, false},
+		{"meant for an earlier owner", "a", "p2", 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			onTerm(t, func(current *term, conn *Conn) {
+				for _, restored := range []dispatch.Registration{
+					{Incarnation: dispatch.Incarnation{ID: "r", StartedAt: 1}, Service: "s", Agent: "a", AgentIncarnation: "p1"},
+					{Incarnation: dispatch.Incarnation{ID: "n", StartedAt: 1}, Service: "s"},
+				} {
+					current.scheduler.RestoreInstance(restored)
+				}
+				attach := link.Attach{Vacant: true, Epoch: c.epoch, Registration: dispatch.Registration{Agent: c.agent, AgentIncarnation: c.incarnation}}
+				if _, err := current.handleCall(conn, link.MethodAttach, encode(t, attach)); err != nil {
+					t.Error(err)
+				}
+				if lost := len(current.scheduler.Unconfirmed()) < 2; lost != c.lost {
+					t.Errorf("lost %v, want %v", lost, c.lost)
+				}
+			})
+		})
+	}
+	onTerm(t, func(current *term, conn *Conn) {
+		registration := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "r", StartedAt: 1}, Service: "s", Agent: "a", AgentIncarnation: "p1"}
+		current.scheduler.RestoreInstance(registration)
+		current.handleAttach(conn, link.Attach{Registration: registration, Session: 1})
+		current.handleVacant(link.Attach{Vacant: true, Epoch: 2, Registration: dispatch.Registration{Agent: "a", AgentIncarnation: "p2"}})
+		if len(current.scheduler.RegisteredBy("a")) != 1 {
+			t.Error("a connected instance was lost")
+		}
+	})
+}
+
+func encode(t *testing.T, value any) []byte {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -183,6 +183,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if attach.Vacant {
+			return t.handleVacant(attach), nil
+		}
 		if err := attach.Registration.Validate(time.Now()); err != nil {
 			return nil, errors.Wrap(err, "attach")
 		}
--- a/internal/process/takeover_wait_test.go
+++ b/internal/process/takeover_wait_test.go
@@ -34,3 +34,47 @@
 		})
 	}
 }
+
+// When a worker is gone for good and its agent has restarted, the next owner finds the worker's row and
+// nobody who remembers its leases. Long-running tasks must not wait for long.
+func TestATakeoverDoesNotWaitForAWorkerThatNobodyRemembers(t *testing.T) {
+	const (
+		outage   = 300 * time.Millisecond // of an agent that restarts
+		lostFor  = 3 * time.Second        // of the worker, when the owner is replaced: its leases are not over
+		maxShort = 6*time.Second + maxUnownedTime
+	)
+	cases := []struct {
+		name    string
+		replace func(system *testcluster.JobCluster, entry int) error
+	}{
+		{"the agent restarts, the owner is killed", (*testcluster.JobCluster).KillEntry},
+		{"the agent restarts, the owner hands over", (*testcluster.JobCluster).DrainEntry},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withJobCluster(t, 2, 4, func(t *testing.T, system *testcluster.JobCluster) {
+				tasks := submitLongRunning(t, system)
+				system.Workers[0].Crash()
+				if err := system.KillAgent(0); err != nil {
+					t.Error(err)
+				}
+				go func() {
+					time.Sleep(outage)
+					if err := system.StartAgent(0); err != nil {
+						t.Error(err)
+					}
+				}()
+				dead := ownerIndex(t, system)
+				go func() {
+					time.Sleep(lostFor)
+					if err := c.replace(system, dead); err != nil {
+						t.Error(err)
+					}
+				}()
+				if shortfall := longestShortfall(system, tasks, 20*time.Second); shortfall > maxShort {
+					t.Errorf("tasks did not run for %v", shortfall)
+				}
+			})
+		})
+	}
+}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -80,10 +80,30 @@
 	})
 }
 
-// sessionDue reports whether the agent should attach to the owner of the given epoch. If the worker's
-// leases have expired it does so once more for each new owner, which otherwise waits for the instance.
+// sessionDue reports whether the agent should attach to the owner of the given epoch. If all leases have
+// expired it does so once more for each new owner, which otherwise waits for the instance.
 func (r *Runner) sessionDue(epoch uint64) bool {
-	return r.registration != nil && (!r.leasesExpired() || epoch > r.lossReportedTo)
+	if r.vacant() || r.leasesExpired() {
+		return epoch > r.lossReportedTo
+	}
+	return r.registration != nil
+}
+
+// vacant reports whether no worker has registered with this process, and all leases that an earlier
+// process of the agent gave have expired.
+func (r *Runner) vacant() bool { return r.registration == nil && time.Now().After(r.leasesExpireAt) }
+
+// newAttach returns the message that starts the next session with the owner of the given epoch, or tells
+// it that all leases have expired.
+func (r *Runner) newAttach(epoch uint64) link.Attach {
+	attach := link.Attach{Session: r.lastSession, Epoch: epoch}
+	if r.registration == nil {
+		attach.Vacant = true
+		attach.Registration.Agent, attach.Registration.AgentIncarnation = r.settings.Name, r.settings.AgentIncarnation
+		return attach
+	}
+	attach.Registration, attach.LeasesExpired, attach.Crash = *r.registration, r.declareLeasesExpired(), r.lastCrash.report()
+	return attach
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -96,8 +116,8 @@
 }
 
 // runOneSession attaches to the owner and reports to it until the session ends. It returns an
-// error if no session started or the loop has ended. Why a session ended is only logged. If the
-// worker's leases have expired, the attach itself tells the owner, and no session starts.
+// error if no session started or the loop has ended. Why a session ended is only logged. If all
+// leases have expired, the attach itself tells the owner, and no session starts.
 func (r *Runner) runOneSession(ctx context.Context, dial link.Dial, address string, epoch uint64, isOwner func() bool) error {
 	callCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -123,8 +143,8 @@
 
 // attach ends the previous session and starts a new one with the owner, whose epoch is epoch as far as
 // this agent knows. It fails if the call to the owner fails, if the owner's epoch is lower than one
-// that this agent has attached to, or if the worker has restarted meanwhile. The session is nil if the
-// worker's leases have expired.
+// that this agent has attached to, or if the worker has restarted meanwhile. The session is nil if
+// all leases have expired.
 func (r *Runner) attach(ctx context.Context, conn *link.Conn, epoch uint64) (*session, error) {
 	var request link.Attach
 	version := 0
@@ -132,9 +152,7 @@
 		r.endSession()
 		r.lastSession++
 		version = r.registrationVersion
-		request = link.Attach{
-			Registration: *r.registration, Session: r.lastSession, LeasesExpired: r.declareLeasesExpired(), Epoch: epoch, Crash: r.lastCrash.report(),
-		}
+		request = r.newAttach(epoch)
 	})
 	if err != nil {
 		return nil, err
@@ -148,6 +166,8 @@
 		switch {
 		case attached.Epoch < r.fence:
 			err = errors.Newf("owner has epoch %d, older than epoch %d already seen", attached.Epoch, r.fence)
+		case request.Vacant:
+			r.lossReportedTo, s = epoch, nil
 		case r.registration.Incarnation != request.Registration.Incarnation:
 			err = errors.New("the worker has restarted during the attach")
 		case request.LeasesExpired:
