Progress that is too large for a row leaves checkpoints out, and blocks no other commit

Cause: the progress row holds a checkpoint for each waiting task; the store refuses a row of more than 65,536 bytes, and the owner repeated the same commit for ever, with the rows of other jobs and instances in it.

Change: rows and commits are measured. Checkpoints are left out until the row fits, since they save work only if the owner changes; a commit takes 680,000 bytes of values; progress that fits into no row waits, is logged and counted, and the rest goes on. The stand-in of the store refuses rows of more than 65,536 bytes and calls of more than 100 entries or 1 MB.

--- a/internal/decision/dispatch/progress.go
+++ b/internal/decision/dispatch/progress.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math/big"
+	"slices"
 )
 
 // Progress is what is stored of a job in addition to the accepted job itself: its state, and
@@ -25,6 +27,26 @@
 	Checkpoints map[string]string `json:"saved,omitempty"`
 }
 
+// DropCheckpoints leaves out checkpoints until the encoded progress is shorter by size bytes at least,
+// or has none. It returns how many it has left out.
+func (p *Progress) DropCheckpoints(size int) int {
+	dropped := 0
+	for _, o := range p.Occurrences {
+		if o == nil {
+			continue
+		}
+		for _, key := range slices.Sorted(maps.Keys(o.Checkpoints)) {
+			if size <= 0 {
+				return dropped
+			}
+			size -= len(key) + len(o.Checkpoints[key]) // the encoding is longer
+			delete(o.Checkpoints, key)
+			dropped++
+		}
+	}
+	return dropped
+}
+
 // formatBits encodes a bitmap in hexadecimal: the set {0, 2} is "5", the empty set "".
 func formatBits(set *big.Int) string {
 	if set.BitLen() == 0 {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -20,6 +20,10 @@
 	// precondition on the owner's row and the writes of the alive row and the costs row.
 	maxCommitOperations   = 100
 	fixedCommitOperations = 3
+	// maxRowBytes bounds the value of a row, and maxCommitBytes the values of one commit, in bytes. The
+	// table accepts calls of 1 MB, in which values take a third more, and keys and revisions the rest.
+	maxRowBytes    = 65_536
+	maxCommitBytes = 680_000
 	// operationsPerRow is 2 for a row in a commit: its precondition and its write.
 	operationsPerRow = 2
 	// maxCommitInstances bounds the instance rows in one commit.
@@ -33,6 +37,7 @@
 // batch holds the contents of one commit.
 type batch struct {
 	txn         table.Txn
+	bytes       int // of all values
 	jobs        []dispatch.ProgressChange
 	instances   []dispatch.InstanceChange
 	removed     []finishedJob
@@ -135,20 +140,44 @@
 	return b
 }
 
-// putProgress adds the unsaved progress of at most maxJobs jobs to b. If that covers all
-// unsaved progress, b also acknowledges all ends recorded so far.
+// putProgress adds the unsaved progress of at most maxJobs jobs to b, as far as it fits. If that
+// covers all unsaved progress, b also acknowledges all ends recorded so far. The progress of a job that
+// fits into no row waits, and does not keep that of other jobs from the table.
 func (t *term) putProgress(b *batch, maxJobs int) {
-	b.jobs = t.scheduler.Dirty(maxJobs + 1)
-	if len(b.jobs) > maxJobs {
-		b.jobs = b.jobs[:maxJobs]
-	} else {
+	changes := t.scheduler.Dirty(maxJobs + 1)
+	complete := len(changes) <= maxJobs
+	var failed error
+	for _, change := range changes[:min(len(changes), maxJobs)] {
+		value, err := t.encodeProgress(change)
+		if err != nil {
+			complete, failed = false, err
+			continue
+		}
+		if b.bytes+len(value) > maxCommitBytes {
+			complete = false
+			break
+		}
+		t.putValue(b, jobRowKey(change.Job, suffixProgress), value)
+		b.jobs = append(b.jobs, change)
+	}
+	t.progressFailures.Note(failed)
+	if complete {
 		b.acks = t.pendingAcks()
 	}
-	for _, change := range b.jobs {
-		if err := t.put(b, jobRowKey(change.Job, suffixProgress), change.Progress); err != nil {
-			t.log.Error("progress-encode-failed", zap.String("job", change.Job), logs.Error(err))
-		}
+}
+
+// encodeProgress encodes the progress of a job. If it does not fit into a row otherwise, some of the
+// checkpoints are left out: they save work, but only if the owner changes.
+func (t *term) encodeProgress(change dispatch.ProgressChange) ([]byte, error) {
+	value, err := json.Marshal(change.Progress)
+	if excess := len(value) - maxRowBytes; err == nil && excess > 0 {
+		t.elector.registry.Add("checkpoints-not-stored", int64(change.Progress.DropCheckpoints(excess)))
+		value, err = json.Marshal(change.Progress)
+	}
+	if err == nil && len(value) > maxRowBytes {
+		err = errors.Newf("%d bytes, at most %d fit into a row", len(value), maxRowBytes)
 	}
+	return value, errors.Wrapf(err, "progress of job %s", change.Job)
 }
 
 func (t *term) put(b *batch, rowKey table.RowKey, value any) error {
@@ -156,11 +185,16 @@
 	if err != nil {
 		return errors.Wrapf(err, "encode row %s", rowKey.Key)
 	}
-	b.txn.Preconditions = append(b.txn.Preconditions, table.Precondition{RowKey: rowKey, Revision: t.revisions[rowKey]})
-	b.txn.Puts = append(b.txn.Puts, table.Put{RowKey: rowKey, Value: text})
+	t.putValue(b, rowKey, text)
 	return nil
 }
 
+func (t *term) putValue(b *batch, rowKey table.RowKey, value []byte) {
+	b.txn.Preconditions = append(b.txn.Preconditions, table.Precondition{RowKey: rowKey, Revision: t.revisions[rowKey]})
+	b.txn.Puts = append(b.txn.Puts, table.Put{RowKey: rowKey, Value: value})
+	b.bytes += len(value)
+}
+
 func (t *term) putInstance(b *batch, change dispatch.InstanceChange) {
 	rowKey := instanceRowKey(change.Registration.Incarnation.ID)
 	if change.Gone {
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +91,64 @@
 		}
 	})
 }
+
+// acceptWithCheckpoints accepts a job of whose tasks all have a checkpoint and one is done, so that its
+// progress holds them all.
+func acceptWithCheckpoints(t *testing.T, current *term, id string, tasks int) {
+	t.Helper()
+	stored := &dispatch.Progress{Occurrences: []*dispatch.Occurrence{{Checkpoints: map[string]string{}, Failed: map[string][]int64{"0.0": {1}}}}}
+	for i := range tasks {
+		stored.Occurrences[0].Checkpoints[fmt.Sprintf("0.%d", i)] = strings.Repeat("c", 16)
+	}
+	job := dispatch.Job{ID: id, Policy: dispatch.Policy{Service: "s", Attempts: 3}, Steps: []dispatch.Step{{Count: tasks, Need: dispatch.Resources{Memory: 1}, Checkpoints: true}}}
+	current.scheduler.Accept(time.Now(), &job, stored)
+	end := dispatch.End{Sequence: 1, Task: dispatch.TaskName{Job: id, Index: 1}, Run: 1, Reason: dispatch.EndDone}
+	current.scheduler.Ended(time.Now(), dispatch.Incarnation{ID: "w", StartedAt: 1}, []dispatch.End{end})
+}
+
+// A job whose progress does not fit into a row is stored without some of its checkpoints, and a commit
+// takes no more than fits into one call. Otherwise the table refuses the commit for ever, with all that is
+// in it.
+func TestACommitIsNotTooLargeForTheTable(t *testing.T) {
+	onTerm(t, func(current *term, _ *Conn) {
+		const jobs = 20
+		for i := range jobs {
+			acceptWithCheckpoints(t, current, fmt.Sprintf("j%02d", i), 4000)
+		}
+		acceptWithCheckpoints(t, current, "small", 10)
+		stored := map[string]dispatch.Progress{}
+		commits := 0
+		for dirty := true; dirty && commits < jobs; commits++ {
+			b := current.nextBatch()
+			size := 0
+			for _, put := range b.txn.Puts {
+				size += len(put.Value)
+				if len(put.Value) > maxRowBytes {
+					t.Fatalf("the row %s has %d bytes", put.Key, len(put.Value))
+				}
+				if strings.HasSuffix(put.Key, suffixProgress) {
+					var progress dispatch.Progress
+					if err := json.Unmarshal(put.Value, &progress); err != nil {
+						t.Fatal(err)
+					}
+					stored[strings.TrimSuffix(put.Key, suffixProgress)] = progress
+				}
+			}
+			if size > maxCommitBytes {
+				t.Fatalf("a commit with values of %d bytes", size)
+			}
+			current.handleCommitted(b, uint64(10+commits))
+			dirty, _ = current.scheduler.HasDirty()
+		}
+		if len(stored) != jobs+1 {
+			t.Fatalf("%d of %d jobs are stored after %d commits", len(stored), jobs+1, commits)
+		}
+		small, large := stored["small"].Occurrences[0], stored["j00"].Occurrences[0]
+		if len(small.Checkpoints) != 9 {
+			t.Errorf("%d checkpoints of the small job, want 9", len(small.Checkpoints))
+		}
+		if len(large.Done) != 1 || large.Done[0] != "2" || len(large.Failed) != 1 || len(large.Checkpoints) < 1000 {
+			t.Errorf("done %v, failed %v, %d checkpoints of the large job", large.Done, large.Failed, len(large.Checkpoints))
+		}
+	})
+}
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -11,8 +11,13 @@
 	"go.uber.org/zap"
 )
 
-// maxCommitSubmissions bounds the submitted jobs in one commit.
-const maxCommitSubmissions = 25
+const (
+	// maxCommitSubmissions bounds the submitted jobs in one commit.
+	maxCommitSubmissions = 25
+	// maxSubmissionBytes is the size of a commit, in bytes, from which on it takes no further submitted
+	// job. The rest has room for one, and for progress.
+	maxSubmissionBytes = maxCommitBytes / 2
+)
 
 // pendingJob is a submitted job that waits for a commit of the owner. While the table is
 // slow, one commit of many jobs succeeds where a separate write for each job would not.
@@ -113,7 +118,7 @@
 	taken := map[string]bool{}
 	var later []*pendingJob
 	for _, sub := range t.pendingJobs {
-		if len(b.pendingJobs) >= maxCommitSubmissions || taken[sub.job.ID] {
+		if len(b.pendingJobs) >= maxCommitSubmissions || b.bytes > maxSubmissionBytes || taken[sub.job.ID] {
 			later = append(later, sub)
 			continue
 		}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -83,16 +83,18 @@
 	lastPlanAt      time.Time     // when the last plan ended
 	planDuration    time.Duration // how long the last plan took
 	// commitFailures logs commits that were refused or not answered.
-	commitFailures  *logs.FailureLogger
-	costs           []interference.Estimate // as last written to the costs row
-	costsComparedAt time.Time               // when costs was last compared with the scheduler's estimates
-	jobsRevision    uint64
-	heartbeat       uint64
-	waitsLoggedAt   time.Time // when logWaits last counted the waiting tasks
-	stop            context.CancelFunc
-	ctx             context.Context
-	onEnd           func() // set by handOver: the handover is in progress; called when the term ends
-	commitsLeft     int    // of unsaved progress, before the handover
+	commitFailures *logs.FailureLogger
+	// progressFailures logs progress that fits into no row.
+	progressFailures *logs.FailureLogger
+	costs            []interference.Estimate // as last written to the costs row
+	costsComparedAt  time.Time               // when costs was last compared with the scheduler's estimates
+	jobsRevision     uint64
+	heartbeat        uint64
+	waitsLoggedAt    time.Time // when logWaits last counted the waiting tasks
+	stop             context.CancelFunc
+	ctx              context.Context
+	onEnd            func() // set by handOver: the handover is in progress; called when the term ends
+	commitsLeft      int    // of unsaved progress, before the handover
 }
 
 // finishedJob is a finished job and the time at which its rows are to be removed.
@@ -106,7 +108,8 @@
 	log := e.log.With(zap.Uint64("epoch", holder.Epoch))
 	return &term{
 		elector: e, log: log, commitFailures: logs.NewFailureLogger(log, "commit-unanswered"),
-		epoch: holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
+		progressFailures: logs.NewFailureLogger(log, "progress-not-stored"),
+		epoch:            holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
 		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{}, attached: map[string]bool{},
 		leaseExpiry: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, staleLeaseUntil: map[string]time.Time{},
 		ctx: ctx, stop: stop,
--- a/internal/testcluster/store.go
+++ b/internal/testcluster/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/base64"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -168,10 +169,37 @@
 	if err := sleepOrDone(ctx, storeCommitDelay/2+fault.Slow); err != nil {
 		return table.TxnResult{}, err
 	}
+	if err := checkSize(change); err != nil {
+		return table.TxnResult{}, err
+	}
 	applied := s.commit(change)
 	return applied, sleepOrDone(ctx, storeCommitDelay/2)
 }
 
+const (
+	// maxRowBytes bounds the value of a row, and maxTxnBytes a transaction, in bytes.
+	maxRowBytes = 65_536
+	maxTxnBytes = 1_000_000
+	// maxTxnOperations bounds the preconditions and writes of a transaction.
+	maxTxnOperations = 100
+)
+
+// checkSize returns the error of a transaction that is too large to be stored, or nil. Values count as
+// they are sent, encoded in base64.
+func checkSize(change table.Txn) error {
+	size := 0
+	for _, put := range change.Puts {
+		if len(put.Value) > maxRowBytes {
+			return errors.Mark(errors.Newf("the value of row %s has %d bytes", put.Key, len(put.Value)), table.ErrRefused)
+		}
+		size += len(put.Key) + base64.StdEncoding.EncodedLen(len(put.Value))
+	}
+	if operations := len(change.Preconditions) + len(change.Puts) + len(change.Removes); operations > maxTxnOperations || size > maxTxnBytes {
+		return errors.Mark(errors.Newf("a transaction of %d operations and %d bytes", operations, size), table.ErrRefused)
+	}
+	return nil
+}
+
 // acquireWrite waits until no other InTurn write is in progress. It refuses the write if
 // those that wait would take longer than one second.
 func (s *Store) acquireWrite(ctx context.Context, slow time.Duration) (release func(), err error) {
