Occurrences that are done are only counted where the progress row would be too large

Cause: the row lists every occurrence from the first one on.

Result: TestCompactedProgressIsRestored, 6,000 occurrences: the row fits, and the next owner starts what is left and what comes due, nothing else.

--- a/internal/decision/dispatch/job_test.go
+++ b/internal/decision/dispatch/job_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"testing"
 )
 
@@ -60,3 +61,41 @@
 		}
 	}
 }
+
+// The progress of a job with very many occurrences fits into a row of the table, and a later owner finds
+// the same: what is done, what has failed, and which occurrences are still to come.
+func TestCompactedProgressIsRestored(t *testing.T) {
+	const occurrences, maxRowBytes = 6000, 65_536
+	job := jobOf("j", stepOf(2, 1))
+	job.FirstDue, job.Interval, job.Repeat = 1000, 1000, occurrences+1
+	s := schedulerWith(registrationOf("a", 8))
+	s.Accept(startTime, job, nil)
+	s.Trigger(1000 * occurrences)
+	var ends []End
+	for k := range occurrences {
+		reason := EndDone
+		if k == occurrences-1 {
+			reason = EndFailed
+		}
+		ends = append(ends, End{Task: TaskName{"j", k, 0, 0}, Run: 1, Reason: EndDone}, End{Task: TaskName{"j", k, 0, 1}, Run: 1, Reason: reason})
+	}
+	s.Ended(at(0), Incarnation{"a", 1}, ends)
+	progress := s.Dirty(1)[0].Progress
+	progress.Compact()
+	row, err := json.Marshal(progress)
+	if err != nil || len(row) > maxRowBytes {
+		t.Fatalf("a row of %d bytes, %v", len(row), err)
+	}
+	var stored Progress
+	if err := json.Unmarshal(row, &stored); err != nil {
+		t.Fatal(err)
+	}
+	next := New(2, 9)
+	next.Accept(startTime, job, &stored)
+	registerOn(next, registrationOf("a", 8))
+	expect(t, "occurrences", len(next.jobs["j"].occurrences), occurrences)
+	expect(t, "failed runs", next.findTask(TaskName{"j", occurrences - 1, 0, 1}).failedRuns, []int64{1})
+	expect(t, "starts", startsOf(next.Plan(at(0))), []string{"j.5999.0.1 1000001 a"})
+	next.Trigger(1000 * (occurrences + 1))
+	expect(t, "starts of the last one", startsOf(next.Plan(at(0))), []string{"j.6000.0.0 1000001 a", "j.6000.0.1 1000001 a"})
+}
--- a/internal/decision/dispatch/progress.go
+++ b/internal/decision/dispatch/progress.go
@@ -11,7 +11,9 @@
 // not stored: instances report what they run.
 type Progress struct {
 	State       State         `json:"state,omitempty"` // final state, or Queued while the job is unfinished
-	Occurrences []*Occurrence `json:"occ,omitempty"`   // by occurrence number; nil where nothing is stored
+	Occurrences []*Occurrence `json:"occ,omitempty"`   // by occurrence number, from Completed on; nil where nothing is stored
+	// Completed is the number of occurrences that are done and left out of Occurrences.
+	Completed int `json:"past,omitempty"`
 }
 
 // Occurrence is the progress of one pass through the steps of a job.
@@ -25,6 +27,19 @@
 	// Checkpoints maps step.index of each unfinished task that is not placed to its latest
 	// checkpoint.
 	Checkpoints map[string]string `json:"saved,omitempty"`
+
+	complete bool // all tasks are done
+}
+
+// Compact leaves out the first occurrences, as far as they are done. Earlier versions cannot read the
+// result, so it is for progress that cannot be stored otherwise.
+func (p *Progress) Compact() {
+	past := slices.IndexFunc(p.Occurrences, func(o *Occurrence) bool { return o == nil || !o.complete })
+	if past < 0 {
+		past = len(p.Occurrences)
+	}
+	p.Completed += past
+	p.Occurrences = p.Occurrences[past:]
 }
 
 // DropCheckpoints leaves out checkpoints until the encoded progress is shorter by size bytes at least,
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -96,13 +96,7 @@
 	unconfirmed := job.OwnerRevision != s.ownerRevision && len(s.unconfirmed) > 0
 	s.jobs[job.ID] = j
 	if stored != nil {
-		for k, occ := range stored.Occurrences {
-			o := s.newOccurrence(j, k, unconfirmed)
-			o.restore(occ)
-			s.restoreSuspects(now, o)
-			j.occurrences = append(j.occurrences, o)
-			j.started = true
-		}
+		s.restoreOccurrences(now, j, stored, unconfirmed)
 	}
 	if job.FirstDue == 0 && len(j.occurrences) == 0 {
 		j.occurrences = append(j.occurrences, s.newOccurrence(j, 0, unconfirmed))
@@ -111,6 +105,22 @@
 	return true
 }
 
+// restoreOccurrences creates the occurrences of a job of which there is stored progress.
+func (s *Scheduler) restoreOccurrences(now time.Time, j *jobState, stored *Progress, unconfirmed bool) {
+	for k := range min(stored.Completed, j.spec.Occurrences()) {
+		o := s.newOccurrence(j, k, unconfirmed)
+		o.setAllDone()
+		j.occurrences = append(j.occurrences, o)
+	}
+	for _, occ := range stored.Occurrences {
+		o := s.newOccurrence(j, len(j.occurrences), unconfirmed)
+		o.restore(occ)
+		s.restoreSuspects(now, o)
+		j.occurrences = append(j.occurrences, o)
+	}
+	j.started = j.started || len(j.occurrences) > 0
+}
+
 // Trigger creates the occurrences that are due at nowMillis, in Unix ms.
 func (s *Scheduler) Trigger(nowMillis int64) {
 	for _, j := range s.jobs {
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -152,7 +152,7 @@
 
 // progress returns the occurrence's progress to commit.
 func (o *occurrence) progress() *Occurrence {
-	progress := &Occurrence{Done: make([]string, len(o.steps))}
+	progress := &Occurrence{Done: make([]string, len(o.steps)), complete: o.remaining == 0}
 	for s, tasks := range o.steps {
 		done := new(big.Int)
 		for i, t := range tasks {
@@ -184,6 +184,16 @@
 	return progress
 }
 
+// setAllDone marks all tasks of the occurrence as done.
+func (o *occurrence) setAllDone() {
+	for _, tasks := range o.steps {
+		for _, t := range tasks {
+			o.setDone(t)
+			t.unconfirmed = false
+		}
+	}
+}
+
 // restore loads stored progress into a new occurrence.
 func (o *occurrence) restore(stored *Occurrence) {
 	if stored == nil {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -166,10 +166,15 @@
 	}
 }
 
-// encodeProgress encodes the progress of a job. If it does not fit into a row otherwise, some of the
-// checkpoints are left out: they save work, but only if the owner changes.
+// encodeProgress encodes the progress of a job. If it does not fit into a row otherwise, occurrences that
+// are done are only counted and, if that is not enough, some of the checkpoints are left out: they save
+// work, but only if the owner changes.
 func (t *term) encodeProgress(change dispatch.ProgressChange) ([]byte, error) {
 	value, err := json.Marshal(change.Progress)
+	if err == nil && len(value) > maxRowBytes {
+		change.Progress.Compact()
+		value, err = json.Marshal(change.Progress)
+	}
 	if excess := len(value) - maxRowBytes; err == nil && excess > 0 {
 		t.elector.registry.Add("checkpoints-not-stored", int64(change.Progress.DropCheckpoints(excess)))
 		value, err = json.Marshal(change.Progress)
