A job that does not fit into a row is rejected at its submission

A job of some 2,000 steps and more was answered with 503 and Retry-After for ever, since the store refuses its row. While the table is slow, jobs are stored by the owner's commits: there it blocked all commits of the owner.

Cause: the size of a job was not looked at before it was sent to the table.

Change: Validate bounds the stored form; the entry answers 400 and logs the size and the bound (job-invalid).

Result: the case "more steps than fit into a row" of TestValidate fails before and passes.

--- a/internal/decision/dispatch/job_test.go
+++ b/internal/decision/dispatch/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 )
 
@@ -54,6 +55,8 @@
 		{"at times", repeated(8, 5, 1000), true},
 		{"too many times", repeated(1_000_000_000, 1, 0), false},
 		{"a negative interval", repeated(2, 1, -1), false},
+		{"as many steps as fit into a row", steps(slices.Repeat([]Step{{Count: 1}}, 1500)...), true},
+		{"more steps than fit into a row", steps(slices.Repeat([]Step{{Count: 1}}, 3000)...), false},
 	}
 	for _, c := range cases {
 		if err := c.job.Validate(); (err == nil) != c.valid {
--- a/internal/decision/dispatch/validate.go
+++ b/internal/decision/dispatch/validate.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -13,6 +14,10 @@
 	// are due.
 	MaxTasksInAll = 1_000_000
 
+	// MaxJobBytes bounds a job in its stored form, in bytes. A row of the table holds 65,536; the rest
+	// is for the revision of the owner, which is set when the job is stored.
+	MaxJobBytes = 65_000
+
 	// MaxNameBytes bounds the ID, service, failure domain, rack and each label of an instance, in
 	// bytes. A key of the table has at most as many.
 	MaxNameBytes = 200
@@ -93,6 +98,18 @@
 	case j.FirstDue < 0 || j.Interval < 0:
 		return errors.New("the first time and the interval of a job are not negative")
 	}
+	return j.validateSize()
+}
+
+// validateSize returns why a job cannot be stored, or nil.
+func (j *Job) validateSize() error {
+	row, err := json.Marshal(j)
+	if err != nil {
+		return fmt.Errorf("encode the job: %w", err)
+	}
+	if len(row) > MaxJobBytes {
+		return fmt.Errorf("a job of %d bytes, at most %d are stored", len(row), MaxJobBytes)
+	}
 	return nil
 }
 
