A list of ends that is cut off says nothing of the runs that it does not show

Cause: a worker lists its oldest 500 ends that are not acknowledged. The agent took any other settled run that was not listed as running for one that had never started. A new agent and a new owner would have done so too: the full report of a session is made from such a list.

Then no run counts as absent, and no full report is made. The stand-in of the worker lists 500.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -126,7 +126,7 @@
 	}
 	r.workerClock, r.clockReadAt = result.Clock, got
 	r.reconcile(result, sent)
-	if r.session != nil && call.Fence == r.session.epoch && !sent.Before(r.session.began) && !r.session.listed {
+	if r.session != nil && call.Fence == r.session.epoch && !sent.Before(r.session.began) && !r.session.listed && !result.EndsCutOff {
 		r.session.listed = true
 		r.requestReport()
 	}
@@ -169,7 +169,8 @@
 	return expired
 }
 
-// reconcile updates the known runs from the result of a poll that was sent at the time sent.
+// reconcile updates the known runs from the result of a poll that was sent at the time sent. If the list
+// of ends is cut off, nothing is known of a run that is not listed: its end may come next.
 func (r *Runner) reconcile(result PollResult, sent time.Time) {
 	changed := false
 	for _, end := range result.Ended {
@@ -189,7 +190,7 @@
 		changed = r.runs.recordRunning(r, l) || changed
 	}
 	for name, known := range r.runs {
-		if !listed[name] && !known.settledAt.IsZero() && sent.After(known.settledAt) {
+		if !listed[name] && !result.EndsCutOff && !known.settledAt.IsZero() && sent.After(known.settledAt) {
 			// The run was stopped before it began, or the worker rejected its start.
 			delete(r.runs, name)
 			r.reportNotStarted(name, known.number)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -31,7 +31,7 @@
 	incremental     bool // the owner keeps the registration, see link.AttachReply
 	conn            *link.Conn
 	began           time.Time
-	listed          bool           // the worker has answered a poll that was sent since the session began
+	listed          bool           // a poll that was sent since the session began has listed all runs and ends
 	full            bool           // the owner has received the full status report
 	lastReportedEnd int64          // highest sequence number of an end that the owner has received
 	reportingEnd    int64          // the same, including the report in flight
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -59,6 +59,9 @@
 	StartedAt int64 // start of the worker's incarnation, Unix ms; 0 if not given
 	Running   []RunStatus
 	Ended     []dispatch.End
+	// EndsCutOff says that the worker may have ends that it has not listed, since it lists a limited
+	// number at a time, the oldest first. A run that is not listed may then have ended.
+	EndsCutOff bool
 }
 
 // PollCall requests the worker's running and ended runs and extends its lease.
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 	restartUndetected = 700 * time.Millisecond
 	// workerPollInterval is how often the worker checks its runs.
 	workerPollInterval = 20 * time.Millisecond
+	// maxListedEnds is the number of ends that a worker lists at a time.
+	maxListedEnds = 500
 	// crashDelay is how long a task of a job with CrashingPayload runs before it crashes the
 	// worker, and crashDowntime how long the worker is down then.
 	crashDelay    = 10 * time.Millisecond
@@ -305,7 +308,10 @@
 		}
 	}
 	w.ended = unacked
-	result := runner.PollResult{Clock: w.clock(), StartedAt: w.incarnation.StartedAt, Ended: append([]dispatch.End{}, unacked...)}
+	listed := unacked[:min(len(unacked), maxListedEnds)]
+	result := runner.PollResult{
+		Clock: w.clock(), StartedAt: w.incarnation.StartedAt, Ended: slices.Clone(listed), EndsCutOff: len(listed) == maxListedEnds,
+	}
 	for name, run := range w.runs {
 		if run.stopAt.IsZero() {
 			result.Running = append(result.Running, runner.RunStatus{RunStatus: dispatch.RunStatus{Task: name, Run: run.number}})
