A job counts as waiting until one of its tasks has begun

Cause: a job counted as begun once a start was ordered, whatever became of the order.

Change: it has begun once a worker has listed a run of it or its end; while a task is ordered on an instance that answers, it does not count as waiting either.

--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -40,6 +40,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, end.Run)
+	t.job.begun = t.job.begun || end.Sequence > 0 // the worker has listed it
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -66,7 +66,7 @@
 		t.unconfirmed = false // it may fail any number of times, so failures not yet reported by other instances do not matter
 	}
 	t.lastRun = max(t.lastRun, status.Run)
-	t.job.started = true
+	t.job.begun = true
 	if status.Checkpoint != "" {
 		t.checkpoint = status.Checkpoint
 	}
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -118,7 +118,7 @@
 		s.restoreSuspects(now, o)
 		j.occurrences = append(j.occurrences, o)
 	}
-	j.started = j.started || len(j.occurrences) > 0
+	j.begun = j.begun || len(j.occurrences) > 0
 }
 
 // Trigger creates the occurrences that are due at nowMillis, in Unix ms.
@@ -311,14 +311,28 @@
 	return ok
 }
 
-// Backlog returns, for each queue, the number of unfinished jobs for which no start was ordered,
-// no run was reported and no occurrence was stored.
+// Backlog returns, for each queue, the number of unfinished jobs that wait: of which no task is known to
+// have begun, and none is ordered on an instance that answers.
 func (s *Scheduler) Backlog() map[string]int {
 	counts := map[string]int{}
 	for _, j := range s.jobs {
-		if !j.started && !j.state.Final() {
+		if !j.begun && !j.state.Final() && !s.isOrdered(j) {
 			counts[j.spec.Queue]++
 		}
 	}
 	return counts
 }
+
+// isOrdered reports whether a task of the job is placed on an instance that answers.
+func (s *Scheduler) isOrdered(j *jobState) bool {
+	for _, o := range j.occurrences {
+		for _, tasks := range o.steps {
+			for _, t := range tasks {
+				if in, placed := s.instances[t.instance]; placed && in.reachable {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -107,7 +107,7 @@
 type jobState struct {
 	spec            *Job
 	state           State
-	started         bool          // a start was ordered, a run was reported, or an occurrence was stored; never reset
+	begun           bool          // a run or its end was reported, or an occurrence was stored; never reset
 	occurrences     []*occurrence // those that are due, in order
 	objective       time.Duration
 	acceptedAt      time.Time // when Accept was called on this scheduler, by the caller's clock; not Job.Accepted
