A new agent process sets the pace of the best-effort runs that it finds

Cause: the next process took a run without an order of its own for one at full pace.

Change: the pace of a run that it finds is unknown, so the decided one is sent once.

Result: TestTheNextAgentSetsThePaceOfARunThatItFinds fails before (no order) and passes.

--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -99,7 +99,7 @@
 	pace := p.controller.Pace(known.order.Image)
 	previous, ok := p.sent[name]
 	if !ok || previous.run != known.number {
-		previous = pacedRun{known.number, fullPace}
+		previous = pacedRun{known.number, initialPace(known)}
 	}
 	if previous.pace == pace {
 		return
@@ -124,5 +124,14 @@
 	})
 }
 
-// unknownPace marks a run whose last pace order was rejected or not answered.
+// unknownPace marks a run whose last pace order was rejected or not answered, or that another agent
+// process may have slowed.
 const unknownPace = -1
+
+// initialPace returns the pace, in percent, that a run has before this process has ordered one.
+func initialPace(known *run) int {
+	if known.found {
+		return unknownPace
+	}
+	return fullPace
+}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -297,3 +297,41 @@
 		})
 	})
 }
+
+// A best-effort run that an earlier process of the agent has paused must not stay so: the next process
+// cannot know its pace, and sets it once.
+func TestTheNextAgentSetsThePaceOfARunThatItFinds(t *testing.T) {
+	for _, found := range []bool{true, false} {
+		var calls []PaceCall
+		worker := Worker{
+			Start: func(context.Context, StartCall) (Answer, error) { return Answer{}, nil },
+			SetPace: func(_ context.Context, call PaceCall) (Answer, error) {
+				calls = append(calls, call)
+				return Answer{}, nil
+			},
+		}
+		withRunner(t, worker, func(t *testing.T, r *Runner) {
+			status := RunStatus{RunStatus: dispatch.RunStatus{Task: task, Run: 1}}
+			order := link.StartOrder{Task: task, Run: 1, Image: "f", BestEffort: true}
+			onLoop(t, r, func() {
+				if found {
+					r.runs.recordRunning(r, status)
+					r.applyOrders(link.Orders{Session: 1, Specs: []link.StartOrder{order}})
+				} else {
+					r.applyOrders(link.Orders{Session: 1, Starts: []link.StartOrder{order}})
+				}
+			})
+			for range 3 {
+				time.Sleep(time.Second)
+				onLoop(t, r, func() { r.pacer.observe(r, []RunStatus{status}, time.Now()) })
+			}
+			time.Sleep(time.Second)
+		})
+		switch {
+		case found && (len(calls) != 1 || calls[0].Pace != fullPace || calls[0].Run != 1):
+			t.Errorf("orders for a run that was found: %+v", calls)
+		case !found && len(calls) > 0:
+			t.Errorf("orders for a run of its own: %+v", calls)
+		}
+	}
+}
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -33,6 +33,7 @@
 	checkpoint        string
 	checkpointChanged bool
 	stopping          bool
+	found             bool // an earlier agent or owner started it, or a late order
 	// settledAt is the time from which on no order in flight can start the run any more. If the
 	// result of a poll that is sent later does not show the run, it does not exist. The zero
 	// time means that a start may be in flight.
@@ -60,7 +61,7 @@
 		// An earlier agent or owner started the run, or a late order did. The owner decides
 		// what happens to it.
 		r.log.Info("run-found", zap.Stringer("task", l.Task), zap.Int64("run", l.Run))
-		m[l.Task] = &run{number: l.Run, checkpoint: l.Checkpoint, checkpointChanged: true, settledAt: time.Now()}
+		m[l.Task] = &run{number: l.Run, checkpoint: l.Checkpoint, checkpointChanged: true, settledAt: time.Now(), found: true}
 		return true
 	}
 	if known.number != l.Run {
