--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -105,41 +105,6 @@
 	return true
 }
 
-// restoreOccurrences creates the occurrences of a job of which there is stored progress.
-func (s *Scheduler) restoreOccurrences(now time.Time, j *jobState, stored *Progress, unconfirmed bool) {
-	for k := range min(stored.Completed, j.spec.Occurrences()) {
-		o := s.newOccurrence(j, k, unconfirmed)
-		o.setAllDone()
-		j.occurrences = append(j.occurrences, o)
-	}
-	for _, occ := range stored.Occurrences {
-		o := s.newOccurrence(j, len(j.occurrences), unconfirmed)
-		o.restore(occ)
-		s.restoreSuspects(now, o)
-		j.occurrences = append(j.occurrences, o)
-	}
-	j.begun = j.begun || len(j.occurrences) > 0
-}
-
-// Trigger creates the occurrences that are due at nowMillis, in Unix ms.
-func (s *Scheduler) Trigger(nowMillis int64) {
-	for _, j := range s.jobs {
-		count := len(j.occurrences)
-		for count < j.spec.Occurrences() && j.spec.dueAt(count) <= nowMillis {
-			count++
-		}
-		s.addOccurrences(j, count)
-	}
-}
-
-// addOccurrences creates the next occurrences of a job, until it has count of them.
-func (s *Scheduler) addOccurrences(j *jobState, count int) {
-	unconfirmed := j.spec.OwnerRevision != s.ownerRevision && len(s.unconfirmed) > 0
-	for k := len(j.occurrences); k < count; k++ {
-		j.occurrences = append(j.occurrences, s.newOccurrence(j, k, unconfirmed))
-	}
-}
-
 // Cancel cancels a job that has not ended and stops its runs. It reports whether it did. A final
 // state never changes, also while it is not stored yet.
 func (s *Scheduler) Cancel(id string) bool {
@@ -213,17 +178,6 @@
 	return o.steps[name.Step][name.Index]
 }
 
-// findReported returns the task of a run that an instance reports, or nil. The report shows that an
-// earlier owner has begun the task's occurrence, so it is created if this owner's clock has not reached
-// its time yet. No clock is ahead by more than MaxClockAhead.
-func (s *Scheduler) findReported(now time.Time, name TaskName) *task {
-	j, ok := s.jobs[name.Job]
-	if ok && name.Occurrence < j.spec.Occurrences() && j.spec.dueAt(name.Occurrence) <= now.Add(MaxClockAhead).UnixMilli() {
-		s.addOccurrences(j, name.Occurrence+1)
-	}
-	return s.findTask(name)
-}
-
 // Stop is an order to end a run on an instance.
 type Stop struct {
 	Instance string
