--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -19,7 +19,7 @@
 // the table.
 const crashReportPeriod = 20 * time.Second
 
-// recordBegun records that the worker has begun the run, or counts as having done so.
+// recordBegun records that the run has begun, or counts as begun.
 func (k *run) recordBegun() {
 	if k.begunAt.IsZero() {
 		k.begunAt = time.Now()
@@ -42,8 +42,9 @@
 	}
 }
 
-// hadStart reports whether a start whose connection has just broken was with a worker that was alive: it
-// had answered shortly before, and the start had not been with it for long.
+// hadStart reports whether a start that was sent at the time sent, and whose connection has just broken,
+// had reached a worker that was alive: it had answered shortly before, and the start was not under way for
+// long.
 func (r *Runner) hadStart(sent time.Time) bool {
 	return sent.Sub(r.aliveAt()) < incarnationTrustPeriod && time.Since(sent) < crashWindow
 }
