--- a/internal/decision/dispatch/scheduler_test.go
+++ b/internal/decision/dispatch/scheduler_test.go
@@ -119,55 +119,6 @@
 	}
 }
 
-// A new owner must not start a task that an earlier owner may have started on an instance that
-// has not reported yet, even if another instance reports the end of an older run.
-func TestUnconfirmedTasksWaitForAllInstances(t *testing.T) {
-	s := New(2, 9)
-	s.RestoreInstance(registrationOf("a", 8))
-	s.RestoreInstance(registrationOf("b", 8))
-	s.Accept(startTime, jobOf("j", stepOf(1, 1)), nil)
-	s.Register(at(0), registrationOf("a", 8))
-	s.Ended(at(0), Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 1, Reason: EndFailed}})
-	s.Reconcile(at(0), Incarnation{"a", 1}, nil)
-	expect(t, "before b is heard of", startsOf(s.Plan(at(0))), []string(nil))
-	s.Register(at(1), registrationOf("b", 8))
-	s.Reconcile(at(1), Incarnation{"b", 1}, []RunStatus{{Task: TaskName{"j", 0, 0, 0}, Run: 2}})
-	expect(t, "while run 2 goes on", startsOf(s.Plan(at(1))), []string(nil))
-	s.Ended(at(2), Incarnation{"b", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 2, Reason: EndExpired}})
-	expect(t, "afterwards", startsOf(s.Plan(at(2))), []string{"j.0.0.0 1000001 b"})
-}
-
-func TestTasksAreConfirmedWhenTheInstanceIsLostOrReplaced(t *testing.T) {
-	cases := []struct {
-		name string
-		do   func(s *Scheduler)
-	}{
-		{"lost", func(s *Scheduler) { s.LostByID(at(1), "a") }},
-		{"another life of the same ID", func(s *Scheduler) {
-			registration := registrationOf("a", 8)
-			registration.Incarnation.StartedAt = 2
-			s.Register(at(1), registration)
-			s.Reconcile(at(1), registration.Incarnation, nil)
-		}},
-		{"another ID beside the same agent", func(s *Scheduler) {
-			registration := registrationOf("c", 8)
-			registration.Agent, registration.Incarnation.StartedAt = "agent-a", 2
-			s.Register(at(1), registration)
-		}},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			s := New(2, 9)
-			s.RestoreInstance(registrationOf("a", 8))
-			s.Accept(startTime, jobOf("j", stepOf(1, 1)), nil)
-			registerOn(s, registrationOf("b", 8))
-			expect(t, "before", len(s.Plan(at(0))), 0)
-			c.do(s)
-			expect(t, "after", len(s.Plan(at(1))), 1)
-		})
-	}
-}
-
 // Runs of finished jobs use resources until they have ended, also for a new owner that
 // restored the job as finished.
 func TestRunsOfFinishedJobsTakeRoom(t *testing.T) {
@@ -245,20 +196,6 @@
 	}
 }
 
-func TestANewOwnerCountsStoredFailuresOnce(t *testing.T) {
-	s := New(2, 9)
-	s.RestoreInstance(registrationOf("a", 8))
-	s.Accept(startTime, jobOf("j", stepOf(1, 1)), &Progress{Occurrences: []*Occurrence{{
-		Done: []string{""}, Failed: map[string][]int64{"0.0": {1}}, Checkpoints: map[string]string{"0.0": "c1"},
-	}}})
-	s.Register(startTime, registrationOf("a", 8))
-	s.Ended(startTime, Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 1, Reason: EndFailed}})
-	s.Reconcile(startTime, Incarnation{"a", 1}, nil)
-	starts := s.Plan(at(0))
-	expect(t, "starts", startsOf(starts), []string{"j.0.0.0 1000001 a"})
-	expect(t, "checkpoint", starts[0].Checkpoint, "c1")
-}
-
 func TestLongRunningTasksRestartHoweverTheyEnd(t *testing.T) {
 	for _, reason := range []EndReason{EndDone, EndFailed, EndStopped, EndExpired} {
 		t.Run(reason.String(), func(t *testing.T) {
@@ -275,43 +212,6 @@
 	}
 }
 
-func TestGangsStartTogetherWithOneRunOrNotAtAll(t *testing.T) {
-	gang := stepOf(3, 4)
-	gang.Gang = true
-	s := schedulerWith(registrationOf("a", 8))
-	s.Accept(startTime, jobOf("j", gang), nil)
-	expect(t, "without room for all", len(s.Plan(at(0))), 0)
-	registerOn(s, registrationOf("b", 8))
-	starts := s.Plan(at(1))
-	expect(t, "with room", len(starts), 3)
-	for _, start := range starts {
-		expect(t, "run", start.Run, starts[0].Run)
-	}
-}
-
-func TestOccurrencesWaitForTheirTime(t *testing.T) {
-	s := schedulerWith(registrationOf("a", 8))
-	job := jobOf("j", stepOf(1, 1))
-	job.FirstDue, job.Interval, job.Repeat = 5_000, 1_000, 2
-	s.Accept(startTime, job, nil)
-	s.Trigger(4_999)
-	expect(t, "before", startsOf(s.Plan(at(0))), []string(nil))
-	s.Trigger(5_000)
-	expect(t, "first", startsOf(s.Plan(at(0))), []string{"j.0.0.0 1 a"})
-	s.Trigger(6_000)
-	expect(t, "second", startsOf(s.Plan(at(0))), []string{"j.1.0.0 1 a"})
-}
-
-// A job that is to run several times and names no time must not wait for ever after the first one.
-func TestOccurrencesWithoutATimeAreDueAtOnce(t *testing.T) {
-	s := schedulerWith(registrationOf("a", 8))
-	job := jobOf("j", stepOf(1, 1))
-	job.Repeat = 3
-	s.Accept(startTime, job, nil)
-	s.Trigger(startTime.UnixMilli())
-	expect(t, "starts", startsOf(s.Plan(at(0))), []string{"j.0.0.0 1 a", "j.1.0.0 1 a", "j.2.0.0 1 a"})
-}
-
 func TestCancelStopsWhatRuns(t *testing.T) {
 	s := schedulerWith(registrationOf("a", 8))
 	s.Accept(startTime, jobOf("j", stepOf(2, 1)), nil)
@@ -382,82 +282,3 @@
 		expect(t, "stored state", change.Progress.State, Completed)
 	}
 }
-
-// A job waits until one of its tasks has begun. An order to an instance that is lost, or does not answer,
-// begins nothing, nor does a start that is refused.
-func TestJobsThatWait(t *testing.T) {
-	incarnation, task := Incarnation{"a", 1}, TaskName{"j", 0, 0, 0}
-	cases := []struct {
-		name    string
-		then    func(*Scheduler) // after a task was ordered
-		waiting int
-	}{
-		{"ordered", func(*Scheduler) {}, 0},
-		{"the instance does not answer", func(s *Scheduler) { s.SetReachable("a", false) }, 1},
-		{"the instance answers again", func(s *Scheduler) { s.SetReachable("a", false); s.SetReachable("a", true) }, 0},
-		{"the instance is lost", func(s *Scheduler) { s.Lost(at(1), incarnation) }, 1},
-		{"the start was refused", func(s *Scheduler) {
-			s.Ended(at(1), incarnation, []End{{Task: task, Run: 1, Reason: EndNotStarted}})
-		}, 1},
-		{"the run has failed", func(s *Scheduler) {
-			s.Ended(at(1), incarnation, []End{{Sequence: 1, Task: task, Run: 1, Reason: EndFailed}})
-		}, 0},
-		{"the run was listed, and the instance is lost", func(s *Scheduler) {
-			s.Lost(at(1), incarnation)
-			registerOn(s, registrationOf("b", 8))
-			s.Reconcile(at(2), Incarnation{"b", 1}, []RunStatus{{Task: task, Run: 2}})
-			s.Lost(at(3), Incarnation{"b", 1})
-		}, 0},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			s := schedulerWith(registrationOf("a", 8))
-			s.Accept(startTime, jobOf("j", stepOf(1, 1)), nil)
-			expect(t, "before", s.Backlog()["q"], 1)
-			s.Plan(at(0))
-			c.then(s)
-			expect(t, "waiting", s.Backlog()["q"], c.waiting)
-		})
-	}
-}
-
-// The members of a gang resume from one checkpoint, the one that was reported last. Other members may not
-// have reported it, or have been lost before they could.
-func TestAGangResumesFromOneCheckpoint(t *testing.T) {
-	a, first := Incarnation{"a", 1}, TaskName{"j", 0, 0, 0}
-	second := TaskName{"j", 0, 0, 1}
-	cases := []struct {
-		name   string
-		report func(*Scheduler)
-		want   string
-	}{
-		{"none", func(*Scheduler) {}, ""},
-		{"of one member", func(s *Scheduler) { s.Checkpointed(at(1), a, []RunStatus{{second, 1, "c1"}}) }, "c1"},
-		{"of two members", func(s *Scheduler) {
-			s.Checkpointed(at(1), a, []RunStatus{{first, 1, "c1"}, {second, 1, "c1"}})
-			s.Checkpointed(at(2), a, []RunStatus{{first, 1, "c2"}})
-			s.Checkpointed(at(3), a, []RunStatus{{second, 1, "c1"}})
-		}, "c2"},
-		{"of an end", func(s *Scheduler) {
-			s.Checkpointed(at(1), a, []RunStatus{{first, 1, "c1"}, {second, 1, "c1"}})
-			s.Ended(at(2), a, []End{{Sequence: 1, Task: second, Run: 1, Reason: EndGangBroken, Checkpoint: "c2"}})
-		}, "c2"},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			s := schedulerWith(registrationOf("a", 8))
-			gang := stepOf(3, 1)
-			gang.Gang, gang.Checkpoints = true, true
-			s.Accept(startTime, jobOf("j", gang), nil)
-			s.Plan(at(0))
-			c.report(s)
-			s.Lost(at(4), a)
-			registerOn(s, registrationOf("b", 8))
-			var resumed []string
-			for _, start := range s.Plan(at(5)) {
-				resumed = append(resumed, start.Checkpoint)
-			}
-			expect(t, "resumed from", resumed, []string{c.want, c.want, c.want})
-		})
-	}
-}
--- a/internal/decision/dispatch/takeover_test.go
+++ b/internal/decision/dispatch/takeover_test.go
@@ -144,3 +144,66 @@
 		})
 	}
 }
+
+// A new owner must not start a task that an earlier owner may have started on an instance that
+// has not reported yet, even if another instance reports the end of an older run.
+func TestUnconfirmedTasksWaitForAllInstances(t *testing.T) {
+	s := New(2, 9)
+	s.RestoreInstance(registrationOf("a", 8))
+	s.RestoreInstance(registrationOf("b", 8))
+	s.Accept(startTime, jobOf("j", stepOf(1, 1)), nil)
+	s.Register(at(0), registrationOf("a", 8))
+	s.Ended(at(0), Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 1, Reason: EndFailed}})
+	s.Reconcile(at(0), Incarnation{"a", 1}, nil)
+	expect(t, "before b is heard of", startsOf(s.Plan(at(0))), []string(nil))
+	s.Register(at(1), registrationOf("b", 8))
+	s.Reconcile(at(1), Incarnation{"b", 1}, []RunStatus{{Task: TaskName{"j", 0, 0, 0}, Run: 2}})
+	expect(t, "while run 2 goes on", startsOf(s.Plan(at(1))), []string(nil))
+	s.Ended(at(2), Incarnation{"b", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 2, Reason: EndExpired}})
+	expect(t, "afterwards", startsOf(s.Plan(at(2))), []string{"j.0.0.0 1000001 b"})
+}
+
+func TestTasksAreConfirmedWhenTheInstanceIsLostOrReplaced(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(s *Scheduler)
+	}{
+		{"lost", func(s *Scheduler) { s.LostByID(at(1), "a") }},
+		{"another life of the same ID", func(s *Scheduler) {
+			registration := registrationOf("a", 8)
+			registration.Incarnation.StartedAt = 2
+			s.Register(at(1), registration)
+			s.Reconcile(at(1), registration.Incarnation, nil)
+		}},
+		{"another ID beside the same agent", func(s *Scheduler) {
+			registration := registrationOf("c", 8)
+			registration.Agent, registration.Incarnation.StartedAt = "agent-a", 2
+			s.Register(at(1), registration)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(2, 9)
+			s.RestoreInstance(registrationOf("a", 8))
+			s.Accept(startTime, jobOf("j", stepOf(1, 1)), nil)
+			registerOn(s, registrationOf("b", 8))
+			expect(t, "before", len(s.Plan(at(0))), 0)
+			c.do(s)
+			expect(t, "after", len(s.Plan(at(1))), 1)
+		})
+	}
+}
+
+func TestANewOwnerCountsStoredFailuresOnce(t *testing.T) {
+	s := New(2, 9)
+	s.RestoreInstance(registrationOf("a", 8))
+	s.Accept(startTime, jobOf("j", stepOf(1, 1)), &Progress{Occurrences: []*Occurrence{{
+		Done: []string{""}, Failed: map[string][]int64{"0.0": {1}}, Checkpoints: map[string]string{"0.0": "c1"},
+	}}})
+	s.Register(startTime, registrationOf("a", 8))
+	s.Ended(startTime, Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{"j", 0, 0, 0}, Run: 1, Reason: EndFailed}})
+	s.Reconcile(startTime, Incarnation{"a", 1}, nil)
+	starts := s.Plan(at(0))
+	expect(t, "starts", startsOf(starts), []string{"j.0.0.0 1000001 a"})
+	expect(t, "checkpoint", starts[0].Checkpoint, "c1")
+}
