--- a/internal/decision/dispatch/moves.go
+++ b/internal/decision/dispatch/moves.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// evacuate stops the runs on draining instances that would not finish there in time, so that
+// drain stops the runs on draining instances that would not finish there in time, so that
 // they continue elsewhere. It requests the deletion of the rows of draining instances without
 // runs.
-func (s *Scheduler) evacuate(now time.Time) {
+func (s *Scheduler) drain(now time.Time) {
 	for _, in := range s.byID {
 		if !in.registration.Draining {
 			continue
@@ -19,7 +19,7 @@
 			if p.step == nil || p.stopping {
 				continue
 			}
-			remaining := time.Duration(p.step.Estimate)*time.Millisecond - now.Sub(p.startedAt)
+			remaining := s.remainingTime(in, p, now)
 			if p.step.LongRunning || now.Add(remaining).After(in.drainDeadline) {
 				s.stop(in, p, StopDraining)
 			}
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -40,7 +40,7 @@
 // have started releases them when its end is reported. Plan also decides stops; TakeStops
 // returns them.
 func (s *Scheduler) Plan(now time.Time) []Start {
-	s.evacuate(now)
+	s.drain(now)
 	p := newPlanner(s, now)
 	for _, in := range s.byID {
 		switch {
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -106,12 +106,7 @@
 
 // findStep returns the step of a task of any known job, finished or not, or nil.
 func (s *Scheduler) findStep(name TaskName) *Step {
-	var job *Job
-	if j, active := s.jobs[name.Job]; active {
-		job = j.spec
-	} else {
-		job = s.finished[name.Job].job
-	}
+	job := s.findJob(name.Job)
 	if job == nil || name.Step >= len(job.Steps) {
 		return nil
 	}
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -16,7 +16,9 @@
 	"sort"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/decision/durations"
 	"github.com/apricotwind/apricotwind/internal/decision/interference"
+	"github.com/apricotwind/apricotwind/internal/decision/speeds"
 )
 
 const (
@@ -52,6 +54,8 @@
 	postponements      []Postponement
 	instanceChanges    []InstanceChange
 	costModel          *interference.Model
+	durations          *durations.Model
+	speeds             *speeds.Model
 	rebalancedAt       time.Time       // when latency-critical tasks were last moved to make room for best-effort ones
 	rebalanceCheckedAt time.Time       // when such a move was last considered
 	stallCheckedAt     time.Time       // when stalled tasks were last looked for
@@ -72,7 +76,7 @@
 		ownerRevision: ownerRevision, runBase: int64(epoch-1) * runNumbersPerEpoch,
 		jobs: map[string]*jobState{}, finished: map[string]finishedJob{},
 		instances: map[string]*instance{}, unconfirmed: map[string]bool{}, suspects: map[TaskName]*task{}, lostAt: map[string]time.Time{},
-		costModel: interference.NewModel(),
+		costModel: interference.NewModel(), durations: durations.New(), speeds: speeds.New(),
 	}
 }
 
