Durations of tasks are learned from their runs, and decide urgency, postponement and drains

Cause: all decisions that ask when work ends trusted the estimate of the user. Change: package durations learns, for each queue and image, what steps take against their estimates (a fit of logs with forgetting, and the tail), and for each step what its own runs take. Runs count with the time that they worked at full speed, by the processors that they used; resumed ones and those on slow instances are left out. The objective, the rest of a job, its work and the end of a run on a draining instance follow from the predictions. The owner stores the model in the row costs/0/durations.

--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -42,6 +42,9 @@
 	t.lastRun = max(t.lastRun, end.Run)
 	t.job.begun = t.job.begun || end.Sequence > 0 // the worker has listed it
 	t.recordCheckpoint(now, end.Checkpoint)
+	if placed && p.run == end.Run && end.Reason == EndDone {
+		s.recordDuration(now, in, p, t)
+	}
 	s.applyEnd(now, in, end, t)
 	if current || end.Reason == EndDone {
 		s.release(t, current)
@@ -109,6 +112,9 @@
 	} else {
 		o.setDone(t)
 	}
+	if o.stepDone(t.name.Step) {
+		s.learnStep(j, t.name.Step)
+	}
 	s.markDirty(j)
 	s.completeIfDone(j)
 }
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -82,6 +82,8 @@
 	agentIncarnation string    // incarnation of the agent that received the start order
 	stopping         bool      // a stop was ordered
 	stalledSince     time.Time // since when the run has used little processor time; zero otherwise
+	fromStart        bool      // this owner has ordered the start, without a checkpoint
+	use              use
 	// orderedRun is another run of the same task that was ordered on this instance before the
 	// instance reported this one. Its start order may still be in transit.
 	orderedRun *reservation
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -5,6 +5,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Resources is a resource vector: the request of one task, the capacity of an instance, or
@@ -54,7 +55,7 @@
 	Service  string  `json:"service"`  // service that the instances must belong to
 	Priority int     `json:"priority"` // 0 is the highest
 	Attempts int     `json:"attempts"` // failed runs of a task after which the job fails
-	Stretch  float64 `json:"stretch"`  // the objective is this, at least 1, times the longest chain of step estimates, plus Latency
+	Stretch  float64 `json:"stretch"`  // the objective is this, at least 1, times the longest chain of steps, plus Latency
 	Latency  int64   `json:"latency"`  // ms added to the objective
 }
 
@@ -96,20 +97,30 @@
 	return false
 }
 
-// Objective returns the time from acceptance in which the job should be done, in ms.
-func (j *Job) Objective() int64 {
-	longest := make([]int64, len(j.Steps))
-	var chain int64
-	for i, step := range j.Steps {
-		for _, before := range step.After {
-			if before < i {
-				longest[i] = max(longest[i], longest[before])
+// estimate returns how long a task takes, as the user estimates it; 0 if there is no estimate.
+func (s *Step) estimate() time.Duration { return time.Duration(max(s.Estimate, 0)) * time.Millisecond }
+
+// longestChain returns the duration of the longest chain of steps, of which each takes as long as
+// duration says.
+func (j *Job) longestChain(duration func(stepIndex int) time.Duration) time.Duration {
+	longest := make([]time.Duration, len(j.Steps))
+	var chain time.Duration
+	for stepIndex := range j.Steps {
+		for _, before := range j.Steps[stepIndex].After {
+			if before < stepIndex {
+				longest[stepIndex] = max(longest[stepIndex], longest[before])
 			}
 		}
-		longest[i] += step.Estimate
-		chain = max(chain, longest[i])
+		longest[stepIndex] += duration(stepIndex)
+		chain = max(chain, longest[stepIndex])
 	}
-	return int64(float64(chain)*max(j.Policy.Stretch, 1)) + j.Policy.Latency
+	return chain
+}
+
+// objective returns the time from acceptance in which the job should be done if its longest chain of
+// steps takes as long as given.
+func (j *Job) objective(chain time.Duration) time.Duration {
+	return time.Duration(float64(chain)*max(j.Policy.Stretch, 1)) + time.Duration(j.Policy.Latency)*time.Millisecond
 }
 
 // TaskName identifies a task by job, occurrence, step and index.
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -372,7 +372,7 @@
 // place starts a run of a task on an instance and reserves its resources.
 func (p *planner) place(j *jobState, t *task, in *instance, run int64) {
 	t.instance, t.run, t.lastRun, t.startedAt = in.registration.Incarnation.ID, run, run, p.now
-	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation}
+	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation, fromStart: t.checkpoint == ""}
 	placed.setStep(t.step)
 	in.add(placed)
 	p.updateCaches(in, t.step, true)
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -52,6 +52,7 @@
 	lostAt             map[string]time.Time // by agent: when its worker last fell silent or crashed
 	stops              []Stop
 	postponements      []Postponement
+	stepDurations      []StepDuration
 	instanceChanges    []InstanceChange
 	costModel          *interference.Model
 	durations          *durations.Model
@@ -96,7 +97,8 @@
 		s.finished[job.ID] = finishedJob{job, stored.State}
 		return false
 	}
-	j := &jobState{spec: job, acceptedAt: now, objective: time.Duration(job.Objective()) * time.Millisecond, favored: isFavored(job)}
+	j := &jobState{spec: job, acceptedAt: now, durations: make([]stepDuration, len(job.Steps)), favored: isFavored(job)}
+	s.refreshPredictions(j)
 	unconfirmed := job.OwnerRevision != s.ownerRevision && len(s.unconfirmed) > 0
 	s.jobs[job.ID] = j
 	if stored != nil {
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -55,12 +55,13 @@
 type jobState struct {
 	spec            *Job
 	state           State
-	begun           bool          // a run or its end was reported, or an occurrence was stored; never reset
-	occurrences     []*occurrence // those that are due, in order
-	objective       time.Duration
-	acceptedAt      time.Time // when Accept was called on this scheduler, by the caller's clock; not Job.Accepted
-	postponedBefore bool      // TakePostponements returns the job once
-	favored         bool      // see isFavored
+	begun           bool           // a run or its end was reported, or an occurrence was stored; never reset
+	occurrences     []*occurrence  // those that are due, in order
+	durations       []stepDuration // by step
+	objective       time.Duration  // see refreshPredictions
+	acceptedAt      time.Time      // when Accept was called on this scheduler, by the caller's clock; not Job.Accepted
+	postponedBefore bool           // TakePostponements returns the job once
+	favored         bool           // see isFavored
 	dirty           bool
 	revision        uint64 // grows with each change to be committed
 }
--- a/internal/decision/dispatch/urgency.go
+++ b/internal/decision/dispatch/urgency.go
@@ -13,35 +13,26 @@
 	worthless        // finishing it has no value
 )
 
-// A job counts as late once this fraction of the estimate of its remaining steps no longer
-// fits before its objective. It is a fraction since estimates are often too long.
+// A job counts as late once this fraction of what its remaining steps take no longer fits before
+// its objective. It is a fraction since predictions are often too long.
 const (
 	remainingNumerator   = 2
 	remainingDenominator = 3
 )
 
-// remainingEstimate returns the estimate of the longest chain of unfinished steps of the job's
-// last occurrence.
-func (j *jobState) remainingEstimate() time.Duration {
+// remainingChain returns how long the longest chain of unfinished steps of the job's last occurrence
+// takes.
+func (j *jobState) remainingChain() time.Duration {
 	if len(j.occurrences) == 0 {
 		return 0
 	}
 	o := j.occurrences[len(j.occurrences)-1]
-	longest := make([]int64, len(j.spec.Steps))
-	var chain int64
-	for stepIndex := range j.spec.Steps {
-		step := &j.spec.Steps[stepIndex]
-		for _, before := range step.After {
-			if before < stepIndex {
-				longest[stepIndex] = max(longest[stepIndex], longest[before])
-			}
-		}
-		if !o.stepDone(stepIndex) {
-			longest[stepIndex] += step.Estimate
+	return j.spec.longestChain(func(stepIndex int) time.Duration {
+		if o.stepDone(stepIndex) {
+			return 0
 		}
-		chain = max(chain, longest[stepIndex])
-	}
-	return time.Duration(chain) * time.Millisecond
+		return j.durations[stepIndex].prediction.Median
+	})
 }
 
 // alwaysOnTime reports whether the job has no objective that it could miss.
@@ -49,23 +40,21 @@
 
 // lateAt returns when the job counts as late unless more of it is done by then.
 func (j *jobState) lateAt() time.Time {
-	return j.acceptedAt.Add(j.objective - j.remainingEstimate()*remainingNumerator/remainingDenominator)
+	return j.acceptedAt.Add(j.objective - j.remainingChain()*remainingNumerator/remainingDenominator)
 }
 
-// work returns the estimate of the work of a step's tasks, of the given number, in thousandths of
-// a core times seconds.
-func (s *Step) work(tasks int) float64 {
-	estimate := time.Duration(max(s.Estimate, 0)) * time.Millisecond
-	return float64(tasks) * float64(s.Need.Processors) * estimate.Seconds()
+// work returns the work of a number of tasks of a step, in thousandths of a core times seconds.
+func (j *jobState) work(stepIndex, tasks int) float64 {
+	return float64(tasks) * float64(j.spec.Steps[stepIndex].Need.Processors) * j.durations[stepIndex].prediction.Median.Seconds()
 }
 
-// remainingWork returns the estimate of the work that is left of the job, and wholeWork that of all
-// its due occurrences, both in thousandths of a core times seconds.
+// remainingWork returns the work that is left of the job, and wholeWork that of all its due
+// occurrences, both in thousandths of a core times seconds.
 func (j *jobState) remainingWork() float64 {
 	work := 0.0
 	for _, o := range j.occurrences {
 		for stepIndex, undone := range o.undone {
-			work += j.spec.Steps[stepIndex].work(undone)
+			work += j.work(stepIndex, undone)
 		}
 	}
 	return work
@@ -74,8 +63,7 @@
 func (j *jobState) wholeWork() float64 {
 	work := 0.0
 	for stepIndex := range j.spec.Steps {
-		step := &j.spec.Steps[stepIndex]
-		work += step.work(step.Count * len(j.occurrences))
+		work += j.work(stepIndex, j.spec.Steps[stepIndex].Count*len(j.occurrences))
 	}
 	return work
 }
@@ -116,6 +104,7 @@
 	unfinished := make([]ranked, 0, len(s.jobs))
 	for _, j := range s.jobs {
 		if !j.state.Final() {
+			s.refreshPredictions(j)
 			unfinished = append(unfinished, rankOf(j, now))
 		}
 	}
--- /dev/null
+++ b/internal/decision/durations/durations_test.go
@@ -0,0 +1,111 @@
+package durations
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// source draws steps: what their tasks take, and what their user estimates, in seconds.
+type source struct {
+	name     string
+	took     func(random *rand.Rand, step int) float64
+	estimate func(random *rand.Rand, took float64) float64
+	steps    int
+	// gain bounds the mean error of the prediction for a step before it runs, as a share of that of
+	// the estimate, and gainWithRuns that after three of its runs.
+	gain, gainWithRuns float64
+}
+
+func lognormal(random *rand.Rand, middle, deviation float64) float64 {
+	return middle * math.Exp(deviation*random.NormFloat64())
+}
+
+// off returns estimates that are off by up to share of what the step takes.
+func off(share float64) func(*rand.Rand, float64) float64 {
+	return func(random *rand.Rand, took float64) float64 { return took * (1 + share*(2*random.Float64()-1)) }
+}
+
+func sources() []source {
+	spread := func(random *rand.Rand, _ int) float64 { return lognormal(random, 1.4, 0.5) }
+	heavy := func(random *rand.Rand, _ int) float64 {
+		took := lognormal(random, 1.2, 0.5)
+		if random.Float64() < 0.03 {
+			took *= 7
+		}
+		return took
+	}
+	bimodal := func(random *rand.Rand, _ int) float64 {
+		return lognormal(random, []float64{0.5, 8}[random.IntN(2)], 0.2)
+	}
+	shifting := func(random *rand.Rand, step int) float64 {
+		return lognormal(random, []float64{1, 6}[step/100%2], 0.3)
+	}
+	worthless := func(random *rand.Rand, _ float64) float64 { return lognormal(random, 3, 1) }
+	fixed := func(*rand.Rand, float64) float64 { return 10 }
+	right := func(_ *rand.Rand, took float64) float64 { return took }
+	third := func(_ *rand.Rand, took float64) float64 { return took / 3 }
+	return []source{
+		{"spread, off by 0.9", spread, off(0.9), 200, 0.85, 0.35},
+		{"spread, off by 0.5", spread, off(0.5), 200, 1, 0.55},
+		{"spread, off by 0.2", spread, off(0.2), 200, 1.05, 1.05},
+		{"spread, right", spread, right, 200, 1, 1},
+		{"heavy tail, off by 0.9", heavy, off(0.9), 200, 0.95, 0.4},
+		{"heavy tail, worthless", heavy, worthless, 200, 0.5, 0.25},
+		{"bimodal, off by 0.5", bimodal, off(0.5), 200, 1.1, 0.55},
+		{"bimodal, worthless", bimodal, worthless, 200, 1, 0.3},
+		{"shifting, off by 0.5", shifting, off(0.5), 400, 1.1, 0.55},
+		{"shifting, one estimate for all", shifting, fixed, 400, 0.7, 0.2},
+		{"a third of the truth", spread, third, 200, 0.2, 0.2},
+		{"few, off by 0.5", spread, off(0.5), 4, 1.1, 0.65},
+		{"few, off by 0.9", spread, off(0.9), 4, 1.1, 0.5},
+		{"few, worthless", spread, worthless, 4, 1, 0.4},
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// errorOf returns the distance of the logs of a prediction and of what was predicted.
+func errorOf(predicted, took time.Duration) float64 { return math.Abs(toLog(predicted) - toLog(took)) }
+
+// The prediction for a step is better than its estimate where there is something to learn, and never much
+// worse; after three runs of the step it is better in any case but for estimates that are right.
+func TestPredictionsAgainstEstimates(t *testing.T) {
+	const taskDeviation, played = 0.2, 4000
+	class := Class{Queue: "q", Image: "f"}
+	for _, c := range sources() {
+		random := rand.New(rand.NewPCG(1, 2))
+		plain, before, withRuns, beyond, count := 0.0, 0.0, 0.0, 0, 0
+		for count < played {
+			m := New()
+			for step := range c.steps {
+				middle := c.took(random, step)
+				estimate := seconds(c.estimate(random, middle))
+				prediction := m.Predict(class, estimate)
+				plain += errorOf(estimate, seconds(middle))
+				before += errorOf(prediction.Median, seconds(middle))
+				if seconds(middle) > prediction.Tail {
+					beyond++
+				}
+				runs := &Runs{}
+				for i := range 10 {
+					if i == 3 {
+						withRuns += errorOf(m.PredictStep(class, estimate, runs).Median, seconds(middle))
+					}
+					runs.Add(seconds(lognormal(random, middle, taskDeviation)), 0)
+				}
+				m.Observe(class, estimate, runs)
+				count++
+			}
+		}
+		n := float64(count)
+		t.Logf("%-32s error of the estimate %.3f, predicted %.3f, with three runs %.3f, beyond the tail %.3f", c.name, plain/n, before/n, withRuns/n, float64(beyond)/n)
+		if before > plain*c.gain+0.02*n {
+			t.Errorf("%s: mean error %.3f, of the estimate %.3f, want %.2f of it", c.name, before/n, plain/n, c.gain)
+		}
+		if withRuns > plain*c.gainWithRuns+0.1*n {
+			t.Errorf("%s: mean error with three runs %.3f, of the estimate %.3f, want %.2f of it", c.name, withRuns/n, plain/n, c.gainWithRuns)
+		}
+	}
+}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -17,13 +17,15 @@
 const (
 	// maxCommitOperations is the number of preconditions and writes that the table accepts in
 	// one transaction. fixedCommitOperations of them are reserved in each commit: the
-	// precondition on the owner's row and the writes of the alive row and the costs row.
+	// precondition on the owner's row and the writes of the alive row, the costs row and the
+	// durations row.
 	maxCommitOperations   = 100
-	fixedCommitOperations = 3
-	// maxRowBytes bounds the value of a row, and maxCommitBytes the values of one commit, in bytes. The
-	// table accepts calls of 1 MB, in which values take a third more, and keys and revisions the rest.
+	fixedCommitOperations = 4
+	// maxRowBytes bounds the value of a row, and maxCommitBytes the values of one commit, in bytes, but
+	// for the costs row and the durations row. The table accepts calls of 1 MB, in which values take a
+	// third more, and keys and revisions the rest.
 	maxRowBytes    = 65_536
-	maxCommitBytes = 680_000
+	maxCommitBytes = 610_000
 	// operationsPerRow is 2 for a row in a commit: its precondition and its write.
 	operationsPerRow = 2
 	// maxCommitInstances bounds the instance rows in one commit.
@@ -137,6 +139,7 @@
 	t.putProgress(b, (maxCommitOperations-fixedCommitOperations)/operationsPerRow-len(b.instances)-len(b.pendingJobs))
 	t.putAliveRow(b)
 	t.putCosts(b)
+	t.putDurations(b)
 	return b
 }
 
@@ -240,7 +243,7 @@
 	t.commitFailures.Note(nil)
 	t.confirmEpoch(b.sent)
 	for _, put := range b.txn.Puts {
-		if put.RowKey != aliveRowKey() && put.RowKey != costsRowKey() && !strings.HasSuffix(put.Key, suffixJob) {
+		if put.RowKey != aliveRowKey() && put.RowKey.Table != tableCosts && !strings.HasSuffix(put.Key, suffixJob) {
 			t.revisions[put.RowKey] = revision
 		}
 	}
--- a/internal/owner/costs.go
+++ b/internal/owner/costs.go
@@ -40,9 +40,14 @@
 	b.txn.Puts = append(b.txn.Puts, table.Put{RowKey: costsRowKey(), Value: value})
 }
 
-// restoreCosts gives the scheduler the estimates that earlier owners wrote to the table.
+// restoreCosts gives the scheduler the estimates, and what was learned of durations, that earlier
+// owners wrote to the table.
 func (t *term) restoreCosts(rows []table.Record) {
 	for _, row := range rows {
+		if row.RowKey == durationsRowKey() {
+			t.restoreDurations(row)
+			continue
+		}
 		var known []interference.Estimate
 		if err := json.Unmarshal(row.Value, &known); err != nil {
 			t.log.Warn("row-ignored", zap.String("table", row.Table), zap.String("key", row.Key), logs.Error(err))
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -68,6 +68,7 @@
 	for _, postponed := range t.scheduler.TakePostponements() {
 		t.log.Info("postponed", zap.String("job", postponed.Job), zap.Float64("work", postponed.Work), zap.Float64("cores", postponed.Cores))
 	}
+	t.logStepDurations()
 	for id, order := range orders {
 		t.send(id, order)
 	}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -47,8 +47,9 @@
 	tableAlive     = "alive"     // key 0: the owner's heartbeat, written every alivePeriod
 	tableJobs      = "jobs"      // ID/job, ID/progress, ID/cancel
 	tableInstances = "instances" // ID of a worker's incarnation: its registration
-	tableCosts     = "costs"     // key 0: estimated interference costs of image pairs
+	tableCosts     = "costs"     // key 0: estimated interference costs of image pairs; durations: of tasks
 	singleRowKey   = "0"
+	durationsKey   = "durations"
 	suffixJob      = "/job"
 	suffixProgress = "/progress"
 	suffixCancel   = "/cancel"
@@ -84,6 +85,10 @@
 	return table.RowKey{Table: tableAlive, Partition: shardPartition, Key: singleRowKey}
 }
 
+func durationsRowKey() table.RowKey {
+	return table.RowKey{Table: tableCosts, Partition: shardPartition, Key: durationsKey}
+}
+
 func costsRowKey() table.RowKey {
 	return table.RowKey{Table: tableCosts, Partition: shardPartition, Key: singleRowKey}
 }
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -85,16 +85,18 @@
 	// commitFailures logs commits that were refused or not answered.
 	commitFailures *logs.FailureLogger
 	// progressFailures logs progress that fits into no row.
-	progressFailures *logs.FailureLogger
-	costs            []interference.Estimate // as last written to the costs row
-	costsComparedAt  time.Time               // when costs was last compared with the scheduler's estimates
-	jobsRevision     uint64
-	heartbeat        uint64
-	waitsLoggedAt    time.Time // when logWaits last counted the waiting tasks
-	stop             context.CancelFunc
-	ctx              context.Context
-	onEnd            func() // set by handOver: the handover is in progress; called when the term ends
-	commitsLeft      int    // of unsaved progress, before the handover
+	progressFailures    *logs.FailureLogger
+	costs               []interference.Estimate // as last written to the costs row
+	costsComparedAt     time.Time               // when costs was last compared with the scheduler's estimates
+	durations           []byte                  // as last written to the durations row
+	durationsComparedAt time.Time               // the same for durations
+	jobsRevision        uint64
+	heartbeat           uint64
+	waitsLoggedAt       time.Time // when logWaits last counted the waiting tasks
+	stop                context.CancelFunc
+	ctx                 context.Context
+	onEnd               func() // set by handOver: the handover is in progress; called when the term ends
+	commitsLeft         int    // of unsaved progress, before the handover
 }
 
 // finishedJob is a finished job and the time at which its rows are to be removed.
