--- a/internal/decision/durations/durations_test.go
+++ b/internal/decision/durations/durations_test.go
@@ -43,6 +43,7 @@
 		return lognormal(random, []float64{1, 6}[step/100%2], 0.3)
 	}
 	worthless := func(random *rand.Rand, _ float64) float64 { return lognormal(random, 3, 1) }
+	factor := func(random *rand.Rand, took float64) float64 { return lognormal(random, took*0.67, 0.9) }
 	fixed := func(*rand.Rand, float64) float64 { return 10 }
 	right := func(_ *rand.Rand, took float64) float64 { return took }
 	third := func(_ *rand.Rand, took float64) float64 { return took / 3 }
@@ -52,6 +53,7 @@
 		{"spread, off by 0.2", spread, off(0.2), 200, 1.05, 1.05},
 		{"spread, right", spread, right, 200, 1, 1},
 		{"heavy tail, off by 0.9", heavy, off(0.9), 200, 0.95, 0.4},
+		{"heavy tail, off by a factor", heavy, factor, 200, 0.7, 0.3},
 		{"heavy tail, worthless", heavy, worthless, 200, 0.5, 0.25},
 		{"bimodal, off by 0.5", bimodal, off(0.5), 200, 1.1, 0.55},
 		{"bimodal, worthless", bimodal, worthless, 200, 1, 0.3},
@@ -109,3 +111,43 @@
 		}
 	}
 }
+
+// The end of a run is expected at the median, then at the tail; a run beyond the tail is overdue, unless
+// hardly any run is known.
+func TestRemainingAndOverdue(t *testing.T) {
+	prediction := Prediction{Median: 4 * time.Second, Tail: 6 * time.Second, Evidence: minOverdueEvidence}
+	unknown := Prediction{Median: 4 * time.Second, Tail: 4 * time.Second}
+	cases := []struct {
+		name       string
+		prediction Prediction
+		elapsed    time.Duration
+		remaining  time.Duration
+		overdue    bool
+	}{
+		{"at the start", prediction, 0, 4 * time.Second, false},
+		{"before the median", prediction, 3 * time.Second, time.Second, false},
+		{"after it", prediction, 5 * time.Second, time.Second, false},
+		{"beyond the tail", prediction, 7 * time.Second, 0, true},
+		{"nothing known", unknown, 7 * time.Second, 0, false},
+	}
+	for _, c := range cases {
+		if remaining := c.prediction.Remaining(c.elapsed); remaining != c.remaining {
+			t.Errorf("%s: %s left, want %s", c.name, remaining, c.remaining)
+		}
+		if overdue := c.prediction.Overdue(c.elapsed); overdue != c.overdue {
+			t.Errorf("%s: overdue %v, want %v", c.name, overdue, c.overdue)
+		}
+	}
+}
+
+// The first runs of a step to end are its shortest: the others are expected to take longer.
+func TestTheFirstRunsToEndAreTheShortest(t *testing.T) {
+	m, runs := New(), &Runs{}
+	runs.Add(800*time.Millisecond, 19)
+	first := m.PredictStep(Class{Queue: "q"}, time.Second, runs).Median
+	alone := &Runs{}
+	alone.Add(800*time.Millisecond, 0)
+	if last := m.PredictStep(Class{Queue: "q"}, time.Second, alone).Median; first <= last || first < 900*time.Millisecond {
+		t.Errorf("predicted %s while 19 others run, %s without", first, last)
+	}
+}
