A very long estimate does not make an objective short

Cause: an estimate of more than some 290 years in ms overflows; its objective was the latency of the queue alone, which put the job before others. Change: estimates are believed up to 100 hours, objectives up to 10,000. Result: TestObjectives fails without the change (objective 1 s instead of 200 h and of 20,000 h).

--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -97,8 +97,17 @@
 	return false
 }
 
+const (
+	// maxEstimate bounds what is believed of an estimate, and maxObjective an objective, so that sums
+	// of them do not overflow.
+	maxEstimate  = 100 * time.Hour
+	maxObjective = 10_000 * time.Hour
+)
+
 // estimate returns how long a task takes, as the user estimates it; 0 if there is no estimate.
-func (s *Step) estimate() time.Duration { return time.Duration(max(s.Estimate, 0)) * time.Millisecond }
+func (s *Step) estimate() time.Duration {
+	return time.Duration(min(max(s.Estimate, 0), maxEstimate.Milliseconds())) * time.Millisecond
+}
 
 // longestChain returns the duration of the longest chain of steps, of which each takes as long as
 // duration says.
@@ -120,7 +129,8 @@
 // objective returns the time from acceptance in which the job should be done if its longest chain of
 // steps takes as long as given.
 func (j *Job) objective(chain time.Duration) time.Duration {
-	return time.Duration(float64(chain)*max(j.Policy.Stretch, 1)) + time.Duration(j.Policy.Latency)*time.Millisecond
+	stretched := min(float64(chain)*max(j.Policy.Stretch, 1), float64(maxObjective))
+	return time.Duration(stretched) + time.Duration(j.Policy.Latency)*time.Millisecond
 }
 
 // TaskName identifies a task by job, occurrence, step and index.
--- a/internal/decision/dispatch/job_test.go
+++ b/internal/decision/dispatch/job_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"testing"
+	"time"
 )
 
 func TestTaskNames(t *testing.T) {
@@ -102,3 +104,31 @@
 	next.Trigger(1000 * (occurrences + 1))
 	expect(t, "starts of the last one", startsOf(next.Plan(at(0))), []string{"j.6000.0.0 1000001 a", "j.6000.0.1 1000001 a"})
 }
+
+// A very long estimate does not overflow: the objective would be short, and its job before all others.
+func TestObjectives(t *testing.T) {
+	cases := []struct {
+		name      string
+		estimates []int64 // ms, of steps that depend on each other
+		want      time.Duration
+	}{
+		{"none", []int64{0}, time.Second},
+		{"one step", []int64{1500}, 4 * time.Second},
+		{"a chain", []int64{1500, 500}, 5 * time.Second},
+		{"negative", []int64{-9}, time.Second},
+		{"too large", []int64{math.MaxInt64}, 200*time.Hour + time.Second},
+		{"a chain of such", slices.Repeat([]int64{math.MaxInt64}, 1000), maxObjective + time.Second},
+	}
+	for _, c := range cases {
+		job := jobOf("j")
+		for i, estimate := range c.estimates {
+			job.Steps = append(job.Steps, Step{Count: 1, Estimate: estimate})
+			if i > 0 {
+				job.Steps[i].After = []int{i - 1}
+			}
+		}
+		s := New(1, 7)
+		s.Accept(startTime, job, nil)
+		expect(t, c.name, s.jobs["j"].objective, c.want)
+	}
+}
