Where estimates are right, decisions stay as they are; images and ratios count by their certainty

Cause: predictions that differ little from right estimates reordered jobs. What an image adds to its queue, and the mean ratio of a queue, were believed after a fixed number of steps, however much the steps vary. A durations row whose commit was not answered counted as written until the model changed. Change: a prediction within a tenth of the estimate is the estimate. An offset is believed as far as it exceeds the error of its mean, a ratio by the variance of the steps. The row counts as written once it is committed.

--- a/internal/decision/durations/durations.go
+++ b/internal/decision/durations/durations.go
@@ -50,9 +50,9 @@
 	maxQueues     = 32
 	maxClasses    = 96
 	maxNameLength = 64
-	// imageShrinkage is the number of steps after which half of what an image adds to its queue
-	// is believed.
-	imageShrinkage = 8
+	// negligible is the difference from an estimate, in logs, below which the estimate is taken to be
+	// right, so that decisions do not follow noise.
+	negligible = 0.1
 )
 
 // Model holds what was learned. It is not safe for concurrent use.
@@ -76,11 +76,13 @@
 	learned      uint64
 }
 
-func (o *offset) value() float64 {
-	if o == nil {
+// value returns the offset as far as it exceeds the error that its mean has for steps of the given
+// variance: most images take as long as the others of their queue.
+func (o *offset) value(variance float64) float64 {
+	if o == nil || o.weight*o.mean*o.mean <= variance {
 		return 0
 	}
-	return o.mean * o.weight / (o.weight + imageShrinkage)
+	return o.mean - variance/(o.weight*o.mean)
 }
 
 // New returns a model that has learned nothing: it predicts the estimates.
@@ -106,8 +108,8 @@
 		q = &queue{}
 	}
 	center, known := q.fit.predict(estimate)
-	center += m.images[class].value()
 	prior, task := q.fit.variance(), q.tasks.variance(priorTaskVariance)
+	center += m.images[class].value(prior)
 	doubt := 1.0 // share of the doubt about the step that is left
 	switch {
 	case count > 0 && !known:
@@ -119,6 +121,9 @@
 	case !known:
 		return Prediction{Median: estimate, Tail: estimate}
 	}
+	if x := toLog(estimate); estimate > 0 && math.Abs(center-x) < negligible {
+		center = x
+	}
 	tail := math.Hypot(q.steps.tail(priorVariance)*math.Sqrt(doubt), q.tasks.tail(priorTaskVariance))
 	return Prediction{Median: fromLog(center), Tail: fromLog(center + tail), Evidence: q.fit.weight + float64(count)}
 }
@@ -136,11 +141,10 @@
 	}
 	expected, known := q.fit.predict(estimate)
 	if known {
-		image := m.images[class].value()
-		q.steps.add(took-expected-image, 1)
-		m.observeImage(class, q.fit.clip(took-expected))
+		q.steps.add(took-expected-m.images[class].value(q.fit.variance()), 1)
 	}
 	q.fit.observe(estimate, took)
+	m.observeImage(class, q.fit.residual(estimate, took)) // of the new fit: the old one may lag behind for all images
 }
 
 // queue returns a queue after its last change is set to now.
--- a/internal/decision/durations/durations_test.go
+++ b/internal/decision/durations/durations_test.go
@@ -151,3 +151,34 @@
 		t.Errorf("predicted %s while 19 others run, %s without", first, last)
 	}
 }
+
+// An image whose tasks take longer than those of its queue is predicted so; images that do not differ are
+// predicted as if they were one.
+func TestImages(t *testing.T) {
+	const images, steps = 18, 360
+	random := rand.New(rand.NewPCG(3, 4))
+	m, alone := New(), New()
+	apart := 0.0
+	for step := range steps {
+		class := Class{Queue: "q", Image: string(rune('a' + step%images))}
+		took := lognormal(random, 1.4, 0.5)
+		estimate := seconds(lognormal(random, took, 0.5))
+		apart += errorOf(m.Predict(class, estimate).Median, alone.Predict(Class{Queue: "q"}, estimate).Median)
+		runs := &Runs{}
+		runs.Add(seconds(took), 0)
+		alone.Observe(Class{Queue: "q"}, estimate, runs)
+		m.Observe(class, estimate, runs)
+	}
+	if apart > 0.1*steps {
+		t.Errorf("images that do not differ are predicted apart from their queue by %.3f", apart/steps)
+	}
+	slow := Class{Queue: "q", Image: "slow"}
+	for range 20 {
+		runs := &Runs{}
+		runs.Add(seconds(lognormal(random, 6, 0.3)), 0)
+		m.Observe(slow, seconds(2), runs)
+	}
+	if err := errorOf(m.Predict(slow, seconds(2)).Median, 6*time.Second); err > 0.35 {
+		t.Errorf("predicted %s, want about 6 s", m.Predict(slow, seconds(2)).Median)
+	}
+}
--- a/internal/decision/durations/fit.go
+++ b/internal/decision/durations/fit.go
@@ -9,10 +9,10 @@
 	// memory is the factor by which what was learned fades with each step, so that about the last
 	// 60 steps count.
 	memory = 1 - 1.0/60
-	// ratioShrinkage is the number of steps after which half of the mean ratio to the estimates is
-	// believed. slopeShrinkage is the same for the dependence on the estimates, in steps times the
-	// variance of the estimates' logs.
-	ratioShrinkage = 2
+	// ratioVariance is the prior variance of the log of a queue's mean ratio to the estimates.
+	ratioVariance = 0.5 * 0.5
+	// slopeShrinkage is the number of steps, times the variance of the estimates' logs, after which
+	// half of the dependence on the estimates is believed.
 	slopeShrinkage = 1
 	// priorVariance is the variance of a step's log around its prediction before any is known. It
 	// counts as priorWeight steps.
@@ -39,7 +39,7 @@
 	ratio      float64 // mean log of what the steps took, less that of the estimates
 	spread     float64 // sum of the squares of the estimates around their mean
 	covariance float64 // sum of the products of estimates and ratios around their means
-	errors     float64 // sum of the squares of the clipped deviations from the predictions
+	errors     float64 // sum of the squares of the residuals
 	allWeight  float64 // of all steps, decayed
 	center     float64 // mean log of what all steps took
 }
@@ -54,10 +54,25 @@
 	if f.weight == 0 {
 		return x, true
 	}
+	certainty := f.weight / (f.weight + f.variance()/ratioVariance)
+	return x + f.ratio*certainty + f.slopeTerm(x), true
+}
+
+// residual returns how much longer, in logs, a step took than others of its estimate, without the
+// shrinkage of the ratio. It is 0 without an estimate.
+func (f *fit) residual(estimate time.Duration, took float64) float64 {
+	if estimate <= 0 {
+		return 0
+	}
+	x := toLog(estimate)
+	return f.clip(took - x - f.ratio - f.slopeTerm(x))
+}
+
+// slopeTerm returns what the distance of the log of an estimate from the mean one adds.
+func (f *fit) slopeTerm(x float64) float64 {
 	slope := min(max(f.covariance/(f.spread+slopeShrinkage), -1), 0)
 	reach := maxExtrapolation * math.Sqrt(f.spread/f.weight)
-	distance := min(max(x-f.estimate, -reach), reach)
-	return x + f.ratio*f.weight/(f.weight+ratioShrinkage) + slope*distance, true
+	return slope * min(max(x-f.estimate, -reach), reach)
 }
 
 // variance returns the variance of a step's log around its prediction.
@@ -74,10 +89,8 @@
 // observe records the log of what a step took.
 func (f *fit) observe(estimate time.Duration, took float64) {
 	expected, known := f.predict(estimate)
-	deviation := 0.0
 	if known {
-		deviation = f.clip(took - expected)
-		took = expected + deviation
+		took = expected + f.clip(took-expected)
 	}
 	f.allWeight = f.allWeight*memory + 1
 	f.center += (took - f.center) / f.allWeight
@@ -92,5 +105,6 @@
 	f.ratio += fromRatio / f.weight
 	f.spread = f.spread*memory + before/f.weight*fromEstimate*fromEstimate
 	f.covariance = f.covariance*memory + before/f.weight*fromEstimate*fromRatio
+	deviation := f.residual(estimate, took)
 	f.errors = f.errors*memory + deviation*deviation
 }
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -243,9 +243,7 @@
 	t.commitFailures.Note(nil)
 	t.confirmEpoch(b.sent)
 	for _, put := range b.txn.Puts {
-		if put.RowKey != aliveRowKey() && put.RowKey.Table != tableCosts && !strings.HasSuffix(put.Key, suffixJob) {
-			t.revisions[put.RowKey] = revision
-		}
+		t.recordPut(put, revision)
 	}
 	for _, rowKey := range b.txn.Removes {
 		delete(t.revisions, rowKey)
@@ -272,6 +270,18 @@
 	}
 }
 
+// recordPut records a row that was written. The revision matters of those rows only of which later
+// writes have it as a precondition.
+func (t *term) recordPut(put table.Put, revision uint64) {
+	switch {
+	case put.RowKey == durationsRowKey():
+		t.durations = put.Value
+	case put.RowKey == aliveRowKey() || put.RowKey == costsRowKey() || strings.HasSuffix(put.Key, suffixJob):
+	default:
+		t.revisions[put.RowKey] = revision
+	}
+}
+
 // refreshRevisions records the revisions found for the rows of a conflicting commit: an
 // earlier attempt at the same commit may have taken effect. It reports whether this process
 // still is the owner.
--- a/internal/owner/durations.go
+++ b/internal/owner/durations.go
@@ -12,7 +12,8 @@
 )
 
 // putDurations adds a write of what was learned of the durations of tasks to b, if that has changed
-// and costsPeriod has passed. The next owner starts with it instead of the users' estimates.
+// and costsPeriod has passed. The next owner starts with it instead of the users' estimates. A commit
+// without outcome changes nothing here: a later one writes the row again.
 func (t *term) putDurations(b *batch) {
 	if time.Since(t.durationsComparedAt) < costsPeriod {
 		return
@@ -30,7 +31,6 @@
 	if bytes.Equal(value, t.durations) {
 		return
 	}
-	t.durations = value
 	b.txn.Puts = append(b.txn.Puts, table.Put{RowKey: durationsRowKey(), Value: value})
 }
 
--- a/internal/owner/durations_test.go
+++ b/internal/owner/durations_test.go
@@ -23,7 +23,8 @@
 	return m.State()
 }
 
-// The next term restores what a term has written, and writes it only once it has changed.
+// The next term restores what a term has written. A term writes the row again once it has changed, or
+// after a commit that the table did not answer.
 func TestDurationsPassFromTermToTerm(t *testing.T) {
 	first, b := newTestTerm(nil), &batch{}
 	first.scheduler.RestoreDurations(learnedDurations("q"))
@@ -36,20 +37,23 @@
 	if diff := cmp.Diff(learnedDurations("q"), next.scheduler.LearnedDurations()); diff != "" {
 		t.Errorf("restored durations (-want +got):\n%s", diff)
 	}
+	later := func() { first.durationsComparedAt = time.Now().Add(-costsPeriod) }
 	steps := []struct {
 		name    string
 		prepare func()
 		want    int
 	}{
-		{"unchanged, later", func() { first.durationsComparedAt = time.Now().Add(-costsPeriod) }, 0},
+		{"not answered, too early", func() {}, 0},
+		{"not answered, later", later, 1},
+		{"unchanged, later", func() { first.recordPut(b.txn.Puts[0], 10); later() }, 0},
 		{"changed, too early", func() { first.scheduler.RestoreDurations(learnedDurations("other")) }, 0},
-		{"changed, later", func() { first.durationsComparedAt = time.Now().Add(-costsPeriod) }, 1},
+		{"changed, later", later, 1},
 	}
 	for _, step := range steps {
 		step.prepare()
-		b := &batch{}
-		first.putDurations(b)
-		if got := len(b.txn.Puts); got != step.want {
+		again := &batch{}
+		first.putDurations(again)
+		if got := len(again.txn.Puts); got != step.want {
 			t.Errorf("%s: %d rows written, want %d", step.name, got, step.want)
 		}
 	}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -88,7 +88,7 @@
 	progressFailures    *logs.FailureLogger
 	costs               []interference.Estimate // as last written to the costs row
 	costsComparedAt     time.Time               // when costs was last compared with the scheduler's estimates
-	durations           []byte                  // as last written to the durations row
+	durations           []byte                  // the durations row, as last committed
 	durationsComparedAt time.Time               // the same for durations
 	jobsRevision        uint64
 	heartbeat           uint64
