A run that began with a checkpoint is expected to end sooner

Cause: a resumed run counted as if it began anew, so a drain stopped one that would have ended in time. Change: a checkpoint is recorded with the work that it holds, as the time that it takes at full speed; what a run has worked includes it. Result: TestAResumedRunEndsSooner fails without the change.

--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -41,9 +41,13 @@
 	}
 	t.lastRun = max(t.lastRun, end.Run)
 	t.job.begun = t.job.begun || end.Sequence > 0 // the worker has listed it
-	t.recordCheckpoint(now, end.Checkpoint)
-	if placed && p.run == end.Run && end.Reason == EndDone {
-		s.recordDuration(now, in, p, t)
+	if placed && p.run == end.Run {
+		t.recordCheckpoint(now, end.Checkpoint, s.worked(in, p, now))
+		if end.Reason == EndDone {
+			s.recordDuration(now, in, p, t)
+		}
+	} else {
+		t.recordCheckpoint(now, end.Checkpoint, 0)
 	}
 	s.applyEnd(now, in, end, t)
 	if current || end.Reason == EndDone {
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -78,11 +78,12 @@
 	need             Resources
 	bestEffort       bool
 	latencyCritical  bool
-	startedAt        time.Time // when the start was ordered, or the run first reported
-	agentIncarnation string    // incarnation of the agent that received the start order
-	stopping         bool      // a stop was ordered
-	stalledSince     time.Time // since when the run has used little processor time; zero otherwise
-	fromStart        bool      // this owner has ordered the start, without a checkpoint
+	startedAt        time.Time     // when the start was ordered, or the run first reported
+	agentIncarnation string        // incarnation of the agent that received the start order
+	stopping         bool          // a stop was ordered
+	stalledSince     time.Time     // since when the run has used little processor time; zero otherwise
+	fromStart        bool          // this owner has ordered the start, without a checkpoint
+	saved            time.Duration // work that the checkpoint holds from which it began, see task
 	use              use
 	// orderedRun is another run of the same task that was ordered on this instance before the
 	// instance reported this one. Its start order may still be in transit.
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -227,7 +227,7 @@
 		}
 	}
 	for _, t := range members {
-		t.checkpoint, t.checkpointAt = latest.checkpoint, latest.checkpointAt
+		t.checkpoint, t.checkpointAt, t.saved = latest.checkpoint, latest.checkpointAt, latest.saved
 	}
 }
 
@@ -372,7 +372,7 @@
 // place starts a run of a task on an instance and reserves its resources.
 func (p *planner) place(j *jobState, t *task, in *instance, run int64) {
 	t.instance, t.run, t.lastRun, t.startedAt = in.registration.Incarnation.ID, run, run, p.now
-	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation, fromStart: t.checkpoint == ""}
+	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation, fromStart: t.checkpoint == "", saved: t.saved}
 	placed.setStep(t.step)
 	in.add(placed)
 	p.updateCaches(in, t.step, true)
--- a/internal/decision/dispatch/predictions.go
+++ b/internal/decision/dispatch/predictions.go
@@ -82,9 +82,10 @@
 	return time.Duration(float64(remaining) / s.speed(in, now))
 }
 
-// worked returns how long a run would have taken at full speed for what it has done since its start.
+// worked returns how long a task would have taken at full speed for what a run of it, and the runs before
+// whose checkpoint it began from, have done.
 func (s *Scheduler) worked(in *instance, run *reservation, now time.Time) time.Duration {
-	return time.Duration(float64(now.Sub(run.startedAt)-run.lostTime(now)) * s.speed(in, now))
+	return run.saved + time.Duration(float64(now.Sub(run.startedAt)-run.lostTime(now))*s.speed(in, now))
 }
 
 // findJob returns a job, finished or not, or nil if it is not known.
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -44,7 +44,7 @@
 			return
 		}
 		if t := s.findTask(status.Task); t != nil && t.instance == in.registration.Incarnation.ID && t.run == status.Run {
-			t.recordCheckpoint(now, status.Checkpoint)
+			t.recordCheckpoint(now, status.Checkpoint, s.worked(in, p, now))
 		}
 		return
 	}
@@ -67,7 +67,7 @@
 	}
 	t.lastRun = max(t.lastRun, status.Run)
 	t.job.begun = true
-	t.recordCheckpoint(now, status.Checkpoint)
+	t.recordCheckpoint(now, status.Checkpoint, 0)
 }
 
 // replaceOrderedRun handles a status report that lists another run of a task than the one
@@ -117,8 +117,11 @@
 func (s *Scheduler) Checkpointed(now time.Time, incarnation Incarnation, runs []RunStatus) {
 	for _, status := range runs {
 		t := s.findTask(status.Task)
-		if t != nil && t.instance == incarnation.ID && t.run == status.Run {
-			t.recordCheckpoint(now, status.Checkpoint)
+		if t == nil || t.instance != incarnation.ID || t.run != status.Run {
+			continue
+		}
+		if in := s.instances[t.instance]; in != nil && in.reservations[t.name] != nil {
+			t.recordCheckpoint(now, status.Checkpoint, s.worked(in, in.reservations[t.name], now))
 		}
 	}
 }
--- a/internal/decision/dispatch/samples_test.go
+++ b/internal/decision/dispatch/samples_test.go
@@ -135,3 +135,30 @@
 		expect(t, c.name+": stops", len(s.TakeStops()), c.stopped)
 	}
 }
+
+// A run that began with a checkpoint is expected to end sooner by what the checkpoint holds.
+func TestAResumedRunEndsSooner(t *testing.T) {
+	step := bestEffortStep()
+	step.Checkpoints, step.Estimate = true, 10_000
+	cases := []struct {
+		name       string
+		checkpoint string // reported after 6 s
+		stopped    int
+	}{
+		{"with a checkpoint", "c", 0},
+		{"without one", "", 1},
+	}
+	for _, c := range cases {
+		s := schedulerWith(registrationOf("a", 8))
+		s.Accept(startTime, jobOf("j", step), nil)
+		s.Plan(at(0))
+		s.Checkpointed(at(6), Incarnation{"a", 1}, []RunStatus{{TaskName{Job: "j"}, 1, c.checkpoint}})
+		s.Ended(at(7), Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{Job: "j"}, Run: 1, Reason: EndStopped, Checkpoint: c.checkpoint}})
+		s.Plan(at(8))
+		draining := registrationOf("a", 8)
+		draining.Draining, draining.GracePeriod = true, 5000
+		s.Register(at(8), draining)
+		s.Plan(at(8))
+		expect(t, c.name+": stops", len(s.TakeStops()), c.stopped)
+	}
+}
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -15,13 +15,14 @@
 	run          int64  // number of the run that is placed now
 	lastRun      int64  // highest run number assigned or reported
 	startedAt    time.Time
-	checkpoint   string       // latest checkpoint, "" if none
-	checkpointAt time.Time    // when it was reported; zero if none was, or an earlier owner has stored it
-	failedRuns   []int64      // runs that ended as failed
-	failedOn     []string     // instances on which they failed
-	crashes      Crashes      // cleared by a run that lasts
-	pendingCrash pendingCrash // zero once it is settled
-	lastCrashAt  time.Time    // when the last of them was recorded or, by a later owner, restored
+	checkpoint   string        // latest checkpoint, "" if none
+	checkpointAt time.Time     // when it was reported; zero if none was, or an earlier owner has stored it
+	saved        time.Duration // work that the checkpoint holds, as the time that it takes at full speed; 0 if not known
+	failedRuns   []int64       // runs that ended as failed
+	failedOn     []string      // instances on which they failed
+	crashes      Crashes       // cleared by a run that lasts
+	pendingCrash pendingCrash  // zero once it is settled
+	lastCrashAt  time.Time     // when the last of them was recorded or, by a later owner, restored
 	done         bool
 	// unconfirmed is set while an earlier owner may have started the task on an instance that
 	// has not reported yet. The task must not start until then.
@@ -32,10 +33,11 @@
 // waiting reports whether the task is neither done nor placed.
 func (t *task) waiting() bool { return !t.done && t.instance == "" }
 
-// recordCheckpoint records a checkpoint that an instance reports; "" is none.
-func (t *task) recordCheckpoint(now time.Time, checkpoint string) {
+// recordCheckpoint records a checkpoint that an instance reports, "" is none, of a run that has worked for
+// worked by now, or 0 if that is not known.
+func (t *task) recordCheckpoint(now time.Time, checkpoint string, worked time.Duration) {
 	if checkpoint != "" && checkpoint != t.checkpoint {
-		t.checkpoint, t.checkpointAt = checkpoint, now
+		t.checkpoint, t.checkpointAt, t.saved = checkpoint, now, worked
 	}
 }
 
