What a wide step takes is the median of all its runs

Cause: of a step with more than 16 tasks, the last 16 runs to end were held, which are its longest. Change: every second run is held once there are more than 16, then every fourth. Result: TestRunsOfAWideStep.

--- a/internal/decision/durations/durations_test.go
+++ b/internal/decision/durations/durations_test.go
@@ -182,3 +182,19 @@
 		t.Errorf("predicted %s, want about 6 s", m.Predict(slow, seconds(2)).Median)
 	}
 }
+
+// The runs of a wide step end in the order of their length. The median of those that are held is that of
+// all.
+func TestRunsOfAWideStep(t *testing.T) {
+	for _, count := range []int{1, 2, 16, 17, 18, 40, 300} {
+		runs := &Runs{}
+		for i := range count {
+			runs.Add(time.Second+time.Duration(i)*time.Second/time.Duration(count), count-1-i)
+		}
+		middle := fromLog(runs.middle()).Seconds()
+		want := 1 + float64(count-1)/2/float64(count)
+		if math.Abs(middle-want) > 0.06 || runs.Count() != count || len(runs.logs) > maxRuns {
+			t.Errorf("%d runs: median %.3f s, want %.3f s; %d counted, %d held", count, middle, want, runs.Count(), len(runs.logs))
+		}
+	}
+}
--- a/internal/decision/durations/runs.go
+++ b/internal/decision/durations/runs.go
@@ -6,12 +6,14 @@
 	"time"
 )
 
-// maxRuns bounds the runs of a step that are held; later ones replace the first.
+// maxRuns bounds the runs of a step that are held. Once there are more, every second one is held, then
+// every fourth, and so on: the last to end alone would be the longest.
 const maxRuns = 16
 
 // Runs holds what runs of one step have taken at full speed. Its zero value holds none.
 type Runs struct {
 	logs    []float64
+	skipped int // runs that are not held between two that are
 	added   int
 	running int // other runs of the step at the last end
 }
@@ -26,14 +28,25 @@
 
 // Add records what a run took, and the number of runs of the step that started no later and go on.
 func (r *Runs) Add(took time.Duration, running int) {
-	if len(r.logs) < maxRuns {
-		r.logs = append(r.logs, 0)
+	if r.added%(r.skipped+1) == 0 {
+		if len(r.logs) == maxRuns {
+			r.thin()
+		}
+		r.logs = append(r.logs, toLog(took))
 	}
-	r.logs[r.added%maxRuns] = toLog(took)
 	r.added++
 	r.running = running
 }
 
+// thin drops every second run that is held.
+func (r *Runs) thin() {
+	for i := range maxRuns / 2 {
+		r.logs[i] = r.logs[2*i]
+	}
+	r.logs = r.logs[:maxRuns/2]
+	r.skipped = 2*r.skipped + 1
+}
+
 // middle returns the median of the runs that have ended.
 func (r *Runs) middle() float64 {
 	sorted := slices.Clone(r.logs)
