A task without an estimate is predicted by its queue; steps of one run say nothing of their spread

Cause: the evidence of a queue counted only steps with an estimate, and a step of one run counted as one whose tasks do not differ. Change: all steps are evidence; the spread of tasks is learned from steps of three runs or more. Result: TestWithoutAnEstimate.

--- a/internal/decision/durations/durations.go
+++ b/internal/decision/durations/durations.go
@@ -50,6 +50,8 @@
 	maxQueues     = 32
 	maxClasses    = 96
 	maxNameLength = 64
+	// minSpreadRuns is the number of runs of a step from which on they say how much its tasks differ.
+	minSpreadRuns = 3
 	// negligible is the difference from an estimate, in logs, below which the estimate is taken to be
 	// right, so that decisions do not follow noise.
 	negligible = 0.1
@@ -100,32 +102,35 @@
 // PredictStep is Predict for a task of a step of which runs have ended. runs is nil if none has.
 func (m *Model) PredictStep(class Class, estimate time.Duration, runs *Runs) Prediction {
 	q := m.queues[class.Queue]
-	count := runs.Count()
-	if q == nil && count == 0 {
-		return Prediction{Median: estimate, Tail: estimate}
-	}
 	if q == nil {
 		q = &queue{}
 	}
 	center, known := q.fit.predict(estimate)
-	prior, task := q.fit.variance(), q.tasks.variance(priorTaskVariance)
-	center += m.images[class].value(prior)
-	doubt := 1.0 // share of the doubt about the step that is left
-	switch {
-	case count > 0 && !known:
-		center, doubt = runs.center(task), 0
-	case count > 0:
-		sampled := task / float64(count)
-		doubt = sampled / (prior + sampled)
-		center += (runs.center(task) - center) * (1 - doubt)
-	case !known:
+	count := float64(runs.Count())
+	evidence := q.fit.allWeight + count
+	if evidence == 0 || !known && count == 0 {
 		return Prediction{Median: estimate, Tail: estimate}
 	}
+	center += m.images[class].value(q.fit.variance())
+	doubt := q.doubt(known, count)
+	if count > 0 {
+		center = doubt*center + (1-doubt)*runs.center(q.tasks.variance(priorTaskVariance))
+	}
 	if x := toLog(estimate); estimate > 0 && math.Abs(center-x) < negligible {
 		center = x
 	}
-	tail := math.Hypot(q.steps.tail(priorVariance)*math.Sqrt(doubt), q.tasks.tail(priorTaskVariance))
-	return Prediction{Median: fromLog(center), Tail: fromLog(center + tail), Evidence: q.fit.weight + float64(count)}
+	tail := math.Hypot(math.Sqrt(doubt)*q.steps.tail(priorVariance), q.tasks.tail(priorTaskVariance))
+	return Prediction{Median: fromLog(center), Tail: fromLog(center + tail), Evidence: evidence}
+}
+
+// doubt returns the share of the variance of a step around its prediction that is left after count of its
+// runs; 0 if there is no prediction.
+func (q *queue) doubt(known bool, count float64) float64 {
+	if !known {
+		return 0
+	}
+	task := q.tasks.variance(priorTaskVariance)
+	return task / (count*q.fit.variance() + task)
 }
 
 // Observe records a step whose tasks are all done.
@@ -136,8 +141,10 @@
 	m.revision++
 	q := m.queue(class.Queue)
 	took := runs.middle()
-	for _, run := range runs.logs {
-		q.tasks.add(run-took, 1/float64(len(runs.logs)))
+	if len(runs.logs) >= minSpreadRuns {
+		for _, run := range runs.logs {
+			q.tasks.add(run-took, 1/float64(len(runs.logs)))
+		}
 	}
 	expected, known := q.fit.predict(estimate)
 	if known {
--- a/internal/decision/durations/durations_test.go
+++ b/internal/decision/durations/durations_test.go
@@ -198,3 +198,21 @@
 		}
 	}
 }
+
+// A task without an estimate takes what the others of its queue take, and nothing as long as none is known.
+func TestWithoutAnEstimate(t *testing.T) {
+	for _, estimate := range []time.Duration{0, time.Second} { // of the steps before
+		m, class := New(), Class{Queue: "q"}
+		if got := m.Predict(class, 0); got != (Prediction{}) {
+			t.Errorf("predicted %v with nothing known", got)
+		}
+		for range 20 {
+			runs := &Runs{}
+			runs.Add(4*time.Second, 0)
+			m.Observe(class, estimate, runs)
+		}
+		if err := errorOf(m.Predict(class, 0).Median, 4*time.Second); err > 0.1 {
+			t.Errorf("predicted %s, want about 4 s", m.Predict(class, 0).Median)
+		}
+	}
+}
