Loads of tests share one player

Cause: two tests played a load of jobs on a scheduler, each with a copy of the loop. Change: load_test.go plays both. The test of an overload draws the same jobs as before; it compares with the objective that follows from their work, which is what the scheduler held before it learned.

--- a/internal/decision/dispatch/durations_load_test.go
+++ b/internal/decision/dispatch/durations_load_test.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -43,7 +43,6 @@
 	roughInstances = 20
 	roughCores     = 16
 	roughLength    = 40 * time.Second
-	roughTick      = 20 * time.Millisecond
 	durationSpread = 0.5 // standard deviation of the logs
 	tailFactor     = 7
 	tailShare      = 0.03
@@ -61,17 +60,8 @@
 	return l.load * roughInstances * roughCores / work
 }
 
-// roughJob is what the caller of one job gets.
-type roughJob struct {
-	served
-	class     string
-	took      time.Duration // by a task in the middle
-	objective time.Duration // by the work that it really is
-	accepted  time.Time
-}
-
-// draw returns a job and what is to come of it.
-func (l roughLoad) draw(random *rand.Rand, id string, now time.Time) (*Job, roughJob) {
+// draw returns a job.
+func (l roughLoad) draw(random *rand.Rand, id string) *loadJob {
 	c := roughClasses[0]
 	if random.Float64() >= c.share {
 		c = roughClasses[1]
@@ -82,90 +72,52 @@
 	}
 	tasks := max(int(c.tasks*math.Exp(0.7*random.NormFloat64()-0.25)), 1)
 	estimate := took * math.Exp(l.off*random.NormFloat64()-l.off*l.off/2)
-	var steps []Step
+	job := jobOf(id)
 	for i := range c.steps {
 		step := Step{Count: tasks, Need: Resources{Processors: c.processors, Memory: 10}, BestEffort: true, Image: "f", Estimate: int64(1000 * estimate)}
 		if i > 0 {
 			step.After = []int{i - 1}
 		}
-		steps = append(steps, step)
+		job.Steps = append(job.Steps, step)
 	}
-	job := jobOf(id, steps...)
 	job.Queue, job.Policy.Priority, job.Policy.Stretch, job.Policy.Latency = c.queue, c.priority, c.stretch, c.latency
-	result := roughJob{class: c.queue, took: time.Duration(took * float64(time.Second)), accepted: now}
-	result.work = float64(c.steps*tasks*c.processors) / 1000 * took
-	result.objective = job.objective(time.Duration(c.steps) * result.took)
-	return job, result
+	duration := time.Duration(took * float64(time.Second))
+	work := float64(c.steps*tasks*c.processors) / 1000 * took
+	return &loadJob{job: job, duration: duration, objective: job.objective(time.Duration(c.steps) * duration), served: served{work: work}}
 }
 
-// play runs the load on a scheduler, with a plan every 20 ms, until 40 s after the last job.
-func (l roughLoad) play() []roughJob {
+// play runs the load on a scheduler.
+func (l roughLoad) play() []*loadJob {
 	random := rand.New(rand.NewPCG(l.seed, 7))
 	var registrations []Registration
 	for i := range roughInstances {
 		registrations = append(registrations, registrationOf(fmt.Sprintf("i%03d", i), roughCores))
 	}
-	s := schedulerWith(registrations...)
-	var running endings
-	var jobs []roughJob
-	index := map[string]int{}
-	for now := startTime; now.Before(startTime.Add(roughLength + 40*time.Second)); now = now.Add(roughTick) {
-		if now.Sub(startTime) < roughLength && random.Float64() < l.jobsPerSecond()*roughTick.Seconds() {
-			id := fmt.Sprintf("j%04d", len(jobs))
-			job, drawn := l.draw(random, id, now)
-			index[id] = len(jobs)
-			jobs = append(jobs, drawn)
-			s.Accept(now, job, nil)
+	next := func(id string) *loadJob {
+		if random.Float64() >= l.jobsPerSecond()*loadTick.Seconds() {
+			return nil
 		}
-		for len(running) > 0 && !running[0].at.After(now) {
-			e := heap.Pop(&running).(ending)
-			s.Ended(now, Incarnation{ID: e.instance, StartedAt: 1}, []End{e.end})
-		}
-		for _, change := range s.Dirty(1000) {
-			if j := &jobs[index[change.Job]]; change.Progress.State == Completed {
-				took := now.Sub(j.accepted)
-				j.onTime, j.late = took <= j.objective, took > j.objective && took <= worthlessFactor*j.objective
-			}
-			s.Committed(change)
-		}
-		for _, start := range s.Plan(now) {
-			took := time.Duration(float64(jobs[index[start.Task.Job]].took) * (1 + l.uneven*(2*random.Float64()-1)))
-			heap.Push(&running, ending{now.Add(took), start.Instance, End{Sequence: 1, Task: start.Task, Run: start.Run}})
-			s.instances[start.Instance].reservations[start.Task].fromStart = l.learning
-		}
-		s.TakeStops()
+		return l.draw(random, id)
+	}
+	vary := func(duration time.Duration) time.Duration {
+		return time.Duration(float64(duration) * (1 + l.uneven*(2*random.Float64()-1)))
 	}
-	return jobs
+	placed := func(run *reservation) { run.fromStart = l.learning }
+	return load{length: roughLength, next: next, vary: vary, placed: placed}.play(schedulerWith(registrations...))
 }
 
-// shareOnTime returns the share of the jobs of a class in time, and that of its larger half.
-func shareOnTime(jobs []roughJob, class string) (all, larger float64) {
-	var works []float64
-	var chosen []roughJob
+// shareOnTime returns the share of the jobs of a queue in time, and that of its larger half.
+func shareOnTime(jobs []*loadJob, queue string) (all, larger float64) {
+	var chosen []served
 	for _, j := range jobs {
-		if j.class == class {
-			chosen, works = append(chosen, j), append(works, j.work)
+		if j.job.Queue == queue {
+			chosen = append(chosen, j.served)
 		}
 	}
-	middle := medianOf(works)
-	count := 0.0
-	for _, j := range chosen {
-		if j.work >= middle {
-			count++
-		}
-		if j.onTime {
-			all++
-		}
-		if j.onTime && j.work >= middle {
-			larger++
-		}
-	}
-	return all / float64(len(chosen)), larger / count
-}
-
-func medianOf(values []float64) float64 {
-	sorted := slices.Sorted(slices.Values(values))
-	return sorted[len(sorted)/2]
+	slices.SortFunc(chosen, func(a, b served) int { return cmp.Compare(b.work, a.work) })
+	all, _ = shares(chosen)
+	larger, _ = shares(chosen[:len(chosen)/2])
+	return all, larger
 }
 
 // Under a load whose users estimate badly, a fifth or more of the callers of large jobs who would be late
@@ -186,7 +138,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			jobs := map[bool][]roughJob{}
+			jobs := map[bool][]*loadJob{}
 			for seed := range c.seeds {
 				for _, learning := range []bool{false, true} {
 					load := c.load
--- a/internal/decision/dispatch/postpone_test.go
+++ b/internal/decision/dispatch/postpone_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -30,90 +29,30 @@
 	return l.load * overloadInstances * tasksPerInstance / (2 * overloadTasks * overloadDuration)
 }
 
-// ending is the end of a run at a time.
-type ending struct {
-	at       time.Time
-	instance string
-	end      End
-}
-
-type endings []ending
-
-func (e endings) Len() int           { return len(e) }
-func (e endings) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
-func (e *endings) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
-// served is what the caller of one job gets.
-type served struct {
-	work         float64 // core-seconds
-	onTime, late bool
-}
-
-// shares returns the shares of jobs that meet their objective, and that end at all while they have
-// a value.
-func shares(jobs []served) (onTime, inAll float64) {
-	for _, job := range jobs {
-		if job.onTime {
-			onTime++
-		}
-		if job.onTime || job.late {
-			inAll++
-		}
-	}
-	return onTime / float64(len(jobs)), inAll / float64(len(jobs))
-}
-
-// play runs the load on a scheduler, with a plan every 20 ms, until 30 s after the last job.
+// play runs the load on a scheduler until 30 s after the last job.
 func (l overload) play() []served {
-	const tick = 20 * time.Millisecond
 	random := rand.New(rand.NewPCG(l.seed, 0))
 	var registrations []Registration
 	for i := range overloadInstances {
 		registrations = append(registrations, registrationOf(fmt.Sprintf("i%03d", i), 32))
 	}
-	s := schedulerWith(registrations...)
-	var running endings
-	var result []served
-	index, durations := map[string]int{}, map[string]time.Duration{}
-	sequence := int64(0)
-	for now := startTime; now.Before(startTime.Add(overloadLength + 30*time.Second)); now = now.Add(tick) {
-		if now.Sub(startTime) < overloadLength && random.Float64() < l.jobsPerSecond()*tick.Seconds() {
-			id := fmt.Sprintf("j%04d", len(result))
-			duration := time.Duration(1700 * math.Exp(0.4*random.NormFloat64()) * float64(time.Millisecond))
-			tasks := max(int(overloadTasks*math.Exp(0.8*random.NormFloat64()-0.32)), 1)
-			step := Step{Count: tasks, Need: Resources{Processors: 3500, Memory: 10}, BestEffort: true, Image: "f", Estimate: duration.Milliseconds()}
-			second := step
-			second.After = []int{0}
-			job := jobOf(id, step, second)
-			job.Policy.Stretch, job.Policy.Latency = 1.5, 1000
-			index[id], durations[id] = len(result), duration
-			result = append(result, served{work: 2 * float64(tasks) * duration.Seconds()})
-			s.Accept(now, job, nil)
+	next := func(id string) *loadJob {
+		if random.Float64() >= l.jobsPerSecond()*loadTick.Seconds() {
+			return nil
 		}
-		for len(running) > 0 && !running[0].at.After(now) {
-			e := heap.Pop(&running).(ending)
-			s.Ended(now, Incarnation{ID: e.instance, StartedAt: 1}, []End{e.end})
-		}
-		for _, change := range s.Dirty(1000) {
-			if change.Progress.State == Completed {
-				j := s.jobs[change.Job]
-				took := now.Sub(j.acceptedAt)
-				result[index[change.Job]].onTime = took <= j.objective
-				result[index[change.Job]].late = took > j.objective && took <= worthlessFactor*j.objective
-			}
-			s.Committed(change)
-		}
-		for _, start := range s.Plan(now) {
-			sequence++
-			heap.Push(&running, ending{now.Add(durations[start.Task.Job]), start.Instance, End{Sequence: sequence, Task: start.Task, Run: start.Run}})
-		}
-		s.TakeStops()
+		duration := time.Duration(1700 * math.Exp(0.4*random.NormFloat64()) * float64(time.Millisecond))
+		tasks := max(int(overloadTasks*math.Exp(0.8*random.NormFloat64()-0.32)), 1)
+		step := Step{Count: tasks, Need: Resources{Processors: 3500, Memory: 10}, BestEffort: true, Image: "f", Estimate: duration.Milliseconds()}
+		second := step
+		second.After = []int{0}
+		job := jobOf(id, step, second)
+		job.Policy.Stretch, job.Policy.Latency = 1.5, 1000
+		objective := job.objective(2 * step.estimate())
+		return &loadJob{job: job, duration: duration, objective: objective, served: served{work: 2 * float64(tasks) * duration.Seconds()}}
+	}
+	var result []served
+	for _, j := range (load{length: overloadLength, next: next}).play(schedulerWith(registrations...)) {
+		result = append(result, j.served)
 	}
 	return result
 }
