The check for overload counts the processors that best-effort runs get, not those that they request

Cause: on a fleet where best-effort runs are paced, the check took their requests for what is done, kept more jobs as on time than could be, and most of them ended late. Change: what runs request and do not use, as last measured, is subtracted from what a pool can do. The step-took line gives the median of the runs alone.

--- a/internal/decision/dispatch/durations_load_test.go
+++ b/internal/decision/dispatch/durations_load_test.go
@@ -18,6 +18,7 @@
 	uneven   float64 // the same for the tasks of a step, from its middle
 	tail     bool    // three of a hundred jobs take seven times as long as others do
 	seed     uint64
+	pace     float64 // as in load
 	learning bool
 }
 
@@ -103,7 +104,7 @@
 		return time.Duration(float64(duration) * (1 + l.uneven*(2*random.Float64()-1)))
 	}
 	placed := func(run *reservation) { run.fromStart = l.learning }
-	return load{length: roughLength, next: next, vary: vary, placed: placed}.play(schedulerWith(registrations...))
+	return load{length: roughLength, next: next, vary: vary, placed: placed, pace: l.pace}.play(schedulerWith(registrations...))
 }
 
 // shareOnTime returns the share of the jobs of a queue in time, and that of its larger half.
@@ -133,6 +134,7 @@
 	}{
 		{"off by 0.9, heavy tail", roughLoad{load: 1.3, off: 0.9, uneven: 0.3, tail: true}, 8, 0.2},
 		{"off by 0.5", roughLoad{load: 1.3, off: 0.5, uneven: 0.3}, 8, 0.2},
+		{"off by 0.9, heavy tail, paced", roughLoad{load: 1.1, off: 0.9, uneven: 0.3, tail: true, pace: 0.8}, 8, 0.2},
 		{"right", roughLoad{load: 1.3}, 16, 0},
 	}
 	for _, c := range cases {
--- a/internal/decision/dispatch/load_test.go
+++ b/internal/decision/dispatch/load_test.go
@@ -60,11 +60,13 @@
 	next   func(id string) *loadJob                   // the job that comes in one tick, or nil
 	vary   func(duration time.Duration) time.Duration // what one run takes of a task's duration; nil: all of it
 	placed func(run *reservation)                     // called for each start; nil: nothing is done
+	pace   float64                                    // share of full speed at which runs work, and use processors; 0: they work at full speed
 }
 
 const (
-	loadTick = 20 * time.Millisecond // time between two plans
-	loadRest = 30 * time.Second      // how long the load is played after the last job
+	loadTick      = 20 * time.Millisecond  // time between two plans
+	loadRest      = 30 * time.Second       // how long the load is played after the last job
+	loadMeasuring = 500 * time.Millisecond // time between two measurements
 )
 
 // play runs the load on a scheduler.
@@ -97,12 +99,29 @@
 			if l.vary != nil {
 				duration = l.vary(duration)
 			}
+			if l.pace > 0 {
+				duration = time.Duration(float64(duration) / l.pace)
+			}
 			if l.placed != nil {
 				l.placed(s.instances[start.Instance].reservations[start.Task])
 			}
 			heap.Push(&running, ending{now.Add(duration), start.Instance, End{Sequence: sequence, Task: start.Task, Run: start.Run}})
 		}
 		s.TakeStops()
+		if l.pace > 0 && now.Sub(startTime)%loadMeasuring == 0 {
+			measure(s, now, l.pace)
+		}
 	}
 	return jobs
 }
+
+// measure reports that all runs use the given share of the processors that they request.
+func measure(s *Scheduler, now time.Time, share float64) {
+	for _, in := range s.byID {
+		var measurements []Measurement
+		for name, run := range in.reservations {
+			measurements = append(measurements, Measurement{name, share * float64(run.need.Processors)})
+		}
+		s.Observe(now, in.registration.Incarnation, measurements)
+	}
+}
--- a/internal/decision/dispatch/samples.go
+++ b/internal/decision/dispatch/samples.go
@@ -31,10 +31,11 @@
 
 // recordUse records a measurement of the processors that a best-effort run uses, in thousandths of a
 // core.
-func (p *reservation) recordUse(now time.Time, used float64) {
+func (in *instance) recordUse(now time.Time, p *reservation, used float64) {
 	if now.Sub(p.startedAt) < measuringInterval {
 		return
 	}
+	before := p.unused()
 	p.use.share = 1
 	if needed := float64(p.need.Processors); used*100 < fullUsePercent*needed {
 		p.use.share = max(used, 0) / needed
@@ -45,6 +46,16 @@
 	}
 	p.use.lost += lostBetween(since, now, p.use.share)
 	p.use.measuredAt = now
+	in.unusedProcessors += p.unused() - before
+}
+
+// unused returns the processors, in thousandths of a core, that the run requests and does not use as last
+// measured.
+func (p *reservation) unused() float64 {
+	if p.use.measuredAt.IsZero() {
+		return 0
+	}
+	return (1 - p.use.share) * float64(p.need.Processors)
 }
 
 func lostBetween(since, now time.Time, share float64) time.Duration {
@@ -112,7 +123,7 @@
 	Job             string
 	Step            int
 	Estimate        time.Duration // of the user
-	Predicted, Took time.Duration // by the median, before the first run and after the last
+	Predicted, Took time.Duration // by the median, without its runs and by its runs; 0 if none counts
 	Runs, LeftOut   int           // done runs that say how long the work takes, and that do not
 }
 
@@ -129,7 +140,7 @@
 	class := classOf(j.spec, step)
 	ended := StepDuration{
 		Job: j.spec.ID, Step: stepIndex, Estimate: step.estimate(), Predicted: s.durations.Predict(class, step.estimate()).Median,
-		Took: s.durations.PredictStep(class, step.estimate(), &d.runs).Median, Runs: d.runs.Count(), LeftOut: d.leftOut,
+		Took: d.runs.Median(), Runs: d.runs.Count(), LeftOut: d.leftOut,
 	}
 	s.stepDurations = append(s.stepDurations, ended)
 	s.durations.Observe(class, step.estimate(), &d.runs)
--- a/internal/decision/durations/runs.go
+++ b/internal/decision/durations/runs.go
@@ -47,7 +47,15 @@
 	r.skipped = 2*r.skipped + 1
 }
 
-// middle returns the median of the runs that have ended.
+// Median returns the median of the runs that have ended, 0 if none has.
+func (r *Runs) Median() time.Duration {
+	if r.Count() == 0 {
+		return 0
+	}
+	return fromLog(r.middle())
+}
+
+// middle returns the log of the median of the runs that have ended.
 func (r *Runs) middle() float64 {
 	sorted := slices.Clone(r.logs)
 	slices.Sort(sorted)
