A prediction that is asked for between two plans moves the objective too

Cause: asking for one step marked it as current, and the next plan left the objective of its job as it was. A use of less than nothing, of a run that requests no processors, was divided by 0. Change: all steps of the job are predicted anew with its objective; such a run counts as at full speed. Result: TestRunsMoveWhatIsPredicted fails without the first change.

--- a/internal/decision/dispatch/predictions.go
+++ b/internal/decision/dispatch/predictions.go
@@ -31,7 +31,7 @@
 
 // predictStep is predict for a step of an active job.
 func (s *Scheduler) predictStep(j *jobState, stepIndex int) durations.Prediction {
-	s.refreshPrediction(j, stepIndex)
+	s.refreshPredictions(j)
 	return j.durations[stepIndex].prediction
 }
 
--- a/internal/decision/dispatch/samples.go
+++ b/internal/decision/dispatch/samples.go
@@ -37,7 +37,7 @@
 	}
 	before := p.unused()
 	p.use.share = 1
-	if needed := float64(p.need.Processors); used*100 < fullUsePercent*needed {
+	if needed := float64(p.need.Processors); needed > 0 && used*100 < fullUsePercent*needed {
 		p.use.share = max(used, 0) / needed
 	}
 	since := p.use.measuredAt
--- a/internal/decision/dispatch/samples_test.go
+++ b/internal/decision/dispatch/samples_test.go
@@ -73,10 +73,12 @@
 	j := s.jobs["j"]
 	expect(t, "objective before", j.objective, 3*time.Second)
 	for i := range 6 {
+		s.Plan(at(4.99 + float64(i)/100))
 		s.Ended(at(5+float64(i)/100), Incarnation{"a", 1}, []End{{Sequence: int64(i), Task: TaskName{"j", 0, 0, i}, Run: 1, Reason: EndDone}})
-		s.Plan(at(5 + float64(i)/100))
+		median := s.predict(j.spec, &j.spec.Steps[0]).Median
+		expect(t, "objective as predicted", j.objective, j.spec.objective(median))
 		if i == 2 {
-			near(t, "after three runs", s.predict(j.spec, &j.spec.Steps[0]).Median, 5*time.Second)
+			near(t, "after three runs", median, 5*time.Second)
 			near(t, "objective", j.objective, 11*time.Second)
 			near(t, "rest", j.remainingChain(), 5*time.Second)
 		}
