--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -104,7 +104,6 @@
 	unknownSteps              int                  // reservations of unknown steps, whose resource use is unknown
 	used                      Resources            // by all tasks, but for the processors of best-effort ones
 	bestEffortProcessors      int                  // thousandths of a core requested by best-effort tasks
-	unusedProcessors          float64              // of these, what they do not use as last measured
 	latencyCriticalProcessors int                  // thousandths of a core requested by latency-critical tasks; part of used
 	latencyCriticalCount      int                  // latency-critical reservations
 	headrooms                 map[TaskName]float64 // of latency-critical tasks, as last measured
@@ -176,7 +175,6 @@
 	if p.bestEffort {
 		reserved.Processors = 0
 		in.bestEffortProcessors += p.need.Processors
-		in.unusedProcessors += p.unused()
 	}
 	if p.latencyCritical {
 		in.latencyCriticalCount++
@@ -198,7 +196,6 @@
 	if p.bestEffort {
 		reserved.Processors = 0
 		in.bestEffortProcessors -= p.need.Processors
-		in.unusedProcessors -= p.unused()
 	}
 	if p.latencyCritical {
 		in.latencyCriticalCount--
--- a/internal/decision/dispatch/measurements.go
+++ b/internal/decision/dispatch/measurements.go
@@ -38,7 +38,7 @@
 		case p.bestEffort:
 			cores[p.step.Image] += measurement.Value / 1000
 			p.updateStalled(now, measurement.Value)
-			in.recordUse(now, p, measurement.Value)
+			p.recordUse(now, measurement.Value)
 		}
 	}
 	elapsed := now.Sub(in.sampledAt)
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -70,13 +70,12 @@
 
 // available returns the processors of each pool that the usable instances offer, in thousandths of
 // a core. Where best-effort tasks waited after the last plan, they can use no more than they use
-// now: the rest of the processors is left free for the tasks that they disturb. What they request and do
-// not get, as measured, does not count.
+// now: the rest of the processors is left free for the tasks that they disturb.
 func (p *planner) available() map[pool]int {
 	sum := map[pool]int{}
 	for _, in := range p.usable {
 		service := in.registration.Service
-		bestEffort := in.bestEffortProcessors - int(in.unusedProcessors)
+		bestEffort := in.bestEffortProcessors
 		if !p.scheduler.bestEffortWaits[service] {
 			bestEffort += max(in.bestEffortRoom(), 0)
 		}
--- a/internal/decision/dispatch/samples.go
+++ b/internal/decision/dispatch/samples.go
@@ -31,11 +31,10 @@
 
 // recordUse records a measurement of the processors that a best-effort run uses, in thousandths of a
 // core.
-func (in *instance) recordUse(now time.Time, p *reservation, used float64) {
+func (p *reservation) recordUse(now time.Time, used float64) {
 	if now.Sub(p.startedAt) < measuringInterval {
 		return
 	}
-	before := p.unused()
 	p.use.share = 1
 	if needed := float64(p.need.Processors); needed > 0 && used*100 < fullUsePercent*needed {
 		p.use.share = max(used, 0) / needed
@@ -46,16 +45,6 @@
 	}
 	p.use.lost += lostBetween(since, now, p.use.share)
 	p.use.measuredAt = now
-	in.unusedProcessors += p.unused() - before
-}
-
-// unused returns the processors, in thousandths of a core, that the run requests and does not use as last
-// measured.
-func (p *reservation) unused() float64 {
-	if p.use.measuredAt.IsZero() {
-		return 0
-	}
-	return (1 - p.use.share) * float64(p.need.Processors)
 }
 
 func lostBetween(since, now time.Time, share float64) time.Duration {
