An agent whose worker has left tells the next owner before it ends

Cause: a worker left while three owners handed over within a second, and its agent was stopped 1 s later. Change: a worker that is silent after it has deregistered counts as lost at once, and its agent waits up to 3 s at its stop for an owner that it can tell.

--- a/internal/process/job_agent.go
+++ b/internal/process/job_agent.go
@@ -32,6 +32,10 @@
 	maxUnserved = time.Second
 	// resignTimeout bounds how long an agent that stops takes to give up the ownership.
 	resignTimeout = time.Second
+	// lossReportTimeout bounds how long an agent whose worker has left waits for an owner that it
+	// can tell so. With resignTimeout and stopTimeout it stays below the operators' grace period.
+	lossReportTimeout = 3 * time.Second
+	lossReportCheck   = 50 * time.Millisecond
 )
 
 // JobAgentSettings configure a JobAgent.
@@ -228,11 +232,34 @@
 		a.elector.Resign(ctx)
 		cancel()
 	}
+	a.awaitLossReport()
 	a.loop.Stop()
 	a.closeServers()
 	return a.loop.WaitFor(stopTimeout)
 }
 
+// awaitLossReport waits until the owner knows that the worker has left, if it has. After this process
+// nobody can tell the owner.
+func (a *JobAgent) awaitLossReport() {
+	ctx, cancel := context.WithTimeout(a.loop.Context(), lossReportTimeout)
+	defer cancel()
+	for ctx.Err() == nil && a.runner.OwesLossReport(a.reportingEpoch()) {
+		loop.Sleep(ctx, lossReportCheck)
+	}
+}
+
+// reportingEpoch returns the epoch of the owner or, while there is none, of the next one.
+func (a *JobAgent) reportingEpoch() uint64 {
+	holder := a.holder.Load()
+	switch {
+	case holder == nil:
+		return 1
+	case holder.Name == "":
+		return holder.Epoch + 1
+	}
+	return holder.Epoch
+}
+
 // Wait blocks until the agent has stopped.
 func (a *JobAgent) Wait() error {
 	<-a.loop.Context().Done()
--- a/internal/process/takeover_wait_test.go
+++ b/internal/process/takeover_wait_test.go
@@ -78,3 +78,39 @@
 		})
 	}
 }
+
+// A worker leaves and its agent stops while the owner is replaced. The next owner finds the worker's row,
+// and must not wait for leases that nobody uses any more.
+func TestATakeoverDoesNotWaitForAWorkerThatHasLeft(t *testing.T) {
+	const stopAfter = time.Second // of the agent, after its worker has left
+	cases := []struct {
+		name    string
+		replace func(system *testcluster.JobCluster, entry int) error
+	}{
+		{"the owner is killed", (*testcluster.JobCluster).KillEntry},
+		{"the owner hands over", (*testcluster.JobCluster).DrainEntry},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withJobCluster(t, 2, 4, func(t *testing.T, system *testcluster.JobCluster) {
+				tasks := submitLongRunning(t, system)
+				dead := ownerIndex(t, system)
+				go func() {
+					if err := c.replace(system, dead); err != nil {
+						t.Error(err)
+					}
+				}()
+				system.Leave(0)
+				go func() {
+					time.Sleep(stopAfter)
+					if err := system.DrainAgent(0); err != nil {
+						t.Error(err)
+					}
+				}()
+				if shortfall := longestShortfall(system, tasks, 15*time.Second); shortfall > maxUnownedTime {
+					t.Errorf("tasks did not run for %v", shortfall)
+				}
+			})
+		})
+	}
+}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -155,8 +155,11 @@
 	}
 }
 
-// leasesExpired reports whether the worker is silent and all leases given to it have expired.
-func (r *Runner) leasesExpired() bool { return r.silent && time.Now().After(r.leasesExpireAt) }
+// leasesExpired reports whether the worker is silent and all leases given to it have expired. A worker
+// that is silent after it has deregistered has ended, and nothing runs there whatever its leases.
+func (r *Runner) leasesExpired() bool {
+	return r.silent && (r.left || time.Now().After(r.leasesExpireAt))
+}
 
 // declareLeasesExpired returns leasesExpired for a message to the owner. Since the owner starts the
 // tasks elsewhere then, the last grant is void: a worker that answers again gets no lease, with which
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -74,6 +74,7 @@
 	clockReadAt          time.Time // when the answer with that reading arrived
 	lastAnswerAt         time.Time // when the worker last answered
 	silent               bool
+	left                 bool      // the worker has deregistered, after which it ends
 	lastStartAnswerAt    time.Time // when the worker last answered a start
 	incarnationUncertain bool      // the last poll failed
 	lastCrash            crash     // of the worker
@@ -124,7 +125,7 @@
 			return
 		}
 		changed := registration.Draining != r.registration.Draining
-		r.sequence = sequence
+		r.sequence, r.left = sequence, false
 		if !reflect.DeepEqual(*r.registration, registration) {
 			*r.registration = registration
 			r.registrationVersion++
@@ -156,7 +157,7 @@
 	r.sequence = 0
 	r.runs = unsettled
 	r.ends, r.lastListedEnd, r.committedEnd = nil, 0, 0
-	r.clockReadAt, r.lastAnswerAt, r.silent = time.Time{}, time.Now(), false
+	r.clockReadAt, r.lastAnswerAt, r.silent, r.left = time.Time{}, time.Now(), false, false
 	r.endSession()
 	r.wakePoll()
 }
@@ -189,13 +190,22 @@
 	r.loop.Post(func() {
 		if r.registration != nil && r.registration.Incarnation.ID == id {
 			r.log.Info("worker-left", zap.String("instance", id))
-			r.registration.Draining = true
+			r.registration.Draining, r.left = true, true
 			r.registrationVersion++
 			r.requestReport()
 		}
 	})
 }
 
+// OwesLossReport reports whether the worker has deregistered and the owner of the given epoch does not
+// know yet that nothing runs on it any more. It would wait for the worker's leases.
+func (r *Runner) OwesLossReport(epoch uint64) bool {
+	owes := false
+	// After the end of the loop nothing can be reported.
+	_ = r.loop.Do(func() { owes = r.left && r.lossReportedTo < epoch })
+	return owes
+}
+
 // StartPolling starts to poll the worker, until the loop ends. It returns at once.
 func (r *Runner) StartPolling() {
 	r.loop.Go(r.pollLoop)
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -183,6 +183,15 @@
 	return proc.Wait()
 }
 
+// Leave makes worker i deregister and end, as after a drain.
+func (c *JobCluster) Leave(i int) {
+	incarnation, _ := c.Workers[i].Incarnation()
+	c.Workers[i].Crash()
+	if r := c.agents[i].runner.Load(); r != nil {
+		r.Deregister(incarnation.ID)
+	}
+}
+
 // Service returns the submission service of entry i, or nil while the entry is down.
 func (c *JobCluster) Service(i int) *submission.Service { return c.Entries[i].service.Load() }
 
