Nothing starts in an evacuated failure domain until it is taken back

Cause: nobody read the operators' requests to evacuate a failure domain, so tasks went on starting there. Change: package evacuation keeps what is known of each domain with the revision of the table at which it is known, from reads, watches and other processes. Entries follow the requests with the watch of the configuration; a new owner reads them before its first plan, and an agent follows them while it owns. Entries send the owner what they know, and the owner tells the agents, which refuse starts, also repeated ones, and keep their knowledge across owners. The scheduler leaves instances of the domain out of all placements and counts; what runs there goes on. Instances that say that they are cold get work after warm ones and few tasks at a time. The stand-in workers have failure domains, and the schedules draw evacuations.

--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -24,6 +24,7 @@
 	Capacity         Resources   `json:"capacity"`
 	Draining         bool        `json:"leaving,omitempty"`   // the instance takes no new tasks and will be gone
 	GracePeriod      int64       `json:"remaining,omitempty"` // ms until a draining instance is gone, at least
+	ColdRemaining    int64       `json:"cold,omitempty"`      // ms for which the worker is still slow after its start
 }
 
 // RunStatus is one run in an instance's status report.
@@ -111,6 +112,8 @@
 	quarantinedUntil          time.Time            // gets no new tasks before then, see planQuarantined
 	failedInQuarantine        map[TaskName]bool    // tasks that have failed there since the quarantine began
 	drainDeadline             time.Time            // when a draining instance may be gone
+	evacuated                 bool                 // its failure domain is evacuated, see SetEvacuated
+	coldUntil                 time.Time            // until when the worker says that it is slow after its start
 }
 
 // newInstance returns an instance whose row is not known to be in the table and that has no
@@ -133,7 +136,7 @@
 // ready reports whether orders can be sent to the instance and its free resources are known. It
 // may be quarantined.
 func (in *instance) ready() bool {
-	return in.rowWritten && in.reconciled && in.reachable && in.unknownSteps == 0 && !in.registration.Draining
+	return in.rowWritten && in.reconciled && in.reachable && in.unknownSteps == 0 && !in.registration.Draining && !in.evacuated
 }
 
 // free returns the resources left for tasks that are not best-effort.
--- a/internal/decision/dispatch/instances.go
+++ b/internal/decision/dispatch/instances.go
@@ -34,6 +34,7 @@
 func (s *Scheduler) addInstance(in *instance) {
 	id := in.registration.Incarnation.ID
 	s.instances[id] = in
+	s.updateEvacuated(in)
 	index, _ := s.findByID(id)
 	s.byID = slices.Insert(s.byID, index, in)
 }
@@ -83,6 +84,8 @@
 		in.rowChangeRequested = false // its row may have been deleted
 	}
 	in.registration = registration
+	s.updateEvacuated(in)
+	in.updateCold(now)
 	in.reachable = true
 	s.dropPredecessors(now, registration)
 	if registration.Draining {
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -42,14 +42,7 @@
 func (s *Scheduler) Plan(now time.Time) []Start {
 	s.drain(now)
 	p := newPlanner(s, now)
-	for _, in := range s.byID {
-		switch {
-		case in.usable(now):
-			p.usable = append(p.usable, in)
-		case in.ready():
-			p.quarantined = append(p.quarantined, in)
-		}
-	}
+	p.collectInstances()
 	if len(p.usable)+len(p.quarantined) == 0 {
 		return nil
 	}
@@ -68,6 +61,19 @@
 	return p.starts
 }
 
+// collectInstances collects the instances on which tasks may be placed.
+func (p *planner) collectInstances() {
+	for _, in := range p.scheduler.byID {
+		switch {
+		case in.usable(p.now):
+			p.usable = append(p.usable, in)
+			p.someWarm = p.someWarm || !in.cold(p.now)
+		case in.ready():
+			p.quarantined = append(p.quarantined, in)
+		}
+	}
+}
+
 // available returns the processors of each pool that the usable instances offer, in thousandths of
 // a core. Where best-effort tasks waited after the last plan, they can use no more than they use
 // now: the rest of the processors is left free for the tasks that they disturb.
@@ -91,6 +97,7 @@
 	now         time.Time
 	usable      []*instance
 	quarantined []*instance // usable but for the quarantine
+	someWarm    bool        // not all usable instances are cold
 	starts      []Start
 	// isolatedCount is the number of instances that suspects have to themselves.
 	isolatedCount int
@@ -283,7 +290,7 @@
 		if rack != "" && in.registration.Rack != rack || !p.suitable(j, t, in) {
 			continue
 		}
-		penalty := p.penalty(t.step, in)
+		penalty := p.penalty(t.step, in) + in.coldPenalty(p.now)
 		if slices.Contains(t.failedOn, in.registration.Incarnation.ID) {
 			penalty += penaltyFailedBefore
 		}
@@ -323,7 +330,7 @@
 	if t.step.BestEffort && (p.processorRate(t.step, in) < minRate || p.rate(t.step, in) < minRate) {
 		return false
 	}
-	return !in.excludes(t)
+	return !in.excludes(t) && !p.startsSlowly(in)
 }
 
 // fits reports whether the constraints of a task allow an instance and its resources are free
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -59,6 +59,7 @@
 	rebalancedAt       time.Time       // when latency-critical tasks were last moved to make room for best-effort ones
 	rebalanceCheckedAt time.Time       // when such a move was last considered
 	stallCheckedAt     time.Time       // when stalled tasks were last looked for
+	evacuated          map[string]bool // failure domains where nothing new starts
 	bestEffortWaits    map[string]bool // services for which the last plan found no instance for some best-effort tasks of on-time jobs
 }
 
--- a/internal/decision/dispatch/validate.go
+++ b/internal/decision/dispatch/validate.go
@@ -32,6 +32,8 @@
 	MaxAccelerators = 10_000
 	// MaxGracePeriod bounds the time that a draining instance states as left.
 	MaxGracePeriod = 24 * time.Hour
+	// MaxColdRemaining bounds the time for which an instance states that it is slow after its start.
+	MaxColdRemaining = time.Hour
 	// MaxClockAhead bounds how far ahead of the local clock an incarnation may have started, since
 	// the clocks of two machines differ.
 	MaxClockAhead = time.Hour
@@ -57,6 +59,9 @@
 	if r.GracePeriod < 0 || r.GracePeriod > MaxGracePeriod.Milliseconds() {
 		return fmt.Errorf("a grace period of %d ms is not between 0 and %v", r.GracePeriod, MaxGracePeriod)
 	}
+	if r.ColdRemaining < 0 || r.ColdRemaining > MaxColdRemaining.Milliseconds() {
+		return fmt.Errorf("cold for %d ms is not between 0 and %v", r.ColdRemaining, MaxColdRemaining)
+	}
 	return r.Capacity.validate()
 }
 
--- a/internal/decision/dispatch/waits.go
+++ b/internal/decision/dispatch/waits.go
@@ -11,6 +11,7 @@
 	Instances        int // known instances
 	UsableInstances  int // instances on which a task may be placed now
 	Quarantined      int // instances on which only tasks of long-running steps may be placed
+	Evacuated        int // instances in evacuated failure domains
 	MissingInstances int // instances of an earlier owner that have not reported yet
 }
 
@@ -22,6 +23,8 @@
 	waits := Waits{Instances: len(s.byID), MissingInstances: len(s.unconfirmed)}
 	for _, in := range s.byID {
 		switch {
+		case in.evacuated:
+			waits.Evacuated++
 		case in.usable(now):
 			waits.UsableInstances++
 		case in.ready():
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -24,6 +24,7 @@
 	MethodSubmit    = "submit"    // entry to another entry
 	MethodState     = "state"     // entry to another entry
 	MethodCancel    = "cancel"    // entry to another entry
+	MethodEvacuated = "evacuated" // entry to owner, with an evacuation.State
 )
 
 // MaxStaleLease bounds the lease that a restarted worker may hold although no owner
@@ -53,6 +54,8 @@
 	// Crash is the last crash of the worker, if it was lately. Each attach repeats it, since the
 	// owner may have changed.
 	Crash *Crash `json:"crash,omitempty"`
+	// Evacuation is what the agent knows, nil unless its domain is evacuated.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
 
 // Crash is a crash of a worker.
@@ -70,6 +73,8 @@
 	// Incremental says that the owner keeps the registration of the session: a report without
 	// one means that it has not changed. Owners of earlier versions need it in each report.
 	Incremental bool `json:"incremental,omitempty"`
+	// Evacuation is nil if the agent knows already whether its domain is evacuated.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
 
 // Report is a report of an agent to the owner. Running in a full report lists every run
@@ -87,6 +92,8 @@
 	Measurements  []dispatch.Measurement `json:"figures,omitempty"`
 	Silent        bool                   `json:"silent,omitempty"` // the worker does not respond to its agent
 	LeasesExpired bool                   `json:"lapsed,omitempty"` // Silent, and all leases of the worker have expired
+	// Evacuation is what the agent knows, nil unless its domain is evacuated.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
 
 // ReportReply is the reply to Report.
@@ -96,6 +103,8 @@
 	// Costs lists what best-effort images cost the latency-critical images on the
 	// instance, for the pairs whose cost has changed since the last report.
 	Costs []interference.PairCost `json:"weights,omitempty"`
+	// Evacuation is as in AttachReply.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
 
 // Orders is a message of the owner with runs that the agent must start and stop.
@@ -107,6 +116,16 @@
 	Committed int64        `json:"kept,omitempty"`
 	// Specs describe runs that the agent found running without a start order.
 	Specs []StartOrder `json:"traits,omitempty"`
+	// Evacuation is as in AttachReply. It counts before the starts.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
+}
+
+// Evacuation says whether the failure domain of an instance is evacuated, as known at a revision of
+// the table. While it is, the agent starts nothing. A lower revision than that of the last one changes
+// nothing.
+type Evacuation struct {
+	Evacuated bool   `json:"evacuated,omitempty"`
+	Revision  uint64 `json:"revision"`
 }
 
 // StartOrder is an order to start one run of a task.
--- a/internal/owner/elector.go
+++ b/internal/owner/elector.go
@@ -62,6 +62,8 @@
 	// Served reports whether the process is served by another owner, so that it need not watch
 	// the alive row. nil means that it always watches.
 	Served func() bool
+	// Evacuations are the requests to evacuate failure domains.
+	Evacuations Evacuations
 }
 
 // Elector watches which process owns the shard, claims the ownership when the owner has
@@ -297,7 +299,7 @@
 }
 
 // Serve handles a call that arrived on conn, which is nil for calls of this process. ok is
-// false if the method is not one of those below. Every process answers MethodWhoOwns. For the
+// false if the method is not one of those below. Every process answers MethodWhoOwns and MethodEvacuated. For the
 // other methods err is ErrNotOwner if this process is not the owner or has not loaded its
 // state yet.
 func (e *Elector) Serve(ctx context.Context, conn *Conn, method string, params []byte) (result any, ok bool, err error) {
@@ -306,6 +308,9 @@
 		var owns link.OwnerReply
 		err = e.loop.Do(func() { owns = link.OwnerReply{Address: e.holder.Address, OwnerRevision: e.holder.OwnerRevision} })
 		return owns, true, err
+	case link.MethodEvacuated:
+		result, err = e.handleEvacuated(params)
+		return result, true, err
 	case link.MethodAttach, link.MethodReport, link.MethodAccepted, link.MethodCancelled, link.MethodBacklog, link.MethodKnown:
 		return e.serveTerm(ctx, conn, method, params)
 	}
--- a/internal/owner/fuzz_test.go
+++ b/internal/owner/fuzz_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/evacuation"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/metrics"
@@ -34,7 +35,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	l := loop.New(ctx)
 	store, health := table.WithHealth(&table.Store{})
-	elector := New(Settings{Name: "e0", Retention: time.Hour}, store, health, l, zap.NewNop(), metrics.New(), func() int64 { return 1 << 40 }, func(Holder) {})
+	elector := New(Settings{Name: "e0", Retention: time.Hour, Evacuations: Evacuations{Known: evacuation.New(zap.NewNop(), metrics.New())}}, store, health, l, zap.NewNop(), metrics.New(), func() int64 { return 1 << 40 }, func(Holder) {})
 	near, far := net.Pipe()
 	conn := NewConn()
 	conn.Bind(link.New(ctx, near, "a", metrics.New(), link.RejectCalls))
@@ -72,6 +73,7 @@
 	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s"},"ends":[{"task":"j.-1.7.99","run":-3}],"figures":[{}]}`))
 	f.Add(0, []byte(`{"offer":{"life":{"id":"x","born":-1},"capacity":{"cpu":-9}},"session":7}`))
 	f.Add(0, []byte(`{"offer":{"life":{"id":"x","born":9223372036854775807},"service":"s","capacity":{"cpu":9223372036854775807}},"session":7}`))
+	f.Add(1, []byte(`{"life":{"id":"w","born":1},"evacuation":{"evacuated":true,"revision":18446744073709551615}}`))
 	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s","remaining":9223372036854775807,"leaving":true},"figures":[{"task":"j.0.0.1","v":1e308}]}`))
 	f.Fuzz(func(t *testing.T, method int, params []byte) {
 		onTerm(t, func(current *term, conn *Conn) {
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -93,7 +93,7 @@
 	if s == nil {
 		return
 	}
-	orders.Session, orders.Committed = s.number, s.lastCommittedEnd
+	orders.Session, orders.Committed, orders.Evacuation = s.number, s.lastCommittedEnd, t.evacuationNotice(s)
 	s.lastSentCommit = s.lastCommittedEnd
 	t.elector.loop.Go(func() {
 		callCtx, cancel := context.WithTimeout(t.ctx, ordersTimeout)
@@ -102,6 +102,10 @@
 		if err := s.conn.link.Call(callCtx, link.MethodOrders, orders, &done); err != nil && t.ctx.Err() == nil {
 			t.log.Warn("orders-failed", zap.String("instance", id), logs.Error(err))
 			s.conn.link.Close()
+			return
+		}
+		if orders.Evacuation != nil {
+			t.post(func() { t.confirmEvacuation(s, orders.Evacuation) })
 		}
 	})
 }
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -44,6 +44,9 @@
 	persisted.instances, _ = read(tableInstances)
 	persisted.costs, _ = read(tableCosts)
 	persisted.jobs, persisted.jobsRevision = read(tableJobs)
+	if err == nil {
+		err = t.readEvacuations(callCtx)
+	}
 	return persisted, err
 }
 
@@ -51,6 +54,7 @@
 // term.
 func (t *term) open(persisted persistedRows) {
 	t.restore(persisted)
+	t.followEvacuations()
 	t.log.Info("term", zap.Int("instances", len(persisted.instances)), zap.Int("rows", len(persisted.jobs)), zap.Duration("took", time.Since(t.claimed)))
 	t.run(jobsPollPeriod, t.pollJobs)
 	t.run(tickPeriod, t.tick)
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -40,6 +40,8 @@
 	leaseCountedFrom time.Time
 	lastReportAt     time.Time                     // of the last report, or of the attach before the first one
 	sentCost         map[interference.Pair]float64 // costs that the agent was last sent
+	domain           string                        // failure domain of the instance
+	refusesStarts    bool                          // the agent knows that its domain is evacuated
 }
 
 // errNoSession is returned for a report of an agent that must attach first.
@@ -67,7 +69,7 @@
 	t.recordCrash(a)
 	t.scheduler.Register(time.Now(), a.Registration)
 	t.scheduler.SetReachable(id, false) // until the agent has sent its full run list
-	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, agent: a.Registration.Agent, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}}
+	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, agent: a.Registration.Agent, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}, domain: a.Registration.Domain}
 	t.sessions[id] = s
 	delete(t.leaseExpiry, id)
 	if t.removing[id] || t.removalUncertain[id] {
@@ -84,8 +86,9 @@
 		}
 		t.post(func() { t.disconnected(id, s) })
 	})
+	t.noteAgentEvacuation(s, a.Evacuation)
 	t.schedulePlan()
-	return link.AttachReply{Epoch: t.epoch, Incremental: true}
+	return link.AttachReply{Epoch: t.epoch, Incremental: true, Evacuation: t.evacuationNotice(s)}
 }
 
 // recordCrash passes the crash of a worker that its agent reports to the scheduler.
@@ -140,7 +143,9 @@
 	s.lastReportAt = now
 	if r.Registration != nil {
 		t.scheduler.Register(now, *r.Registration)
+		s.domain = r.Registration.Domain
 	}
+	t.noteAgentEvacuation(s, r.Evacuation)
 	t.recordEnds(now, s, r.Ends)
 	if r.Full {
 		t.scheduler.Reconcile(now, s.incarnation, r.Running)
@@ -161,7 +166,7 @@
 		t.schedulePlan()
 	}
 	s.silent, s.lastSentCommit = r.Silent, s.lastCommittedEnd
-	return link.ReportReply{Grant: t.grant(s, now).Milliseconds(), Committed: s.lastCommittedEnd, Costs: s.changedCosts(t.scheduler.Costs(id))}, nil
+	return link.ReportReply{Grant: t.grant(s, now).Milliseconds(), Committed: s.lastCommittedEnd, Costs: s.changedCosts(t.scheduler.Costs(id)), Evacuation: t.evacuationNotice(s)}, nil
 }
 
 // handleVacant handles the message of an agent process without a worker. The instances in the table that
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -90,7 +90,8 @@
 	costsComparedAt  time.Time               // when costs was last compared with the scheduler's estimates
 	jobsRevision     uint64
 	heartbeat        uint64
-	waitsLoggedAt    time.Time // when logWaits last counted the waiting tasks
+	waitsLoggedAt    time.Time       // when logWaits last counted the waiting tasks
+	inForce          map[string]bool // evacuated domains whose agents all refuse starts, or that have no instance
 	stop             context.CancelFunc
 	ctx              context.Context
 	onEnd            func() // set by handOver: the handover is in progress; called when the term ends
@@ -112,7 +113,8 @@
 		epoch:            holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
 		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{}, attached: map[string]bool{},
 		leaseExpiry: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, staleLeaseUntil: map[string]time.Time{},
-		ctx: ctx, stop: stop,
+		inForce: map[string]bool{},
+		ctx:     ctx, stop: stop,
 	}
 }
 
--- a/internal/owner/waits.go
+++ b/internal/owner/waits.go
@@ -21,6 +21,6 @@
 	}
 	t.log.Info(
 		"tasks-wait", zap.Int("unconfirmed", waits.Unconfirmed), zap.Int("delayed", waits.Delayed), zap.Int("unplaced", waits.Unplaced),
-		zap.Int("instances", waits.Instances), zap.Int("usable", waits.UsableInstances), zap.Int("quarantined", waits.Quarantined), zap.Int("missing", waits.MissingInstances),
+		zap.Int("instances", waits.Instances), zap.Int("usable", waits.UsableInstances), zap.Int("quarantined", waits.Quarantined), zap.Int("evacuated", waits.Evacuated), zap.Int("missing", waits.MissingInstances),
 	)
 }
--- a/internal/process/job_agent.go
+++ b/internal/process/job_agent.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/evacuation"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/metrics"
@@ -46,6 +47,8 @@
 type JobAgentDeps struct {
 	Store  *table.Store
 	Worker runner.Worker
+	// Evacuations follows the requests to evacuate a failure domain, while the agent is the owner.
+	Evacuations *evacuation.Follower
 	// Registration returns the handler with which the local worker registers.
 	Registration func(r *runner.Runner, log *zap.Logger) http.Handler
 }
@@ -108,6 +111,7 @@
 	a.elector = owner.New(owner.Settings{
 		Name: a.settings.Name, Address: a.settings.Link, Retention: a.settings.Retention, Suspended: suspended,
 		Standby: true, Served: a.served,
+		Evacuations: owner.Evacuations{Known: evacuation.New(a.log, a.metrics), Requests: a.deps.Evacuations, Follow: true},
 	}, a.deps.Store, health, a.loop, a.log, a.metrics, monotonicUnix(), func(holder owner.Holder) { a.setHolder(holder) })
 	return nil
 }
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/evacuation"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/loop"
@@ -50,9 +51,11 @@
 	// Ready returns the readiness handler for the load balancer in front of the entries;
 	// ready returns why this entry should receive no connections now, or nil.
 	Ready func(ready func() error) http.Handler
-	// WatchConfiguration applies each version of the configuration to routes until ctx
-	// is done.
-	WatchConfiguration func(ctx context.Context, routes *submission.ActiveRoutes)
+	// WatchConfiguration applies each version of the configuration to routes, and each request to
+	// evacuate a failure domain to evacuations, until ctx is done.
+	WatchConfiguration func(ctx context.Context, routes *submission.ActiveRoutes, evacuations *evacuation.Tracker)
+	// Evacuations reads the same requests, when the entry becomes the owner.
+	Evacuations *evacuation.Follower
 }
 
 // JobEntry is the process that accepts jobs with steps. One of the entries is the owner,
@@ -71,6 +74,7 @@
 	servers     []*http.Server
 	service     *submission.Service
 	peers       *submission.Peers
+	evacuations *evacuation.Tracker
 	health      *table.Health
 	draining    atomic.Bool
 }
@@ -81,6 +85,7 @@
 	e := &JobEntry{settings: settings, network: network, log: log, metrics: metrics.New(), loop: loop.New(ctx)}
 	deps.Store, e.health = table.WithHealth(deps.Store)
 	e.deps = deps
+	e.evacuations = evacuation.New(log, e.metrics)
 	pool := link.NewPool(e.dial, e.loop, e.metrics)
 	e.ownerClient = owner.NewClient(pool, e.loop, log, e.metrics)
 	self := submission.EntryInfo{Name: settings.Name, Address: settings.Link, Cores: settings.Cores}
@@ -92,6 +97,7 @@
 	}
 	e.elector = owner.New(owner.Settings{
 		Name: settings.Name, Address: settings.Link, Retention: settings.Retention, Outranked: e.peers.Outranked, Suspended: suspended,
+		Evacuations: owner.Evacuations{Known: e.evacuations, Requests: deps.Evacuations},
 	}, deps.Store, e.health, e.loop, log, e.metrics, monotonicUnix(), e.ownerClient.SetHolder)
 	e.service = submission.New(deps.Store, e.health, e.ownerClient, e.peers, e.metrics)
 	if err := e.listen(); err != nil {
@@ -99,13 +105,20 @@
 		return nil, err
 	}
 	e.ownerClient.Start(e.elector)
+	e.notifyOwnerOfEvacuations()
 	e.peers.Run()
 	e.elector.Run()
-	e.loop.Go(func() { deps.WatchConfiguration(e.loop.Context(), &e.routes) })
+	e.loop.Go(func() { deps.WatchConfiguration(e.loop.Context(), &e.routes, e.evacuations) })
 	log.Info("started", zap.String("front", settings.API), zap.String("link", settings.Link), zap.String("domain", settings.Domain))
 	return e, nil
 }
 
+// notifyOwnerOfEvacuations notifies the owner of each change of the evacuated domains, since the
+// owner may be cut off from the store.
+func (e *JobEntry) notifyOwnerOfEvacuations() {
+	e.evacuations.Subscribe(func() { e.ownerClient.Notify(link.MethodEvacuated, e.evacuations.State()) })
+}
+
 // monotonicUnix returns a clock in Unix ms that starts at the current wall-clock time and
 // advances with the monotonic clock, so that jumps of the wall clock do not affect it.
 func monotonicUnix() func() int64 {
--- a/internal/process/shard_test.go
+++ b/internal/process/shard_test.go
@@ -245,7 +245,7 @@
 
 // TestSchedules injects random faults into a whole cluster. The checker reports tasks that
 // run on two workers, start before their dependencies, exceed a worker's capacity or exceed
-// the job's failure budget. In the end all accepted jobs must have ended.
+// the job's failure budget. Evacuations of domains overlap the faults. In the end all accepted jobs must have ended.
 func TestSchedules(t *testing.T) {
 	for i := range uint64(*shardSeeds) {
 		seed := *shardSeed + i
@@ -272,6 +272,7 @@
 		maybeAccepted: map[string]bool{}, accepted: map[string]bool{}, cancelled: map[string]bool{},
 	}
 	time.Sleep(2 * time.Second)
+	go s.evacuations(newLockedRand(seed))
 	for began := time.Now(); time.Since(began) < faultDuration; {
 		switch s.random.IntN(10) {
 		case 0, 1:
@@ -287,6 +288,7 @@
 	for _, violation := range system.Checker.Violations() {
 		t.Error(violation)
 	}
+	checkEvacuated(t, system, scheduleEvacuationBound)
 	for _, unfinished := range s.unfinished() {
 		t.Error("not ended: " + unfinished)
 	}
--- /dev/null
+++ b/internal/runner/evacuation_test.go
@@ -0,0 +1,83 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/cockroachdb/errors"
+)
+
+func unansweredPoll(context.Context, PollCall) (PollResult, error) {
+	return PollResult{}, errors.New("no answer")
+}
+
+// The highest revision counts, whichever owner states it. A message without the field says nothing.
+func TestEvacuationNotices(t *testing.T) {
+	on := func(revision uint64) *link.Evacuation { return &link.Evacuation{Evacuated: true, Revision: revision} }
+	off := func(revision uint64) *link.Evacuation { return &link.Evacuation{Revision: revision} }
+	cases := []struct {
+		name    string
+		notices []*link.Evacuation
+		refused bool
+	}{
+		{"none", []*link.Evacuation{nil}, false},
+		{"evacuated", []*link.Evacuation{on(5), nil}, true},
+		{"taken back", []*link.Evacuation{on(5), off(6)}, false},
+		{"an owner behind the times", []*link.Evacuation{on(5), off(4)}, true},
+		{"a late notice", []*link.Evacuation{off(6), on(5)}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			started := 0
+			worker := Worker{Poll: unansweredPoll, Start: func(context.Context, StartCall) (Answer, error) {
+				started++
+				return Answer{}, nil
+			}}
+			withRunner(t, worker, func(t *testing.T, r *Runner) {
+				onLoop(t, r, func() {
+					for _, notice := range c.notices {
+						r.applyOrders(link.Orders{Session: 1, Evacuation: notice})
+					}
+					r.applyOrders(link.Orders{Session: 1, Starts: []link.StartOrder{{Task: task, Run: 1}}})
+					if refused := len(r.session.notStarted) == 1; refused != c.refused {
+						t.Errorf("refused %v, want %v", refused, c.refused)
+					}
+					if reported := r.takeReport(r.session).Evacuation != nil; reported != c.refused {
+						t.Errorf("reported %v, want %v", reported, c.refused)
+					}
+				})
+				time.Sleep(time.Second)
+				if (started == 0) != c.refused {
+					t.Errorf("%d starts", started)
+				}
+			})
+		})
+	}
+}
+
+// A start without an answer is not sent again once the domain is evacuated, but stopped.
+func TestAStartIsNotSentAgainDuringAnEvacuation(t *testing.T) {
+	starts, stops := 0, 0
+	worker := Worker{
+		Poll: unansweredPoll,
+		Start: func(ctx context.Context, _ StartCall) (Answer, error) {
+			starts++
+			<-ctx.Done()
+			return Answer{}, ctx.Err()
+		},
+		Stop: func(context.Context, StopCall) (Answer, error) { stops++; return Answer{}, nil },
+	}
+	withRunner(t, worker, func(t *testing.T, r *Runner) {
+		onLoop(t, r, func() { r.applyOrders(link.Orders{Session: 1, Starts: []link.StartOrder{{Task: task, Run: 1}}}) })
+		time.Sleep(orderTimeout / 2)
+		onLoop(t, r, func() {
+			r.applyOrders(link.Orders{Session: 1, Evacuation: &link.Evacuation{Evacuated: true, Revision: 5}})
+		})
+		time.Sleep(3 * orderTimeout)
+		if starts != 1 || stops != 1 {
+			t.Errorf("%d starts and %d stops, want 1 each", starts, stops)
+		}
+	})
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -84,6 +84,9 @@
 	// lossReportedTo is the epoch of the last owner that has received a report of expired leases.
 	lossReportedTo uint64
 	servedAt       atomic.Pointer[time.Time] // when an owner last answered a report
+	evacuation     link.Evacuation           // of the worker's failure domain, as last known
+	evacuatedAt    time.Time                 // when it was last learned that it is evacuated
+	coldUntil      time.Time                 // until when the worker is slow after its start; zero: it never was
 	pacer          pacer
 }
 
@@ -125,6 +128,7 @@
 		}
 		changed := registration.Draining != r.registration.Draining
 		r.sequence = sequence
+		r.noteCold(takeCold(&registration))
 		if !reflect.DeepEqual(*r.registration, registration) {
 			*r.registration = registration
 			r.registrationVersion++
@@ -148,9 +152,11 @@
 	r.log.Info("worker-life", zap.String("instance", registration.Incarnation.ID), zap.Int64("born", registration.Incarnation.StartedAt), zap.Int("lost", len(r.runs)))
 	r.recordCrash()
 	unsettled := r.unsettled(registration)
+	r.forgetOtherDomain(registration)
 	if r.registration != nil && r.registration.Incarnation.ID == registration.Incarnation.ID {
 		r.leasesExpireAt = latest(r.leasesExpireAt, time.Now().Add(link.MaxStaleLease))
 	}
+	r.coldUntil = takeCold(&registration)
 	r.registration = &registration
 	r.registrationVersion++
 	r.sequence = 0
@@ -256,14 +262,14 @@
 		return nil
 	}
 	s.reported = r.registrationVersion
-	registration := *r.registration
+	registration := r.withCold()
 	return &registration
 }
 
 // takeReport returns the next report to the owner and marks what it contains as reported. If it
 // is not delivered, the session must end.
 func (r *Runner) takeReport(s *session) link.Report {
-	report := link.Report{Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s), Silent: r.silent, LeasesExpired: r.declareLeasesExpired(), Measurements: slices.Clone(r.pacer.measurements)}
+	report := link.Report{Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s), Silent: r.silent, LeasesExpired: r.declareLeasesExpired(), Measurements: slices.Clone(r.pacer.measurements), Evacuation: r.knownEvacuation()}
 	for _, end := range r.ends {
 		if end.Sequence > s.lastReportedEnd {
 			report.Ends = append(report.Ends, end)
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -82,6 +82,7 @@
 		return
 	}
 	r.forget(orders.Committed)
+	r.noteEvacuation(orders.Evacuation)
 	for _, spec := range orders.Specs {
 		if known := r.runs[spec.Task]; known != nil && known.number == spec.Run {
 			known.order.Image, known.order.Millicores = spec.Image, spec.Millicores
@@ -104,6 +105,8 @@
 		reason = "another run of the task is open"
 	case r.registration.Draining:
 		reason = "worker is leaving"
+	case r.evacuation.Evacuated:
+		reason = "failure domain is evacuated"
 	}
 	if reason != "" {
 		r.log.Warn("start-refused", zap.Stringer("task", order.Task), zap.Int64("run", order.Run), zap.String("reason", reason))
@@ -156,6 +159,7 @@
 	}
 	switch {
 	case err == nil && answer.Status == Applied:
+		r.noteStarted(call)
 		known.settleStart()
 		if known.order.BestEffort {
 			r.pacer.set(r, known, call.Task)
@@ -172,7 +176,7 @@
 		r.registry.Add("start-again", 1)
 		r.postAfter(orderRetryDelay, func() {
 			if r.isCurrent(call.Incarnation, known, call.Task) && known.settledAt.IsZero() && !known.stopping {
-				r.tryStart(known, try+1)
+				r.startAgain(known, call.Task, try+1)
 			}
 		})
 	}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -96,13 +96,13 @@
 // newAttach returns the message that starts the next session with the owner of the given epoch, or tells
 // it that all leases have expired.
 func (r *Runner) newAttach(epoch uint64) link.Attach {
-	attach := link.Attach{Session: r.lastSession, Epoch: epoch}
+	attach := link.Attach{Session: r.lastSession, Epoch: epoch, Evacuation: r.knownEvacuation()}
 	if r.registration == nil {
 		attach.Vacant = true
 		attach.Registration.Agent, attach.Registration.AgentIncarnation = r.settings.Name, r.settings.AgentIncarnation
 		return attach
 	}
-	attach.Registration, attach.LeasesExpired, attach.Crash = *r.registration, r.declareLeasesExpired(), r.lastCrash.report()
+	attach.Registration, attach.LeasesExpired, attach.Crash = r.withCold(), r.declareLeasesExpired(), r.lastCrash.report()
 	return attach
 }
 
@@ -174,6 +174,7 @@
 			r.lossReportedTo, s = epoch, nil
 		default:
 			r.fence, r.session = attached.Epoch, s
+			r.noteEvacuation(attached.Evacuation)
 			r.wakePoll()
 			r.pollNow()
 		}
@@ -248,6 +249,7 @@
 			r.extendGrant(sent, time.Duration(reply.Grant)*time.Millisecond)
 		}
 		r.forget(reply.Committed)
+		r.noteEvacuation(reply.Evacuation)
 		for _, cost := range reply.Costs {
 			r.pacer.model.Set(cost)
 		}
--- a/internal/testcluster/checker.go
+++ b/internal/testcluster/checker.go
@@ -22,6 +22,11 @@
 	ackedFailures map[dispatch.TaskName]int    // acknowledged failed runs
 	starts        map[string]int               // by job
 	violations    []string
+
+	domainOf        map[string]string    // failure domain of each worker
+	evacuatedAt     map[string]time.Time // of the evacuated domains
+	startsIn        map[string]int       // by domain
+	evacuatedStarts []EvacuatedStart
 }
 
 // NewChecker returns a checker for workers that all have the given capacity.
@@ -30,6 +35,7 @@
 		jobs: map[string]*dispatch.Job{}, capacity: capacity, used: map[string]dispatch.Resources{},
 		runningOn: map[dispatch.TaskName]string{}, ackedDone: map[dispatch.TaskName]bool{},
 		endedDone: map[dispatch.TaskName]bool{}, ackedFailures: map[dispatch.TaskName]int{}, starts: map[string]int{},
+		domainOf: map[string]string{}, evacuatedAt: map[string]time.Time{}, startsIn: map[string]int{},
 	}
 }
 
@@ -96,10 +102,11 @@
 	c.violations = append(c.violations, fmt.Sprintf("%s %s", time.Now().Format("05.000"), fmt.Sprintf(format, arguments...)))
 }
 
-// checkStart checks a start for violations and returns how long the task takes.
-func (c *Checker) checkStart(worker string, call runner.StartCall) time.Duration {
+// checkStart checks a start for violations, which the worker may have carried out late, and returns how long the task takes.
+func (c *Checker) checkStart(worker string, call runner.StartCall, late bool) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordStartIn(worker, late)
 	c.starts[call.Task.Job]++
 	job := c.jobs[call.Task.Job]
 	if job == nil {
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/evacuation"
 	"github.com/apricotwind/apricotwind/internal/process"
 	"github.com/apricotwind/apricotwind/internal/runner"
 	"github.com/apricotwind/apricotwind/internal/submission"
@@ -66,6 +67,7 @@
 	}
 	for i := range workers {
 		c.Workers = append(c.Workers, NewWorker(fmt.Sprintf("w%d", i), c.Checker))
+		c.Checker.setDomain(c.Workers[i].name, c.DomainOf(i))
 		c.agents = append(c.agents, &jobClusterAgent{name: fmt.Sprintf("a%d", i)})
 	}
 	for i := range workers {
@@ -84,7 +86,7 @@
 		incarnation, up := c.Workers[i].Incarnation()
 		if r := c.agents[i].runner.Load(); up && r != nil {
 			r.Register(dispatch.Registration{
-				Incarnation: incarnation, Service: "s", Rack: "r", Labels: []string{"a", "r"}, Capacity: c.Checker.capacity,
+				Incarnation: incarnation, Service: "s", Domain: c.DomainOf(i), Rack: "r", Labels: []string{"a", "r"}, Capacity: c.Checker.capacity,
 			}, sequence)
 		}
 		_ = sleepOrDone(c.ctx, registrationInterval) // its only error is the end of ctx
@@ -98,17 +100,21 @@
 	e := c.Entries[i]
 	ctx, stop := context.WithCancel(c.ctx)
 	address := fmt.Sprintf("10.0.0.%d:1", i+1)
+	store, log := c.Store.View(e.name), c.log.Named(e.name)
 	proc, err := process.NewJobEntry(ctx, process.JobEntrySettings{
 		Name: e.name, API: c.APIAddress(i), Ready: "ready-" + e.name, Link: address, Retention: jobRetention,
 	}, process.JobEntryDeps{
-		Store: c.Store.View(e.name),
+		Store: store,
 		API: func(service *submission.Service, _ *submission.ActiveRoutes, _ func() bool, _ *zap.Logger) http.Handler {
 			e.service.Store(service)
 			return http.NotFoundHandler()
 		},
-		Ready:              func(func() error) http.Handler { return http.NotFoundHandler() },
-		WatchConfiguration: func(ctx context.Context, _ *submission.ActiveRoutes) { <-ctx.Done() },
-	}, c.Net.View(e.name), c.log.Named(e.name))
+		Ready: func(func() error) http.Handler { return http.NotFoundHandler() },
+		WatchConfiguration: func(ctx context.Context, _ *submission.ActiveRoutes, evacuations *evacuation.Tracker) {
+			evacuationRequests(store).Run(ctx, evacuations, log)
+		},
+		Evacuations: evacuationRequests(store),
+	}, c.Net.View(e.name), log)
 	if err != nil {
 		stop()
 		return err
@@ -154,10 +160,11 @@
 	defer c.mu.Unlock()
 	a := c.agents[i]
 	ctx, stop := context.WithCancel(c.ctx)
+	store := c.Store.View(a.name)
 	proc, err := process.NewJobAgent(ctx, process.JobAgentSettings{
 		Name: a.name, Registration: "control-" + a.name, Link: fmt.Sprintf("10.1.0.%d:1", i+1), Retention: jobRetention,
 	}, process.JobAgentDeps{
-		Store: c.Store.View(a.name), Worker: c.Workers[i].Calls(),
+		Store: store, Evacuations: evacuationRequests(store), Worker: c.Workers[i].Calls(),
 		Registration: func(r *runner.Runner, _ *zap.Logger) http.Handler {
 			a.runner.Store(r)
 			return http.NotFoundHandler()
--- a/internal/testcluster/store.go
+++ b/internal/testcluster/store.go
@@ -27,6 +27,7 @@
 	DropReply bool          // applied, but not answered
 	Late      time.Duration // with DropReply: delay until it is applied
 	Slow      time.Duration // additional delay of the call
+	Omit      bool          // a watch returns no changes, but the newest revision
 	InTurn    bool          // with Slow: writes run one at a time, and are refused while more than one second of writes waits
 }
 
@@ -63,6 +64,9 @@
 			if err := s.simulateRead(ctx, process); err != nil {
 				return table.WatchResult{}, err
 			}
+			if s.currentFault(process, false).Omit {
+				return s.watchOmitting(ctx, wait)
+			}
 			return s.watch(ctx, name, after, wait)
 		},
 		Apply: func(ctx context.Context, change table.Txn) (table.TxnResult, error) {
@@ -146,6 +150,14 @@
 	}
 }
 
+// watchOmitting returns no changes, as if there were none up to the newest revision.
+func (s *Store) watchOmitting(ctx context.Context, wait time.Duration) (table.WatchResult, error) {
+	err := sleepOrDone(ctx, wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return table.WatchResult{Revision: s.revision}, err
+}
+
 func (s *Store) apply(ctx context.Context, process string, change table.Txn) (table.TxnResult, error) {
 	fault := s.currentFault(process, true)
 	switch {
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -130,7 +130,10 @@
 	return runner.Worker{
 		Poll: w.poll,
 		Start: func(ctx context.Context, call runner.StartCall) (runner.Answer, error) {
-			return w.execute(ctx, call.Incarnation, call.Fence, false, func() runner.Answer { return w.start(call) })
+			sent := time.Now()
+			return w.execute(ctx, call.Incarnation, call.Fence, false, func() runner.Answer {
+				return w.start(call, time.Since(sent) > workerReplyDelay)
+			})
 		},
 		Stop: func(ctx context.Context, call runner.StopCall) (runner.Answer, error) {
 			return w.execute(ctx, call.Incarnation, call.Fence, false, func() runner.Answer { return w.stop(call) })
@@ -239,7 +242,8 @@
 	return apply()
 }
 
-func (w *Worker) start(call runner.StartCall) runner.Answer {
+// start carries out a start, late or in time.
+func (w *Worker) start(call runner.StartCall, late bool) runner.Answer {
 	if call.LeaseDeadline <= w.clock() {
 		return runner.Answer{Status: runner.Rejected, Reason: "late"}
 	}
@@ -250,7 +254,7 @@
 	if call.Run <= w.finishedRuns[call.Task] || w.runs[call.Task] != nil {
 		return runner.Answer{Status: runner.Rejected, Reason: "old"}
 	}
-	w.runs[call.Task] = &workerRun{number: call.Run, endsAt: time.Now().Add(w.checker.checkStart(w.name, call))}
+	w.runs[call.Task] = &workerRun{number: call.Run, endsAt: time.Now().Add(w.checker.checkStart(w.name, call, late))}
 	if w.checker.crashesWorkers(call.Task) {
 		time.AfterFunc(crashDelay, w.Crash)
 		time.AfterFunc(crashDelay+crashDowntime, w.Restart)
