--- a/internal/testcluster/evacuations.go
+++ b/internal/testcluster/evacuations.go
@@ -27,12 +27,12 @@
 // Evacuate writes the request to evacuate a domain at once, as an operator does.
 func (c *JobCluster) Evacuate(domain string) {
 	c.Store.commit(table.Txn{Puts: []table.Put{{RowKey: evacuationKey(domain), Value: []byte("{")}}})
-	c.Checker.setEvacuated(domain, true)
+	c.Checker.SetEvacuated(domain, true)
 }
 
 // TakeBack removes the request to evacuate a domain at once.
 func (c *JobCluster) TakeBack(domain string) {
-	c.Checker.setEvacuated(domain, false)
+	c.Checker.SetEvacuated(domain, false)
 	c.Store.commit(table.Txn{Removes: []table.RowKey{evacuationKey(domain)}})
 }
 
@@ -47,8 +47,8 @@
 	Late   bool          // the worker carried the order out late
 }
 
-// setEvacuated records when a domain is evacuated or taken back.
-func (c *Checker) setEvacuated(domain string, evacuated bool) {
+// SetEvacuated records when a domain is evacuated or taken back.
+func (c *Checker) SetEvacuated(domain string, evacuated bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.evacuatedAt, domain)
@@ -57,8 +57,8 @@
 	}
 }
 
-// setDomain records the failure domain of a worker.
-func (c *Checker) setDomain(worker, domain string) {
+// SetDomain records the failure domain of a worker.
+func (c *Checker) SetDomain(worker, domain string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.domainOf[worker] = domain
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -67,7 +67,7 @@
 	}
 	for i := range workers {
 		c.Workers = append(c.Workers, NewWorker(fmt.Sprintf("w%d", i), c.Checker))
-		c.Checker.setDomain(c.Workers[i].name, c.DomainOf(i))
+		c.Checker.SetDomain(c.Workers[i].name, c.DomainOf(i))
 		c.agents = append(c.agents, &jobClusterAgent{name: fmt.Sprintf("a%d", i)})
 	}
 	for i := range workers {
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -208,7 +208,7 @@
 		}
 	}
 	for i := range workers {
-		if err := c.addWorker(ctx, binary, fmt.Sprintf("w%d", i)); err != nil {
+		if err := c.addWorker(ctx, binary, fmt.Sprintf("w%d", i), domainOf(i)); err != nil {
 			return nil, err
 		}
 	}
@@ -247,8 +247,8 @@
 	return err
 }
 
-// addWorker starts a stand-in worker and adds its agent, which reaches the worker through a proxy.
-func (c *cluster) addWorker(ctx context.Context, binary, name string) error {
+// addWorker starts a stand-in worker in a failure domain and adds its agent, which reaches the worker through a proxy.
+func (c *cluster) addWorker(ctx context.Context, binary, name, domain string) error {
 	registrationAddress := assignAddress()
 	worker := testcluster.NewWorker(name, c.checker)
 	workerProxy, err := serveBehindProxy(ctx, workerHandler(worker))
@@ -261,19 +261,20 @@
 	}
 	p.workerProxy, p.standinWorker = workerProxy, worker
 	c.workers = append(c.workers, worker)
+	c.checker.SetDomain(name, domain)
 	go worker.Run(ctx)
-	go keepRegistered(ctx, worker, registrationAddress, workerProxy.address())
+	go keepRegistered(ctx, worker, domain, registrationAddress, workerProxy.address())
 	return nil
 }
 
 // keepRegistered registers a worker, which is reached at address, with its agent once each
 // registrationInterval until ctx ends.
-func keepRegistered(ctx context.Context, worker *testcluster.Worker, registrationAddress, address string) {
+func keepRegistered(ctx context.Context, worker *testcluster.Worker, domain, registrationAddress, address string) {
 	client := &http.Client{Timeout: registrationTimeout}
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		if incarnation, up := worker.Incarnation(); up {
-			body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","state":"ready","seq":%d,"born":%d,"capacity":{"cpu":%d,"mem_mb":%d}}`,
-				address, sequence, incarnation.StartedAt, workerCapacity.Processors, workerCapacity.Memory)
+			body := fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"state":"ready","seq":%d,"born":%d,"capacity":{"cpu":%d,"mem_mb":%d}}`,
+				address, domain, sequence, incarnation.StartedAt, workerCapacity.Processors, workerCapacity.Memory)
 			request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+registrationAddress+"/api/instances/"+incarnation.ID, strings.NewReader(body))
 			if err != nil {
 				return
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -116,6 +116,9 @@
 	submitCtx, stopSubmitting := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { client.run(submitCtx, rand.New(rand.NewPCG(seed, 1))) })
+	evacuateCtx, stopEvacuations := context.WithTimeout(ctx, o.length)
+	defer stopEvacuations()
+	wg.Go(func() { c.evacuate(evacuateCtx, rand.New(rand.NewPCG(seed, 3)), events.logEvent) })
 	faults := c.injectFaults(rand.New(rand.NewPCG(seed, 2)), o.length, events.logEvent)
 	stopSubmitting()
 	wg.Wait()
@@ -123,6 +126,7 @@
 	for _, text := range c.checker.Violations() {
 		events.addViolation("%s", text)
 	}
+	c.checkEvacuated()
 	accepted := 0
 	for _, s := range client.jobs {
 		if !s.acceptedAt.IsZero() {
