Operators evacuate a failure domain with `domain evacuate` and take it back with `domain restore`

Cause: the product's own path had no request to send nothing more to a failure domain; only one instance could be drained, for good. Change: the evacuated domains are one row of the table with a version. Entries read it each second, and at each claim of a shard; routing and placement leave the instances out. Verbs domain evacuate, restore and status, and the calls behind them; the status shows what is left in each domain and the version in force on each entry.

--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -72,13 +72,13 @@
 }
 
 // eligibleInstances returns the instances that may get new tasks, in order of name. Those
-// without a recent heartbeat, draining, or excluded after failures are left out.
+// without a recent heartbeat, draining, in an evacuated domain, or excluded after failures are left out.
 func (o *Owner) eligibleInstances(now time.Time) []*instance {
 	var eligible []*instance
 	for _, name := range o.names {
 		inst := o.instances[name]
 		responsive := inst.workerIncarnation != "" && now.Sub(inst.lastHeartbeat) <= o.ttl
-		if responsive && !inst.draining && !now.Before(inst.excludedUntil) {
+		if responsive && !inst.draining && !o.evacuated[inst.Domain] && !now.Before(inst.excludedUntil) {
 			eligible = append(eligible, inst)
 		}
 	}
--- a/internal/decision/placement/owner.go
+++ b/internal/decision/placement/owner.go
@@ -122,6 +122,7 @@
 	dirty       []*chunk
 	pending     []*chunk // chunks of the commit in flight
 	decisions   []Decision
+	evacuated   map[string]bool // failure domains on whose instances nothing is placed
 }
 
 //go:generate stringer -type=Action -linecomment
--- a/internal/decision/routing/routing.go
+++ b/internal/decision/routing/routing.go
@@ -125,6 +125,7 @@
 	instances       map[string]*instance
 	names           []string
 	roundRobinCount int
+	evacuated       map[string]bool // failure domains whose instances get no new requests
 }
 
 // New returns a Router without instances for an entry in the given failure domain. The
@@ -266,7 +267,7 @@
 
 // usable reports whether an instance may get new requests.
 func (r *Router) usable(now time.Time, inst *instance) bool {
-	return !inst.draining && now.Sub(inst.lastReport) <= reportTimeout && !now.Before(inst.ejectedUntil)
+	return !inst.draining && !r.evacuated[inst.Domain] && now.Sub(inst.lastReport) <= reportTimeout && !now.Before(inst.ejectedUntil)
 }
 
 // candidates returns the usable instances that aren't in tried.
--- a/internal/decision/routing/routing_test.go
+++ b/internal/decision/routing/routing_test.go
@@ -30,6 +30,7 @@
 	}{
 		{"leaving", func(r *Router, now time.Time) time.Time { r.Drain("i00"); return now }},
 		{"removed", func(r *Router, now time.Time) time.Time { r.Remove("i00", "1"); return now }},
+		{"evacuated", func(r *Router, now time.Time) time.Time { r.SetEvacuated([]string{"a", "c", ""}); return now }},
 		{"silent", func(r *Router, now time.Time) time.Time {
 			later := now.Add(reportTimeout + time.Second)
 			r.Observe(later, "i01", Load{})
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -54,6 +54,24 @@
 	return status, c.call(ctx, http.MethodGet, "/target/local", nil, &status)
 }
 
+// Domains returns the failure domains, whether they are evacuated, and what is left there.
+func (c *Client) Domains(ctx context.Context) (DomainStatus, error) {
+	var status DomainStatus
+	return status, c.call(ctx, http.MethodGet, "/domain", nil, &status)
+}
+
+// LocalDomains returns the version of the evacuated domains in force on the called entry.
+func (c *Client) LocalDomains(ctx context.Context) (Status, error) {
+	var status Status
+	return status, c.call(ctx, http.MethodGet, "/local/domain", nil, &status)
+}
+
+// ChangeDomain evacuates a domain or takes it back.
+func (c *Client) ChangeDomain(ctx context.Context, domain string, change DomainChange) (Accepted, error) {
+	var accepted Accepted
+	return accepted, c.call(ctx, http.MethodPut, "/domain/"+url.PathEscape(domain), change, &accepted)
+}
+
 // History returns all accepted versions, oldest first.
 func (c *Client) History(ctx context.Context) ([]AcceptedVersion, error) {
 	var versions []AcceptedVersion
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/apricotwind/apricotwind/internal/config"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/decision/routing"
+	"github.com/apricotwind/apricotwind/internal/evacuation"
 	"github.com/apricotwind/apricotwind/internal/job"
 	"github.com/apricotwind/apricotwind/internal/ledger"
 	"github.com/apricotwind/apricotwind/internal/problem"
@@ -47,6 +49,11 @@
 	NotifyInbox func()                  // an inbox row was written
 	Flush       func(context.Context) error
 	Alive       func(context.Context) map[string]bool
+	// Evacuations returns the evacuated domains in force on this entry, and Requests the number of
+	// requests on each instance that it knows.
+	Evacuations   func() record.Evacuations
+	OnEvacuations func(record.Evacuations) // a domain was evacuated or taken back through this entry
+	Requests      func() []routing.InstanceRequests
 }
 
 // Server serves the operator API. It is safe for concurrent use.
@@ -73,6 +80,9 @@
 	router.GET("/target/status", jsonHandler(s.status))
 	router.GET("/target/local", jsonHandler(s.local))
 	router.GET("/target/history", jsonHandler(s.history))
+	router.GET("/domain", jsonHandler(s.domains))
+	router.GET("/local/domain", jsonHandler(s.localDomains))
+	router.PUT("/domain/:id", jsonHandler(s.changeDomain))
 	router.POST("/job", jsonHandler(s.submit))
 	router.GET("/job", jsonHandler(s.jobs))
 	router.GET("/job/:id", jsonHandler(s.job))
@@ -111,7 +121,7 @@
 	switch {
 	case errors.As(err, &p):
 		return p
-	case errors.Is(err, config.ErrConflict):
+	case errors.Is(err, config.ErrConflict), errors.Is(err, evacuation.ErrConflict):
 		return problem.New(http.StatusConflict, problem.Refused, "accept", err.Error())
 	case errors.Is(err, job.ErrInvalid):
 		return problem.New(http.StatusUnprocessableEntity, problem.Refused, "check", err.Error())
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -96,7 +96,7 @@
 }
 
 // failureLoggers log the operations that fail while the platform is unavailable.
-type failureLoggers struct{ config, row, entries, ledger *logs.FailureLogger }
+type failureLoggers struct{ config, evacuations, row, entries, ledger *logs.FailureLogger }
 
 type listeners struct{ caller, operator, link net.Listener }
 
@@ -121,10 +121,11 @@
 		table: table.NewOverHTTP(settings.Platform, platform), platform: platform, listeners: opened,
 		entries: map[string]*peerEntry{}, storeSemaphore: make(chan struct{}, 1),
 		failureLoggers: failureLoggers{
-			config:  logs.NewFailureLogger(log, "config-unread"),
-			row:     logs.NewFailureLogger(log, "row-unwritten"),
-			entries: logs.NewFailureLogger(log, "entries-unread"),
-			ledger:  logs.NewFailureLogger(log, "ledger-unstored"),
+			config:      logs.NewFailureLogger(log, "config-unread"),
+			evacuations: logs.NewFailureLogger(log, "evacuations-unread"),
+			row:         logs.NewFailureLogger(log, "row-unwritten"),
+			entries:     logs.NewFailureLogger(log, "entries-unread"),
+			ledger:      logs.NewFailureLogger(log, "ledger-unstored"),
 		},
 	}
 	e.document.Store(&contract.Document{})
@@ -189,7 +190,9 @@
 	})
 	e.metrics.Gauge("shards", func() any { return e.OwnedShards() })
 	e.metrics.Gauge("config", func() any { return e.document.Load().Version })
+	e.metrics.Gauge("evacuated-domains", func() any { return len(e.evacuations().Domains) })
 	e.loop.GoEvery(configInterval, e.readConfig)
+	e.loop.GoEvery(configInterval, e.readEvacuations)
 	e.loop.GoEvery(rowInterval, e.writeRow)
 	e.loop.GoEvery(entriesInterval, e.readEntries)
 	e.loop.Every(e.settings.Window, func() { e.closeWindow(false) })
--- a/internal/process/entry_requests.go
+++ b/internal/process/entry_requests.go
@@ -160,7 +160,10 @@
 			e.runOnLoop(func() { e.closeWindow(false) })
 			return e.storeWindows(ctx)
 		},
-		Alive: e.liveIncarnations,
+		Alive:         e.liveIncarnations,
+		Evacuations:   e.evacuations,
+		OnEvacuations: func(evacuations record.Evacuations) { e.runOnLoop(func() { e.applyEvacuations(evacuations) }) },
+		Requests:      e.instanceRequests,
 	}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -29,6 +29,7 @@
 	InboxPrefix       = "inbox/"
 	IdempotencyPrefix = "key/"
 	LedgerPrefix      = "ledger/"
+	EvacuationsKey    = "evacuations"
 )
 
 // Config is the value of the row with the configuration document in force, and of each
@@ -55,6 +56,30 @@
 	Heartbeat       uint64 `json:"beat"`
 }
 
+// Evacuations is the row with the failure domains that operators have evacuated. Its version grows
+// with each change. Commit makes the value of each write unique.
+type Evacuations struct {
+	Version uint64       `json:"version"`
+	Domains []Evacuation `json:"domains"`
+	Commit  string       `json:"commit"`
+}
+
+// Evacuation is one evacuated failure domain: who asked for it, and when.
+type Evacuation struct {
+	Domain string    `json:"domain"`
+	By     string    `json:"by"`
+	At     time.Time `json:"at"`
+}
+
+// Names returns the evacuated domains.
+func (e Evacuations) Names() []string {
+	var names []string
+	for _, evacuated := range e.Domains {
+		names = append(names, evacuated.Domain)
+	}
+	return names
+}
+
 // Shard is the row of a shard. Other entries consider the owner alive while Heartbeat
 // changes.
 type Shard struct {
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -72,6 +72,7 @@
 	owned         map[int]*ownedShard
 	claiming      map[int]bool
 	commitCount   uint64
+	evacuations   record.Evacuations // the latest known
 	incarnation   string
 	stopping      bool
 	readFailed    bool      // the last read of the rows failed
@@ -197,6 +198,22 @@
 	shard.owner.SetQuotas(quotas)
 }
 
+// SetEvacuations passes the evacuated failure domains to the owners of all owned shards, if they are
+// newer than the known ones. It reports whether they are.
+func (m *Manager) SetEvacuations(evacuations record.Evacuations) bool {
+	if evacuations.Version <= m.evacuations.Version {
+		return false
+	}
+	m.evacuations = evacuations
+	for _, shard := range m.owned {
+		shard.owner.SetEvacuated(evacuations.Names())
+	}
+	return true
+}
+
+// Evacuations returns the latest known evacuated failure domains.
+func (m *Manager) Evacuations() record.Evacuations { return m.evacuations }
+
 // Announce passes an instance's announcement to the owner of its shard, if this entry owns
 // that shard.
 func (m *Manager) Announce(announced placement.Instance) {
--- a/internal/shard/owned.go
+++ b/internal/shard/owned.go
@@ -8,6 +8,7 @@
 	"github.com/apricotwind/apricotwind/internal/logs"
 
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
+	"github.com/apricotwind/apricotwind/internal/evacuation"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/record"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
@@ -38,6 +39,7 @@
 	revision      uint64
 	epochRevision uint64
 	chunks        []loadedChunk
+	evacuations   record.Evacuations
 }
 
 // claimAndLoad commits a claim of a shard and reads the shard's unfinished chunks.
@@ -64,8 +66,12 @@
 	if result.Outcome != table.Committed {
 		return claimResult{}, errors.CombineErrors(err, errors.Newf("claim of shard %d failed: %s", index, result.Outcome))
 	}
+	evacuations, err := evacuation.ReadRequests(callCtx, m.table)
+	if err != nil {
+		return claimResult{}, err
+	}
 	chunks, err := m.loadChunks(callCtx, index, record.ChunkPrefix)
-	return claimResult{revision: result.Revision, epochRevision: result.Revision, chunks: chunks}, err
+	return claimResult{revision: result.Revision, epochRevision: result.Revision, chunks: chunks, evacuations: evacuations}, err
 }
 
 // loadChunks reads the chunks of a shard whose keys start with prefix, and their jobs.
@@ -109,6 +115,8 @@
 		leaseEnd:      sent.Add(leaseDuration),
 	}
 	m.applyContract(shard, m.hooks.Document())
+	m.SetEvacuations(claimed.evacuations)
+	shard.owner.SetEvacuated(m.evacuations.Names())
 	for _, chunk := range claimed.chunks {
 		shard.owner.Load(now, chunk.job, chunk.chunk, chunk.revision)
 	}
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -133,7 +133,7 @@
 func (c *Cluster) StartAgent(name string) {
 	c.t.Helper()
 	agent, err := process.NewAgent(c.Ctx, process.AgentSettings{
-		Name: name, Domain: "d", Rack: "r-" + name, Upstream: "http://127.0.1.1:" + name[1:],
+		Name: name, Domain: agentDomain(name), Rack: "r-" + name, Upstream: "http://127.0.1.1:" + name[1:],
 		Platform: "http://" + platformAddress, DrainTimeout: 20e9, Identity: c.Identity,
 		Capacity: link.Capacity{Slots: 8, MaxInFlight: 64, Processors: 8, Memory: 1000},
 	}, c.Net.View(name), c.Log)
@@ -171,3 +171,11 @@
 		c.t.Fatalf("not all nodes have applied the contract: %+v, %v", status, err)
 	}
 }
+
+// agentDomain returns the failure domain of an agent: the first one is in another one than the others.
+func agentDomain(name string) string {
+	if name == "m0" {
+		return "d0"
+	}
+	return "d"
+}
