--- a/internal/decision/dispatch/cold.go
+++ b/internal/decision/dispatch/cold.go
@@ -15,25 +15,32 @@
 	in.coldUntil = now.Add(time.Duration(in.registration.ColdRemaining) * time.Millisecond)
 }
 
-func (in *instance) cold(now time.Time) bool { return now.Before(in.coldUntil) }
+// collect adds an instance on which tasks may be placed.
+func (p *planner) collect(in *instance) {
+	in.cold = p.now.Before(in.coldUntil)
+	p.someWarm = p.someWarm || !in.cold
+	p.usable = append(p.usable, in)
+}
 
 // startsSlowly reports whether a cold instance has so many recent starts that no task starts there
 // now. If all usable instances are cold, none does.
 func (p *planner) startsSlowly(in *instance) bool {
-	if !p.someWarm || !in.cold(p.now) {
-		return false
-	}
-	recent := 0
+	return in.cold && p.someWarm && in.startsSince(p.now.Add(-coldStartPeriod)) >= maxColdStarts
+}
+
+// startsSince returns the number of runs that were ordered on the instance after a time.
+func (in *instance) startsSince(after time.Time) int {
+	starts := 0
 	for _, placed := range in.reservations {
-		if p.now.Sub(placed.startedAt) < coldStartPeriod {
-			recent++
+		if placed.startedAt.After(after) {
+			starts++
 		}
 	}
-	return recent >= maxColdStarts
+	return starts
 }
 
-func (in *instance) coldPenalty(now time.Time) int {
-	if in.cold(now) {
+func (in *instance) coldPenalty() int {
+	if in.cold {
 		return penaltyCold
 	}
 	return 0
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -114,6 +114,7 @@
 	drainDeadline             time.Time            // when a draining instance may be gone
 	evacuated                 bool                 // its failure domain is evacuated, see SetEvacuated
 	coldUntil                 time.Time            // until when the worker says that it is slow after its start
+	cold                      bool                 // it is so at the current plan
 }
 
 // newInstance returns an instance whose row is not known to be in the table and that has no
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -66,8 +66,7 @@
 	for _, in := range p.scheduler.byID {
 		switch {
 		case in.usable(p.now):
-			p.usable = append(p.usable, in)
-			p.someWarm = p.someWarm || !in.cold(p.now)
+			p.collect(in)
 		case in.ready():
 			p.quarantined = append(p.quarantined, in)
 		}
@@ -290,7 +289,7 @@
 		if rack != "" && in.registration.Rack != rack || !p.suitable(j, t, in) {
 			continue
 		}
-		penalty := p.penalty(t.step, in) + in.coldPenalty(p.now)
+		penalty := p.penalty(t.step, in) + in.coldPenalty()
 		if slices.Contains(t.failedOn, in.registration.Incarnation.ID) {
 			penalty += penaltyFailedBefore
 		}
