A gang that does not fit without an evacuated domain waits as a whole

Cause: gangs and occurrences that fall due during an evacuation were tested in the scheduler only. Change: a test with real entries and agents; the follower of an empty table reads it ten times a second at most.

--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -70,7 +70,7 @@
 			return err
 		}
 		p.after, p.watches = revision, 0
-		if f.incomplete() {
+		if f.incomplete() || revision == 0 { // an empty table has no revision to watch from
 			loop.Sleep(ctx, retryDelay)
 		}
 		return nil
--- a/internal/process/evacuation_test.go
+++ b/internal/process/evacuation_test.go
@@ -97,6 +97,34 @@
 	})
 }
 
+// A gang that does not fit without the domain waits as a whole, and an occurrence that falls due starts
+// elsewhere.
+func TestGangsAndOccurrencesDuringAnEvacuation(t *testing.T) {
+	withJobCluster(t, 3, 4, func(t *testing.T, system *testcluster.JobCluster) {
+		gang := newJob("gang", 3, 500)
+		gang.Steps[0].Gang, gang.Steps[0].Need.Processors = true, 8000
+		due := newJob("due", 2, 500)
+		due.FirstDue, due.Interval, due.Repeat = time.Now().Add(2*time.Second).UnixMilli(), 500, 3
+		submit(t, system, 0, due)
+		system.Evacuate("d0")
+		time.Sleep(calmEvacuation)
+		submit(t, system, 0, gang)
+		time.Sleep(4 * time.Second)
+		if starts := system.Checker.StartsOf("gang"); starts != 0 {
+			t.Errorf("%d members of the gang have started", starts)
+		}
+		if starts := system.Checker.StartsOf("due"); starts != 6 {
+			t.Errorf("%d tasks of the occurrences have started, want 6", starts)
+		}
+		checkEvacuated(t, system, calmEvacuation)
+		system.TakeBack("d0")
+		time.Sleep(time.Second)
+		if starts := system.Checker.StartsOf("gang"); starts != 3 {
+			t.Errorf("%d members of the gang have started after the domain was taken back, want 3", starts)
+		}
+	})
+}
+
 // A new owner knows the requests before its first plan, also one that was written while there was
 // no owner.
 func TestANewOwnerKnowsTheEvacuations(t *testing.T) {
