The tests of an agent's evacuation count calls without a race

Cause: the race detector found the counters of the stand-in worker, which its calls write on other goroutines. Change: they are atomic.

--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,9 +31,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			started := 0
+			var started atomic.Int32
 			worker := Worker{Poll: unansweredPoll, Start: func(context.Context, StartCall) (Answer, error) {
-				started++
+				started.Add(1)
 				return Answer{}, nil
 			}}
 			withRunner(t, worker, func(t *testing.T, r *Runner) {
@@ -49,8 +50,8 @@
 					}
 				})
 				time.Sleep(time.Second)
-				if (started == 0) != c.refused {
-					t.Errorf("%d starts", started)
+				if (started.Load() == 0) != c.refused {
+					t.Errorf("%d starts", started.Load())
 				}
 			})
 		})
@@ -59,15 +60,15 @@
 
 // A start without an answer is not sent again once the domain is evacuated, but stopped.
 func TestAStartIsNotSentAgainDuringAnEvacuation(t *testing.T) {
-	starts, stops := 0, 0
+	var starts, stops atomic.Int32
 	worker := Worker{
 		Poll: unansweredPoll,
 		Start: func(ctx context.Context, _ StartCall) (Answer, error) {
-			starts++
+			starts.Add(1)
 			<-ctx.Done()
 			return Answer{}, ctx.Err()
 		},
-		Stop: func(context.Context, StopCall) (Answer, error) { stops++; return Answer{}, nil },
+		Stop: func(context.Context, StopCall) (Answer, error) { stops.Add(1); return Answer{}, nil },
 	}
 	withRunner(t, worker, func(t *testing.T, r *Runner) {
 		onLoop(t, r, func() { r.applyOrders(link.Orders{Session: 1, Starts: []link.StartOrder{{Task: task, Run: 1}}}) })
@@ -76,8 +77,8 @@
 			r.applyOrders(link.Orders{Session: 1, Evacuation: &link.Evacuation{Evacuated: true, Revision: 5}})
 		})
 		time.Sleep(3 * orderTimeout)
-		if starts != 1 || stops != 1 {
-			t.Errorf("%d starts and %d stops, want 1 each", starts, stops)
+		if starts.Load() != 1 || stops.Load() != 1 {
+			t.Errorf("%d starts and %d stops, want 1 each", starts.Load(), stops.Load())
 		}
 	})
 }
