--- a/internal/process/evacuation_test.go
+++ b/internal/process/evacuation_test.go
@@ -39,6 +39,7 @@
 			last = max(last, start.Delay)
 		}
 	}
+	t.Logf("the last start in an evacuated domain was %v after the request", last)
 	if last > bound {
 		t.Errorf("the last start in an evacuated domain was %v after the request, want %v at most", last, bound)
 	}
@@ -65,6 +66,26 @@
 	})
 }
 
+// The bound of a calm evacuation holds at each size, while tasks start in the domain all the time.
+func TestAnEvacuationAtEachSize(t *testing.T) {
+	for _, workers := range fleetSizes {
+		t.Run(fmt.Sprint(workers), func(t *testing.T) {
+			withJobCluster(t, 3, workers, func(t *testing.T, system *testcluster.JobCluster) {
+				submit(t, system, 0, newJob("wide", 30*workers, 300))
+				time.Sleep(300 * time.Millisecond)
+				system.Evacuate("d0")
+				time.Sleep(3 * calmEvacuation)
+				checkEvacuated(t, system, calmEvacuation)
+				starts := system.Checker.StartsIn("d1")
+				time.Sleep(calmEvacuation)
+				if system.Checker.StartsIn("d1") == starts {
+					t.Error("no tasks were left to start")
+				}
+			})
+		})
+	}
+}
+
 // What runs in a domain that is evacuated goes on.
 func TestAnEvacuationStopsNothing(t *testing.T) {
 	withJobCluster(t, 2, 4, func(t *testing.T, system *testcluster.JobCluster) {
