Placement: a task that fits nowhere, or a gang, is to have room from a time on

Cause: a task took no place in the line while it did not fit. Smaller tasks of later jobs went by it each time, so that tasks that need a whole instance waited for ever beside a stream of small ones, and gangs often did. Spreading tasks left gaps on all instances. Change: package backfill finds where and when room comes, by the expected ends, and which tasks may start there before. The owner holds such room for the first tasks that need more than one end frees, and for whole gangs; small tasks start there only if they are gone by then, with the doubt counted, or leave room. Latency-critical and long-running tasks, and jobs whose turn comes before, are never kept off. Windows are few, end unused after a bound, and live in the owner's memory. While a service has any, tasks that are not latency-critical are packed. The gauge "room" and the log lines "window" show windows and fragmentation.

--- a/internal/decision/dispatch/bench_test.go
+++ b/internal/decision/dispatch/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/interference"
 )
@@ -49,3 +50,41 @@
 		})
 	}
 }
+
+// BenchmarkPlanMixed measures plans, 50 ms apart, of instances that are full of small tasks, while as
+// many small and large ones wait.
+func BenchmarkPlanMixed(b *testing.B) {
+	for _, c := range []struct{ instances, waiting int }{{300, 10_000}, {4000, 10_000}} {
+		b.Run(fmt.Sprintf("%d instances %d waiting", c.instances, c.waiting), func(b *testing.B) {
+			s := mixedScheduler(c.instances, c.waiting)
+			now := at(1)
+			for b.Loop() {
+				now = now.Add(50 * time.Millisecond)
+				s.Plan(now)
+				s.TakePostponements()
+			}
+		})
+	}
+}
+
+// mixedScheduler returns a scheduler with instances that are full of small tasks, and waiting tasks
+// that need an eighth, half or all of an instance.
+func mixedScheduler(instances, waiting int) *Scheduler {
+	var registrations []Registration
+	for i := range instances {
+		registrations = append(registrations, registrationOf(fmt.Sprintf("i%d", i), 32))
+	}
+	s := schedulerWith(registrations...)
+	for i := range instances {
+		job := jobOf(fmt.Sprintf("fill%d", i), Step{Count: 10, Need: Resources{Processors: 3000}, Image: fmt.Sprintf("f%d", i%18), Estimate: 3_600_000})
+		s.Accept(startTime, job, nil)
+	}
+	s.Plan(at(0))
+	for i := range waiting / 10 {
+		cores := []int{4, 4, 16, 32}[i%4]
+		job := jobOf(fmt.Sprintf("wait%d", i), Step{Count: 10, Need: Resources{Processors: cores * 1000}, Image: fmt.Sprintf("f%d", i%18), Estimate: 3_600_000})
+		job.Policy.Latency = 86_400_000
+		s.Accept(startTime, job, nil)
+	}
+	return s
+}
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -111,6 +111,7 @@
 	quarantinedUntil          time.Time            // gets no new tasks before then, see planQuarantined
 	failedInQuarantine        map[TaskName]bool    // tasks that have failed there since the quarantine began
 	drainDeadline             time.Time            // when a draining instance may be gone
+	held                      *heldShare           // window for which it is held; nil if none
 }
 
 // newInstance returns an instance whose row is not known to be in the table and that has no
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -56,7 +56,9 @@
 	p.updateSuspects()
 	p.bestEffortImages = s.costModel.BestEffortImages()
 	p.moveStalled()
-	for _, j := range s.byUrgency(now, p.available()) {
+	jobs := s.byUrgency(now, p.available())
+	p.renewHolds()
+	for _, j := range jobs {
 		for _, o := range j.occurrences {
 			if o.remaining > 0 {
 				p.planOccurrence(j, o)
@@ -64,6 +66,7 @@
 		}
 	}
 	s.bestEffortWaits = p.waits
+	p.makeHolds()
 	p.rebalance()
 	return p.starts
 }
@@ -107,12 +110,14 @@
 	// startable tasks of on-time jobs request and for which this plan found no instance.
 	unmetDemand map[string]int
 	waits       map[string]bool // services of which such tasks wait
+	windowPlanner
 }
 
 func newPlanner(s *Scheduler, now time.Time) *planner {
 	return &planner{
 		scheduler: s, now: now, openShares: map[*instance]float64{}, excludedShares: map[*instance]map[string]float64{}, neighbors: map[*instance][]neighbor{},
 		unplaceable: map[schedulingClass][]Resources{}, unmetDemand: map[string]int{}, waits: map[string]bool{},
+		windowPlanner: newWindowPlanner(s, now),
 	}
 }
 
@@ -129,20 +134,24 @@
 }
 
 // isUnplaceable reports whether a task of the same class that requests no more than need could
-// not be placed earlier in this plan, in which free resources only shrink.
+// not be placed earlier in this plan, in which free resources only shrink. It may still fit on a held
+// instance.
 func (p *planner) isUnplaceable(class schedulingClass, need Resources) bool {
 	return slices.ContainsFunc(p.unplaceable[class], func(unplaced Resources) bool { return unplaced.fitsIn(need) })
 }
 
 // planOccurrence places the tasks of an occurrence whose steps are ready.
 func (p *planner) planOccurrence(j ranked, o *occurrence) {
+	p.turn = turnOf(j)
 	for stepIndex := range o.steps {
 		step := &j.spec.Steps[stepIndex]
 		if o.stepDone(stepIndex) || !o.ready(step) {
 			continue
 		}
 		if step.Gang {
-			p.placeGang(j.jobState, step, o.steps[stepIndex])
+			if p.placeGang(j.jobState, step, o.steps[stepIndex]) {
+				p.blocked(j, o, stepIndex)
+			}
 			continue
 		}
 		for _, t := range o.steps[stepIndex] {
@@ -151,11 +160,13 @@
 			}
 			in := p.findInstance(j, t, o)
 			if in == nil {
+				p.blocked(j, o, stepIndex)
 				p.addUnmetDemand(j, step, o.steps[stepIndex])
 				p.planQuarantined(j, step, o.steps[stepIndex])
 				break // the tasks of a step are identical
 			}
 			p.place(j.jobState, t, in, t.lastRun+1)
+			p.endHold(t)
 		}
 	}
 }
@@ -166,7 +177,10 @@
 func (p *planner) findInstance(j ranked, t *task, o *occurrence) *instance {
 	class := schedulingClassOf(j.jobState, t.step)
 	var in *instance
-	if !p.isUnplaceable(class, t.step.Need) {
+	p.wasWithheld = false
+	if p.isUnplaceable(class, t.step.Need) {
+		in = p.bestHeld(j.jobState, t, class)
+	} else {
 		in = p.bestInstance(j.jobState, t, "")
 		if in == nil && t.step.MaxPerInstance == 0 {
 			p.unplaceable[class] = append(p.unplaceable[class], t.step.Need)
@@ -196,12 +210,12 @@
 	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore) && !p.awaitsIsolation(t)
 }
 
-// placeGang places all tasks of a step or none.
-func (p *planner) placeGang(j *jobState, step *Step, members []*task) {
+// placeGang places all tasks of a step or none. It reports whether there was no room for them.
+func (p *planner) placeGang(j *jobState, step *Step, members []*task) (blocked bool) {
 	run := int64(0)
 	for _, t := range members {
 		if !p.startable(t) {
-			return
+			return false
 		}
 		run = max(run, t.lastRun+1)
 	}
@@ -210,11 +224,14 @@
 	if step.PreferOneRack {
 		racks = append(p.racks(), "")
 	}
+	p.wasWithheld = false
 	for _, rack := range racks {
 		if p.tryPlaceGang(j, members, rack, run) {
-			return
+			p.endHold(members[0])
+			return false
 		}
 	}
+	return true
 }
 
 // shareCheckpoint gives all members of a gang the checkpoint that was reported last. It is valid for the
@@ -303,7 +320,7 @@
 	var best *instance
 	var highest float64
 	for _, in := range p.usable {
-		if !fits(j, t, in) {
+		if !fits(j, t, in) || p.withheld(j, t, in) {
 			continue
 		}
 		rate := p.rate(t.step, in)
@@ -323,7 +340,7 @@
 	if t.step.BestEffort && (p.processorRate(t.step, in) < minRate || p.rate(t.step, in) < minRate) {
 		return false
 	}
-	return !in.excludes(t)
+	return !in.excludes(t) && !p.withheld(j, t, in)
 }
 
 // fits reports whether the constraints of a task allow an instance and its resources are free
@@ -350,6 +367,9 @@
 	capacity := max(in.registration.Capacity.Processors, 1)
 	load := penaltyLoad * in.used.Processors / capacity
 	penalty := penaltyLoad * in.bestEffortProcessors / capacity
+	if p.packs(step, in) {
+		load, penalty = -load, -penalty
+	}
 	if step.DataRack != "" && !in.hasLabel(step.DataRack) {
 		penalty += penaltyRemoteData
 	}
@@ -374,6 +394,7 @@
 	t.instance, t.run, t.lastRun, t.startedAt = in.registration.Incarnation.ID, run, run, p.now
 	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation}
 	placed.setStep(t.step)
+	p.backfilled(j, t, in)
 	in.add(placed)
 	p.updateCaches(in, t.step, true)
 	in.lastStartAt = p.now
--- a/internal/decision/dispatch/rate.go
+++ b/internal/decision/dispatch/rate.go
@@ -77,7 +77,13 @@
 // expected to run on an instance. It is limited by the processors left and by the pace that the
 // agent will set for the headroom of the latency-critical tasks there.
 func (p *planner) rate(step *Step, in *instance) float64 {
-	rate := p.processorRate(step, in)
+	return max(min(p.processorRate(step, in), p.neighborRate(step, in)), 0)
+}
+
+// neighborRate returns the share of full speed at the pace that the agent will set for the headroom of
+// the latency-critical tasks there.
+func (p *planner) neighborRate(step *Step, in *instance) float64 {
+	rate := 1.0
 	for _, neighbor := range p.neighborsOn(in) {
 		loss := p.scheduler.headroomLoss(neighbor.image, step)
 		if loss <= negligibleLoss && !neighbor.critical {
@@ -86,7 +92,7 @@
 		expected := p.scheduler.costModel.MeanCost(neighbor.image, step.Image) * float64(step.Need.Processors) / 1000
 		rate = min(rate, interference.PredictPace(minHeadroom+neighbor.slack, max(loss, negligibleLoss), expected))
 	}
-	return max(rate, 0)
+	return rate
 }
 
 // processorRate returns the share of full speed for which processors are left.
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -60,6 +60,7 @@
 	rebalanceCheckedAt time.Time       // when such a move was last considered
 	stallCheckedAt     time.Time       // when stalled tasks were last looked for
 	bestEffortWaits    map[string]bool // services for which the last plan found no instance for some best-effort tasks of on-time jobs
+	windows
 }
 
 // finishedJob is a job whose final state is committed. Its runs may still be stopping, so its
--- a/internal/decision/dispatch/task.go
+++ b/internal/decision/dispatch/task.go
@@ -61,6 +61,8 @@
 	acceptedAt      time.Time // when Accept was called on this scheduler, by the caller's clock; not Job.Accepted
 	postponedBefore bool      // TakePostponements returns the job once
 	favored         bool      // see isFavored
+	hold            *hold     // window of one of its steps; nil if none
+	noHoldBefore    time.Time // it gets no window before then
 	dirty           bool
 	revision        uint64 // grows with each change to be committed
 }
--- a/internal/owner/elector.go
+++ b/internal/owner/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/link"
@@ -89,15 +90,18 @@
 	standbyDelay   time.Duration // of a standby, see minStandbyDelay
 	term           *term
 	readFailures   *logs.FailureLogger
+	room           atomic.Pointer[room] // see gaugeRoom
 }
 
 // New returns an Elector. nowMillis returns the Unix time in ms. onOwnerChange is called on
 // the loop at each change of the owner.
 func New(settings Settings, store *table.Store, health *table.Health, l *loop.Loop, log *zap.Logger, registry *metrics.Registry, nowMillis func() int64, onOwnerChange func(Holder)) *Elector {
-	return &Elector{
+	e := &Elector{
 		settings: settings, store: store, health: health, loop: l, log: log, registry: registry, nowMillis: nowMillis, onOwnerChange: onOwnerChange,
 		changedAt: time.Now(), holderSince: time.Now(), standbyDelay: newStandbyDelay(), readFailures: logs.NewFailureLogger(log, "watch-owner-failed"),
 	}
+	registry.Gauge("room", func() any { return e.room.Load() })
+	return e
 }
 
 // Run starts to read the alive row periodically, until the loop ends. It returns at once.
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -38,6 +38,7 @@
 	t.dispatch()
 	t.sendAcks(time.Now())
 	t.logWaits(time.Now())
+	t.gaugeRoom(time.Now())
 }
 
 // dispatch makes a plan, sends the resulting orders to the agents and schedules a commit of
@@ -68,6 +69,7 @@
 	for _, postponed := range t.scheduler.TakePostponements() {
 		t.log.Info("postponed", zap.String("job", postponed.Job), zap.Float64("work", postponed.Work), zap.Float64("cores", postponed.Cores))
 	}
+	t.logWindows()
 	for id, order := range orders {
 		t.send(id, order)
 	}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -91,6 +91,7 @@
 	jobsRevision     uint64
 	heartbeat        uint64
 	waitsLoggedAt    time.Time // when logWaits last counted the waiting tasks
+	roomGaugedAt     time.Time // when gaugeRoom last set its gauge
 	stop             context.CancelFunc
 	ctx              context.Context
 	onEnd            func() // set by handOver: the handover is in progress; called when the term ends
@@ -128,6 +129,7 @@
 func (t *term) end() {
 	t.ended = true
 	t.stop()
+	t.elector.room.Store(nil)
 	t.endSubmissions()
 	for _, s := range t.sessions {
 		s.conn.link.Close()
