--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -368,7 +368,7 @@
 	load := penaltyLoad * in.used.Processors / capacity
 	penalty := penaltyLoad * in.bestEffortProcessors / capacity
 	if p.packs(step, in) {
-		load, penalty = -load, -penalty
+		load = -load
 	}
 	if step.DataRack != "" && !in.hasLabel(step.DataRack) {
 		penalty += penaltyRemoteData
--- a/internal/decision/dispatch/windows.go
+++ b/internal/decision/dispatch/windows.go
@@ -18,7 +18,7 @@
 	windowsSearchedAt time.Time
 	windowSearches    int
 	servedByEnds      map[pool]backfill.Room // tasks up to this size have no need of windows, see makeHolds
-	packUntil         map[string]time.Time   // by service: small tasks are packed until then
+	packUntil         map[string]time.Time   // by service: tasks that reserve processors are packed until then
 	windowChanges     []WindowChange
 }
 
@@ -57,9 +57,10 @@
 }
 
 // packs reports whether a task of a step goes to the fullest instance that has room, so that large
-// tasks find room elsewhere.
+// tasks find room elsewhere. Best-effort tasks are never packed: they take no room that others reserve,
+// and would be slower.
 func (p *planner) packs(step *Step, in *instance) bool {
-	return p.packing != nil && step.Target == 0 && !step.LongRunning && p.packing[in.registration.Service]
+	return p.packing != nil && !step.BestEffort && step.Target == 0 && !step.LongRunning && p.packing[in.registration.Service]
 }
 
 // hold is the window that one step of a job has. While it lasts, smaller tasks start on its
--- a/internal/decision/dispatch/windowsearch.go
+++ b/internal/decision/dispatch/windowsearch.go
@@ -31,7 +31,8 @@
 	minWindowGain = 500 * time.Millisecond
 	// hopelessDelay is how long a step for which no end makes room is left out of the search.
 	hopelessDelay = time.Second
-	// packingPeriod is how long after a window was last wanted small tasks are packed.
+	// packingPeriod is how long after a window for tasks that reserve processors the others that do
+	// are packed.
 	packingPeriod = 5 * time.Second
 )
 
@@ -141,13 +142,17 @@
 	}
 }
 
-// pack lets the small tasks of the services that have windows be packed for a while.
+// pack lets the tasks that reserve processors be packed for a while, in the services that have windows
+// for such tasks.
 func (w *windowSearch) pack() {
-	for service := range w.held {
+	for _, h := range w.scheduler.holds {
+		if h.window.Shares[0].Need.Processors == 0 {
+			continue
+		}
 		if w.scheduler.packUntil == nil {
 			w.scheduler.packUntil = map[string]time.Time{}
 		}
-		w.scheduler.packUntil[service] = w.now.Add(packingPeriod)
+		w.scheduler.packUntil[h.service] = w.now.Add(packingPeriod)
 	}
 }
 
