--- a/internal/decision/dispatch/windows_test.go
+++ b/internal/decision/dispatch/windows_test.go
@@ -128,7 +128,11 @@
 			if lost[start.Instance] {
 				t.Errorf("%v starts on the lost instance %s", start.Task, start.Instance)
 			}
-			heap.Push(&running, ending{now.Add(c.duration), start.Instance, End{Sequence: sequence, Task: start.Task, Run: start.Run}})
+			took := c.duration
+			if in, need := s.instances[start.Instance], start.Step.Need.Processors; start.Step.BestEffort && in.bestEffortRoom() < 0 {
+				took = took * time.Duration(need) / time.Duration(max(need+in.bestEffortRoom(), need/2)) // it gets what is left, and more when others end
+			}
+			heap.Push(&running, ending{now.Add(took), start.Instance, End{Sequence: sequence, Task: start.Task, Run: start.Run}})
 		}
 		for _, in := range s.byID {
 			if in.used.Processors > in.registration.Capacity.Processors {
