Placement: a window keeps off only jobs that come later in the order of urgency

Cause: a window also kept off small tasks of jobs with an earlier objective, which the order of urgency places first. Change: whose tasks a window keeps off is decided by the whole order, with the objective. The objective of a job that waits comes before those of jobs that come later, so that it is reached all the same.

--- a/internal/decision/dispatch/windows.go
+++ b/internal/decision/dispatch/windows.go
@@ -88,15 +88,18 @@
 	share *backfill.Share
 }
 
-// turn is what decides whose tasks come first, but for the time of the objective.
+// turn is what decides whose tasks come first, see compareUrgency.
 type turn struct {
 	rank, priority   int
 	first, postponed bool
+	objective        time.Time
 }
 
-func turnOf(j ranked) turn { return turn{j.rank, j.spec.Policy.Priority, j.first, j.postponed} }
+func turnOf(j ranked) turn {
+	return turn{j.rank, j.spec.Policy.Priority, j.first, j.postponed, j.objective}
+}
 
-// before reports whether jobs of turn a come before those of turn b, whatever their objectives.
+// before reports whether jobs of turn a come before those of turn b.
 func (a turn) before(b turn) bool {
 	switch {
 	case a.rank != b.rank:
@@ -106,7 +109,10 @@
 	case a.postponed != b.postponed:
 		return b.postponed
 	}
-	return a.first && !b.first
+	if a.first != b.first {
+		return a.first
+	}
+	return a.objective.Before(b.objective)
 }
 
 // needOf returns the room that a task needs to start, and takeOf what it takes once it runs.
@@ -279,7 +285,7 @@
 }
 
 // withheld reports whether the window of another step keeps a task off an instance on which it would
-// fit. It keeps off no latency-critical or long-running task and none of a job whose turn is earlier.
+// fit. It keeps off no latency-critical or long-running task and none of a job that comes before.
 func (p *planner) withheld(j *jobState, t *task, in *instance) bool {
 	if in.held == nil || t.step.Target > 0 || t.step.LongRunning || in.held.hold.holds(t) || p.turn.before(in.held.hold.turn) {
 		return false
