--- a/internal/decision/dispatch/windows_test.go
+++ b/internal/decision/dispatch/windows_test.go
@@ -255,9 +255,9 @@
 	large.Policy.Latency, large.Policy.Priority = 40_000, 1
 	s.Accept(startTime, large, nil)
 	s.Plan(at(0.5))
-	expect(t, "windows", s.Windows(), 1)
-	s.TakeWindowChanges()
+	expect(t, "changes", s.TakeWindowChanges(), []WindowChange{{Job: "large", Cause: WindowMade, Instances: []string{"a"}, Wait: 9500 * time.Millisecond}})
 	s.Ended(at(2), Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{"running0", 0, 0, 0}, Run: 1}})
+	expect(t, "room", s.Fragmentation(at(2)), map[string]Fragmentation{"s": {2000, 2000, 2000, 2000}})
 	return s
 }
 
