Dispatch explains where a job would go now, and why, without changing anything

Cause: why a job waits had to be put together from log lines of several jobs. Change: Explain and ExplainDescribed return a job's place in the line, and for each step all instances with the first obstacle against each, the best first, the window held for it, when it would start at the earliest, and when the job ends by the median and by the tail of what is predicted. A described job is explained as if it were accepted now. The order of jobs, penalties and room come from the code of the plan. No verb asks for it yet. The placement of gangs has a file of its own. Result: TestExplanations; a plan after an explanation is the same as without it.

--- /dev/null
+++ b/internal/decision/dispatch/explain_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// seconds returns the seconds from the start of the test to a time; -1 for zero.
+func seconds(t time.Time) float64 {
+	if t.IsZero() {
+		return -1
+	}
+	return t.Sub(startTime).Seconds()
+}
+
+func TestExplanations(t *testing.T) {
+	described := func(change func(*Job)) func(*Scheduler) Explanation {
+		return func(s *Scheduler) Explanation {
+			job := jobOf("described", stepOf(1, 2))
+			job.Policy.Priority, job.Policy.Latency, job.Steps[0].Estimate = 1, 60_000, 60_000
+			change(job)
+			return s.ExplainDescribed(at(2), job)
+		}
+	}
+	type want struct {
+		place             int
+		obstacles         []Obstacle // on a and q, the best first
+		holder            string
+		window            []string
+		start, end, later float64
+	}
+	cases := []struct {
+		name    string
+		explain func(*Scheduler) Explanation
+		want    want
+	}{
+		{"a job with a window", func(s *Scheduler) Explanation { e, _ := s.Explain(at(2), "large"); return e }, want{4, []Obstacle{ObstacleResources, ObstacleQuarantine}, "", []string{"a"}, 10, 11, 11.25}},
+		{"a job that a window keeps off", described(func(*Job) {}), want{5, []Obstacle{ObstacleWindow, ObstacleQuarantine}, "large", nil, 30, 90, 105}},
+		{"a job that would start at once", described(func(j *Job) { j.Policy.Priority = 0 }), want{4, []Obstacle{ObstacleNone, ObstacleQuarantine}, "", nil, 2, 62, 77}},
+		{"a second step", described(func(j *Job) {
+			j.Policy.Priority, j.Steps[0].Estimate = 0, 4000
+			j.Steps = append(j.Steps, j.Steps[0])
+			j.Steps[1].After = []int{0}
+		}), want{4, []Obstacle{ObstacleNone, ObstacleQuarantine}, "", nil, 2, 10, 12}},
+		{"a job that never fits", described(func(j *Job) { j.Steps[0].Need.Processors = 9000 }), want{5, []Obstacle{ObstacleResources, ObstacleQuarantine}, "", nil, -1, -1, -1}},
+		{"a label that no instance has", described(func(j *Job) { j.Steps[0].Label = "none" }), want{5, []Obstacle{ObstacleLabel, ObstacleQuarantine}, "", nil, -1, -1, -1}},
+		{"a best-effort job without processors", described(func(j *Job) { j.Steps[0].BestEffort, j.Steps[0].Need.Processors = true, 4000 }), want{5, []Obstacle{ObstacleProcessors, ObstacleQuarantine}, "", nil, 10, 70, 85}},
+	}
+	for _, c := range cases {
+		s := heldScheduler(t)
+		registerOn(s, registrationOf("q", 8))
+		s.instances["q"].quarantine(at(2))
+		e := c.explain(s)
+		got := want{e.Place, nil, e.Steps[0].Candidates[0].Holder, e.Steps[0].Window, seconds(e.Steps[0].Start), seconds(e.ExpectedEnd), seconds(e.CertainlyEnd)}
+		for _, candidate := range e.Steps[0].Candidates {
+			got.obstacles = append(got.obstacles, candidate.Obstacle)
+		}
+		if diff := cmp.Diff(c.want, got, cmp.AllowUnexported(want{})); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+		expect(t, c.name+": changes", len(s.TakePostponements())+len(s.TakeWindowChanges())+len(s.TakeStops())+len(s.Plan(at(2))), 0)
+	}
+}
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -210,82 +210,6 @@
 	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore) && !p.awaitsIsolation(t)
 }
 
-// placeGang places all tasks of a step or none. It reports whether there was no room for them.
-func (p *planner) placeGang(j *jobState, step *Step, members []*task) (blocked bool) {
-	run := int64(0)
-	for _, t := range members {
-		if !p.startable(t) {
-			return false
-		}
-		run = max(run, t.lastRun+1)
-	}
-	shareCheckpoint(members)
-	racks := []string{""}
-	if step.PreferOneRack {
-		racks = append(p.racks(), "")
-	}
-	p.wasWithheld = false
-	for _, rack := range racks {
-		if p.tryPlaceGang(j, members, rack, run) {
-			p.endHold(members[0])
-			return false
-		}
-	}
-	return true
-}
-
-// shareCheckpoint gives all members of a gang the checkpoint that was reported last. It is valid for the
-// whole gang, whose members must resume from the same one.
-func shareCheckpoint(members []*task) {
-	latest := members[0]
-	for _, t := range members {
-		if t.checkpoint != "" && (latest.checkpoint == "" || t.checkpointAt.After(latest.checkpointAt)) {
-			latest = t
-		}
-	}
-	for _, t := range members {
-		t.checkpoint, t.checkpointAt = latest.checkpoint, latest.checkpointAt
-	}
-}
-
-// racks returns the racks of the usable instances.
-func (p *planner) racks() []string {
-	var racks []string
-	for _, in := range p.usable {
-		if !slices.Contains(racks, in.registration.Rack) {
-			racks = append(racks, in.registration.Rack)
-		}
-	}
-	return racks
-}
-
-// tryPlaceGang places all tasks of a gang with the same run number, on instances of one rack, or
-// of any rack if rack is "". It reports whether it did; otherwise it places none.
-func (p *planner) tryPlaceGang(j *jobState, members []*task, rack string, run int64) bool {
-	first := len(p.starts)
-	for _, t := range members {
-		in := p.bestInstance(j, t, rack)
-		if in == nil {
-			p.rollback(first)
-			return false
-		}
-		p.place(j, t, in, run)
-	}
-	return true
-}
-
-// rollback undoes the placements of the starts at index first and after.
-func (p *planner) rollback(first int) {
-	for _, start := range p.starts[first:] {
-		in := p.scheduler.instances[start.Instance]
-		in.remove(in.reservations[start.Task])
-		p.updateCaches(in, start.Step, false)
-		t := p.scheduler.findTask(start.Task)
-		t.instance, t.run = "", 0
-	}
-	p.starts = p.starts[:first]
-}
-
 // bestInstance returns the suitable usable instance with the lowest penalty for a task, or nil.
 // Unless rack is "", only instances in that rack count.
 func (p *planner) bestInstance(j *jobState, t *task, rack string) *instance {
@@ -300,13 +224,7 @@
 		if rack != "" && in.registration.Rack != rack || !p.suitable(j, t, in) {
 			continue
 		}
-		penalty := p.penalty(t.step, in)
-		if slices.Contains(t.failedOn, in.registration.Incarnation.ID) {
-			penalty += penaltyFailedBefore
-		}
-		if t.isolated(p.now) && p.now.Sub(in.lastStartAt) < isolationPeriod {
-			penalty += penaltyRecentStart
-		}
+		penalty := p.placementPenalty(t, in)
 		if best == nil || penalty < lowest {
 			best, lowest = in, penalty
 		}
@@ -314,6 +232,18 @@
 	return best
 }
 
+// placementPenalty returns the penalty of placing a task on an instance.
+func (p *planner) placementPenalty(t *task, in *instance) int {
+	penalty := p.penalty(t.step, in)
+	if slices.Contains(t.failedOn, in.registration.Incarnation.ID) {
+		penalty += penaltyFailedBefore
+	}
+	if t.isolated(p.now) && p.now.Sub(in.lastStartAt) < isolationPeriod {
+		penalty += penaltyRecentStart
+	}
+	return penalty
+}
+
 // fastestInstance returns the instance on which a best-effort task is expected to run fastest,
 // however slowly, so that each job makes progress. It returns nil if the task fits on none.
 func (p *planner) fastestInstance(j *jobState, t *task) *instance {
--- a/internal/decision/dispatch/urgency.go
+++ b/internal/decision/dispatch/urgency.go
@@ -113,7 +113,17 @@
 // objective. The jobs for which the available processors of their pool do not suffice come after
 // the others of their rank and priority, and those that go first before them.
 func (s *Scheduler) byUrgency(now time.Time, available map[pool]int) []ranked {
-	unfinished := make([]ranked, 0, len(s.jobs))
+	unfinished := s.inOrder(now, available, nil)
+	s.notePostponed(unfinished, available)
+	return unfinished
+}
+
+// inOrder returns the unfinished jobs, and others, in the order of byUrgency. It changes nothing.
+func (s *Scheduler) inOrder(now time.Time, available map[pool]int, others []*jobState) []ranked {
+	unfinished := make([]ranked, 0, len(s.jobs)+len(others))
+	for _, j := range others {
+		unfinished = append(unfinished, rankOf(j, now))
+	}
 	for _, j := range s.jobs {
 		if !j.state.Final() {
 			unfinished = append(unfinished, rankOf(j, now))
@@ -121,7 +131,6 @@
 	}
 	slices.SortFunc(unfinished, compareUrgency)
 	postpone(now, unfinished, available)
-	s.notePostponed(unfinished, available)
 	slices.SortFunc(unfinished, compareUrgency)
 	return unfinished
 }
--- a/internal/decision/dispatch/windows.go
+++ b/internal/decision/dispatch/windows.go
@@ -45,7 +45,6 @@
 	w := windowPlanner{turn: turn{rank: worthless + 1}}
 	for service, until := range s.packUntil {
 		if !now.Before(until) {
-			delete(s.packUntil, service)
 			continue
 		}
 		if w.packing == nil {
--- a/internal/decision/dispatch/windowsearch.go
+++ b/internal/decision/dispatch/windowsearch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -145,6 +146,7 @@
 // pack lets the tasks that reserve processors be packed for a while, in the services that have windows
 // for such tasks.
 func (w *windowSearch) pack() {
+	maps.DeleteFunc(w.scheduler.packUntil, func(_ string, until time.Time) bool { return !w.now.Before(until) })
 	for _, h := range w.scheduler.holds {
 		if h.window.Shares[0].Need.Processors == 0 {
 			continue
