--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -118,6 +118,7 @@
 	evacuated                 bool                 // its failure domain is evacuated, see SetEvacuated
 	coldUntil                 time.Time            // until when the worker says that it is slow after its start
 	cold                      bool                 // it is so at the current plan
+	held                      *heldShare           // window for which it is held; nil if none
 }
 
 // newInstance returns an instance whose row is not known to be in the table and that has no
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -49,7 +49,9 @@
 	p.updateSuspects()
 	p.bestEffortImages = s.costModel.BestEffortImages()
 	p.moveStalled()
-	for _, j := range s.byUrgency(now, p.available()) {
+	jobs := s.byUrgency(now, p.available())
+	p.renewHolds()
+	for _, j := range jobs {
 		for _, o := range j.occurrences {
 			if o.remaining > 0 {
 				p.planOccurrence(j, o)
@@ -57,6 +59,7 @@
 		}
 	}
 	s.bestEffortWaits = p.waits
+	p.makeHolds()
 	p.rebalance()
 	return p.starts
 }
@@ -113,12 +116,14 @@
 	// startable tasks of on-time jobs request and for which this plan found no instance.
 	unmetDemand map[string]int
 	waits       map[string]bool // services of which such tasks wait
+	windowPlanner
 }
 
 func newPlanner(s *Scheduler, now time.Time) *planner {
 	return &planner{
 		scheduler: s, now: now, openShares: map[*instance]float64{}, excludedShares: map[*instance]map[string]float64{}, neighbors: map[*instance][]neighbor{},
 		unplaceable: map[schedulingClass][]Resources{}, unmetDemand: map[string]int{}, waits: map[string]bool{},
+		windowPlanner: newWindowPlanner(s, now),
 	}
 }
 
@@ -135,20 +140,24 @@
 }
 
 // isUnplaceable reports whether a task of the same class that requests no more than need could
-// not be placed earlier in this plan, in which free resources only shrink.
+// not be placed earlier in this plan, in which free resources only shrink. It may still fit on a held
+// instance.
 func (p *planner) isUnplaceable(class schedulingClass, need Resources) bool {
 	return slices.ContainsFunc(p.unplaceable[class], func(unplaced Resources) bool { return unplaced.fitsIn(need) })
 }
 
 // planOccurrence places the tasks of an occurrence whose steps are ready.
 func (p *planner) planOccurrence(j ranked, o *occurrence) {
+	p.turn = turnOf(j)
 	for stepIndex := range o.steps {
 		step := &j.spec.Steps[stepIndex]
 		if o.stepDone(stepIndex) || !o.ready(step) {
 			continue
 		}
 		if step.Gang {
-			p.placeGang(j.jobState, step, o.steps[stepIndex])
+			if p.placeGang(j.jobState, step, o.steps[stepIndex]) {
+				p.blocked(j, o, stepIndex)
+			}
 			continue
 		}
 		for _, t := range o.steps[stepIndex] {
@@ -157,11 +166,13 @@
 			}
 			in := p.findInstance(j, t, o)
 			if in == nil {
+				p.blocked(j, o, stepIndex)
 				p.addUnmetDemand(j, step, o.steps[stepIndex])
 				p.planQuarantined(j, step, o.steps[stepIndex])
 				break // the tasks of a step are identical
 			}
 			p.place(j.jobState, t, in, t.lastRun+1)
+			p.endHold(t)
 		}
 	}
 }
@@ -172,7 +183,10 @@
 func (p *planner) findInstance(j ranked, t *task, o *occurrence) *instance {
 	class := schedulingClassOf(j.jobState, t.step)
 	var in *instance
-	if !p.isUnplaceable(class, t.step.Need) {
+	p.wasWithheld = false
+	if p.isUnplaceable(class, t.step.Need) {
+		in = p.bestHeld(j.jobState, t, class)
+	} else {
 		in = p.bestInstance(j.jobState, t, "")
 		if in == nil && t.step.MaxPerInstance == 0 {
 			p.unplaceable[class] = append(p.unplaceable[class], t.step.Need)
@@ -202,79 +216,6 @@
 	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore) && !p.awaitsIsolation(t)
 }
 
-// placeGang places all tasks of a step or none.
-func (p *planner) placeGang(j *jobState, step *Step, members []*task) {
-	run := int64(0)
-	for _, t := range members {
-		if !p.startable(t) {
-			return
-		}
-		run = max(run, t.lastRun+1)
-	}
-	shareCheckpoint(members)
-	racks := []string{""}
-	if step.PreferOneRack {
-		racks = append(p.racks(), "")
-	}
-	for _, rack := range racks {
-		if p.tryPlaceGang(j, members, rack, run) {
-			return
-		}
-	}
-}
-
-// shareCheckpoint gives all members of a gang the checkpoint that was reported last. It is valid for the
-// whole gang, whose members must resume from the same one.
-func shareCheckpoint(members []*task) {
-	latest := members[0]
-	for _, t := range members {
-		if t.checkpoint != "" && (latest.checkpoint == "" || t.checkpointAt.After(latest.checkpointAt)) {
-			latest = t
-		}
-	}
-	for _, t := range members {
-		t.checkpoint, t.checkpointAt, t.saved = latest.checkpoint, latest.checkpointAt, latest.saved
-	}
-}
-
-// racks returns the racks of the usable instances.
-func (p *planner) racks() []string {
-	var racks []string
-	for _, in := range p.usable {
-		if !slices.Contains(racks, in.registration.Rack) {
-			racks = append(racks, in.registration.Rack)
-		}
-	}
-	return racks
-}
-
-// tryPlaceGang places all tasks of a gang with the same run number, on instances of one rack, or
-// of any rack if rack is "". It reports whether it did; otherwise it places none.
-func (p *planner) tryPlaceGang(j *jobState, members []*task, rack string, run int64) bool {
-	first := len(p.starts)
-	for _, t := range members {
-		in := p.bestInstance(j, t, rack)
-		if in == nil {
-			p.rollback(first)
-			return false
-		}
-		p.place(j, t, in, run)
-	}
-	return true
-}
-
-// rollback undoes the placements of the starts at index first and after.
-func (p *planner) rollback(first int) {
-	for _, start := range p.starts[first:] {
-		in := p.scheduler.instances[start.Instance]
-		in.remove(in.reservations[start.Task])
-		p.updateCaches(in, start.Step, false)
-		t := p.scheduler.findTask(start.Task)
-		t.instance, t.run = "", 0
-	}
-	p.starts = p.starts[:first]
-}
-
 // bestInstance returns the suitable usable instance with the lowest penalty for a task, or nil.
 // Unless rack is "", only instances in that rack count.
 func (p *planner) bestInstance(j *jobState, t *task, rack string) *instance {
@@ -289,13 +230,7 @@
 		if rack != "" && in.registration.Rack != rack || !p.suitable(j, t, in) {
 			continue
 		}
-		penalty := p.penalty(t.step, in) + in.coldPenalty()
-		if slices.Contains(t.failedOn, in.registration.Incarnation.ID) {
-			penalty += penaltyFailedBefore
-		}
-		if t.isolated(p.now) && p.now.Sub(in.lastStartAt) < isolationPeriod {
-			penalty += penaltyRecentStart
-		}
+		penalty := p.placementPenalty(t, in)
 		if best == nil || penalty < lowest {
 			best, lowest = in, penalty
 		}
@@ -303,13 +238,25 @@
 	return best
 }
 
+// placementPenalty returns the penalty of placing a task on an instance.
+func (p *planner) placementPenalty(t *task, in *instance) int {
+	penalty := p.penalty(t.step, in) + in.coldPenalty()
+	if slices.Contains(t.failedOn, in.registration.Incarnation.ID) {
+		penalty += penaltyFailedBefore
+	}
+	if t.isolated(p.now) && p.now.Sub(in.lastStartAt) < isolationPeriod {
+		penalty += penaltyRecentStart
+	}
+	return penalty
+}
+
 // fastestInstance returns the instance on which a best-effort task is expected to run fastest,
 // however slowly, so that each job makes progress. It returns nil if the task fits on none.
 func (p *planner) fastestInstance(j *jobState, t *task) *instance {
 	var best *instance
 	var highest float64
 	for _, in := range p.usable {
-		if !fits(j, t, in) {
+		if !fits(j, t, in) || p.withheld(j, t, in) {
 			continue
 		}
 		rate := p.rate(t.step, in)
@@ -329,7 +276,7 @@
 	if t.step.BestEffort && (p.processorRate(t.step, in) < minRate || p.rate(t.step, in) < minRate) {
 		return false
 	}
-	return !in.excludes(t) && !p.startsSlowly(in)
+	return !in.excludes(t) && !p.startsSlowly(in) && !p.withheld(j, t, in)
 }
 
 // fits reports whether the constraints of a task allow an instance and its resources are free
@@ -356,6 +303,9 @@
 	capacity := max(in.registration.Capacity.Processors, 1)
 	load := penaltyLoad * in.used.Processors / capacity
 	penalty := penaltyLoad * in.bestEffortProcessors / capacity
+	if p.packs(step, in) {
+		load = -load
+	}
 	if step.DataRack != "" && !in.hasLabel(step.DataRack) {
 		penalty += penaltyRemoteData
 	}
@@ -380,6 +330,7 @@
 	t.instance, t.run, t.lastRun, t.startedAt = in.registration.Incarnation.ID, run, run, p.now
 	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation, fromStart: t.checkpoint == "", saved: t.saved}
 	placed.setStep(t.step)
+	p.backfilled(j, t, in)
 	in.add(placed)
 	p.updateCaches(in, t.step, true)
 	in.lastStartAt = p.now
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -62,6 +62,7 @@
 	stallCheckedAt     time.Time       // when stalled tasks were last looked for
 	evacuated          map[string]bool // failure domains where nothing new starts
 	bestEffortWaits    map[string]bool // services for which the last plan found no instance for some best-effort tasks of on-time jobs
+	windows
 }
 
 // finishedJob is a job whose final state is committed. Its runs may still be stopping, so its
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -93,6 +93,7 @@
 	jobsRevision        uint64
 	heartbeat           uint64
 	waitsLoggedAt       time.Time       // when logWaits last counted the waiting tasks
+	roomGaugedAt        time.Time       // when gaugeRoom last set its gauge
 	inForce             map[string]bool // evacuated domains whose agents all refuse starts, or that have no instance
 	stop                context.CancelFunc
 	ctx                 context.Context
@@ -132,6 +133,7 @@
 func (t *term) end() {
 	t.ended = true
 	t.stop()
+	t.elector.room.Store(nil)
 	t.endSubmissions()
 	for _, s := range t.sessions {
 		s.conn.link.Close()
