Windows expect runs to end by the work that they have done

Cause: a window took a run's age for its work, also of runs that are paced or began with a checkpoint. Change: it asks worked, as drains do. Result: TestThePaceDelaysTheExpectedEnd fails without the change (6 s instead of 8 s).

--- a/internal/decision/dispatch/samples_test.go
+++ b/internal/decision/dispatch/samples_test.go
@@ -164,3 +164,19 @@
 		expect(t, c.name+": stops", len(s.TakeStops()), c.stopped)
 	}
 }
+
+// A run that gets half of the processors that it requests has done half of what its age says.
+func TestThePaceDelaysTheExpectedEnd(t *testing.T) {
+	step := bestEffortStep()
+	step.Estimate = 10_000
+	s := schedulerWith(registrationOf("a", 8))
+	s.Accept(startTime, jobOf("j", step), nil)
+	s.Plan(at(0))
+	for seconds := 0.5; seconds <= 4; seconds += 0.5 {
+		measure(s, at(seconds), 0.5)
+	}
+	in := s.instances["a"]
+	run := in.reservations[TaskName{Job: "j"}]
+	expect(t, "for a drain", s.remainingTime(in, run, at(4)), 8*time.Second)
+	expect(t, "for a window", s.expectedRest(in, run, at(4)), 8*time.Second)
+}
--- a/internal/decision/dispatch/windows.go
+++ b/internal/decision/dispatch/windows.go
@@ -153,7 +153,7 @@
 		return max(elapsed, time.Second)
 	}
 	speed := s.speed(in, now)
-	if rest := prediction.Remaining(time.Duration(float64(elapsed) * speed)); rest > 0 {
+	if rest := prediction.Remaining(s.worked(in, run, now)); rest > 0 {
 		return time.Duration(float64(rest) / speed)
 	}
 	return elapsed / 2
