Placement: a window for best-effort tasks keeps off best-effort tasks only

Cause: such a window also kept off late tasks that reserve processors, which come before best-effort tasks everywhere else. Change: it holds processors against best-effort tasks only.

--- a/internal/decision/dispatch/windows.go
+++ b/internal/decision/dispatch/windows.go
@@ -81,6 +81,9 @@
 	return h.job == t.job && h.occurrence == t.name.Occurrence && h.step == t.name.Step
 }
 
+// bestEffort reports whether the window is for best-effort tasks.
+func (h *hold) bestEffort() bool { return h.job.spec.Steps[h.step].BestEffort }
+
 // heldShare is the part of a hold on one instance.
 type heldShare struct {
 	hold  *hold
@@ -284,9 +287,10 @@
 }
 
 // withheld reports whether the window of another step keeps a task off an instance on which it would
-// fit. It keeps off no latency-critical or long-running task and none of a job that comes before.
+// fit. It keeps off no latency-critical or long-running task and none of a job that comes before,
+// and that of a best-effort step only best-effort tasks.
 func (p *planner) withheld(j *jobState, t *task, in *instance) bool {
-	if in.held == nil || t.step.Target > 0 || t.step.LongRunning || in.held.hold.holds(t) || p.turn.before(in.held.hold.turn) {
+	if in.held == nil || t.step.Target > 0 || t.step.LongRunning || in.held.hold.bestEffort() && !t.step.BestEffort || in.held.hold.holds(t) || p.turn.before(in.held.hold.turn) {
 		return false
 	}
 	if in.held.hold.window.Admits(in.held.share, takeOf(t.step), p.certainlyGone(j.spec, t.step, in)) {
