Instances get work by what they deliver

Cause: the owner took all instances for alike: only failed runs counted against one. Change: package speeds keeps one scale for each instance, with causes: slow (ends and overdue runs against those of the same step elsewhere), failing (the rule of the quarantine, with holds that lengthen), shedding, flapping. Held instances are probed before they get all work again, and at most a quarter of a group is held. Slower instances cost more in placements, and so do those that slow a best-effort image now. A refused task prefers another instance. Stalled runs move in a fixed order, no longer that of a map. docs/design/speeds.md. Heavy tails, a slow fleet and common silences hold no instance.

--- a/internal/decision/dispatch/crashes.go
+++ b/internal/decision/dispatch/crashes.go
@@ -64,12 +64,15 @@
 
 // Silent records that an agent has no answer from its worker since the time at. The worker may
 // have crashed.
-func (s *Scheduler) Silent(at time.Time, agent string) { s.lostAt[agent] = at }
+func (s *Scheduler) Silent(at time.Time, agent string) {
+	s.lostAt[agent] = at
+	s.speeds.Silent(at, agent)
+}
 
 // Crashed records a crash. It is held against all tasks of its runs, and is evidence against the
 // main suspect. Crashed returns the tasks against which the crash was not held before.
 func (s *Scheduler) Crashed(now time.Time, crash Crash) []TaskName {
-	s.lostAt[crash.Agent] = crash.At
+	s.Silent(crash.At, crash.Agent)
 	main := s.mainSuspect(now, crash.Runs)
 	evidence := evidenceShared
 	if len(crash.Runs) == 1 {
--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -42,6 +42,9 @@
 	t.lastRun = max(t.lastRun, end.Run)
 	t.job.begun = t.job.begun || end.Sequence > 0 // the worker has listed it
 	t.recordCheckpoint(now, end.Checkpoint)
+	if current {
+		s.learnFromEnd(now, in, p, end, t)
+	}
 	s.applyEnd(now, in, end, t)
 	if current || end.Reason == EndDone {
 		s.release(t, current)
@@ -67,15 +70,13 @@
 	j := t.job
 	switch end.Reason {
 	case EndDone:
-		in.consecutiveFailures = 0
 		if t.step.LongRunning {
 			t.notBefore = now.Add(restartDelay)
 			return
 		}
 		s.completeTask(t)
 	case EndFailed:
-		s.recordFailure(now, in, t)
-		in.recordQuarantinedFailure(now, t)
+		in.recordFailure(now, t)
 		t.recordFailedOn(in.registration.Incarnation.ID)
 		if t.step.LongRunning {
 			t.notBefore = now.Add(restartDelay)
@@ -112,18 +113,3 @@
 	s.markDirty(j)
 	s.completeIfDone(j)
 }
-
-// recordFailure counts a failure on an instance, unless the last counted one was of the same
-// job, since a job that always fails says nothing about the instance. At quarantineThreshold it
-// quarantines the instance. After that, one more failure is enough.
-func (s *Scheduler) recordFailure(now time.Time, in *instance, t *task) {
-	if in.lastFailedJob == t.name.Job {
-		return
-	}
-	in.lastFailedJob = t.name.Job
-	in.consecutiveFailures++
-	if in.consecutiveFailures >= quarantineThreshold {
-		in.quarantine(now)
-		in.consecutiveFailures = quarantineThreshold - 1
-	}
-}
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/speeds"
 )
 
 // Incarnation identifies one incarnation of an instance's worker. Several can have the same
@@ -81,10 +83,12 @@
 	startedAt        time.Time // when the start was ordered, or the run first reported
 	agentIncarnation string    // incarnation of the agent that received the start order
 	stopping         bool      // a stop was ordered
-	stalledSince     time.Time // since when the run has used little processor time; zero otherwise
+	found            bool      // an instance reported it, and it was not ordered there
+	resumed          bool      // it has begun with a checkpoint
 	// orderedRun is another run of the same task that was ordered on this instance before the
 	// instance reported this one. Its start order may still be in transit.
 	orderedRun *reservation
+	delivery   delivery
 }
 
 // instance is the owner's view of one worker and its current incarnation.
@@ -106,9 +110,9 @@
 	headrooms                 map[TaskName]float64 // of latency-critical tasks, as last measured
 	sampledAt                 time.Time            // when the cost model last took a sample
 	bestEffortCores           map[string]float64   // cores used by each best-effort image at that time, smoothed
-	consecutiveFailures       int                  // failed runs since the last done run; a failure of lastFailedJob is not counted
-	lastFailedJob             string               // job of the last failed run that was counted
-	quarantinedUntil          time.Time            // gets no new tasks before then, see planQuarantined
+	record                    *speeds.Record       // what it delivers
+	wasReachable              bool                 // at the last plan
+	imageRates                map[string]imageRate // of the best-effort images that run there
 	failedInQuarantine        map[TaskName]bool    // tasks that have failed there since the quarantine began
 	drainDeadline             time.Time            // when a draining instance may be gone
 }
@@ -122,12 +126,13 @@
 // restart records that a new incarnation has registered under the same ID.
 func (in *instance) restart() {
 	in.restarted, in.rowWritten, in.rowChangeRequested, in.reconciled = true, false, false, false
-	in.headrooms, in.bestEffortCores = nil, nil
+	in.headrooms, in.bestEffortCores, in.imageRates = nil, nil, nil
 }
 
-// usable reports whether new tasks may be placed on the instance.
+// usable reports whether new tasks may be placed on the instance: it is neither quarantined nor has as
+// many runs as it may have after that.
 func (in *instance) usable(now time.Time) bool {
-	return in.ready() && !now.Before(in.quarantinedUntil)
+	return in.ready() && !in.record.Held(now) && !in.probed(now)
 }
 
 // ready reports whether orders can be sent to the instance and its free resources are known. It
--- a/internal/decision/dispatch/instances.go
+++ b/internal/decision/dispatch/instances.go
@@ -34,6 +34,7 @@
 func (s *Scheduler) addInstance(in *instance) {
 	id := in.registration.Incarnation.ID
 	s.instances[id] = in
+	in.record = s.speeds.Record(id, in.registration.Service, in.registration.Agent)
 	index, _ := s.findByID(id)
 	s.byID = slices.Insert(s.byID, index, in)
 }
@@ -41,6 +42,7 @@
 func (s *Scheduler) dropInstance(in *instance) {
 	id := in.registration.Incarnation.ID
 	delete(s.instances, id)
+	s.speeds.Drop(id)
 	if index, known := s.findByID(id); known {
 		s.byID = slices.Delete(s.byID, index, index+1)
 	}
--- a/internal/decision/dispatch/measurements.go
+++ b/internal/decision/dispatch/measurements.go
@@ -37,9 +37,10 @@
 			in.headrooms[measurement.Task] = interference.Headroom(float64(p.step.Target), measurement.Value)
 		case p.bestEffort:
 			cores[p.step.Image] += measurement.Value / 1000
-			p.updateStalled(now, measurement.Value)
+			p.observeUse(now, measurement.Value)
 		}
 	}
+	in.observeImages(now)
 	elapsed := now.Sub(in.sampledAt)
 	if elapsed < samplePeriod {
 		return
@@ -100,16 +101,6 @@
 	return samples
 }
 
-// updateStalled records since when a best-effort task has used little processor time.
-func (p *reservation) updateStalled(now time.Time, used float64) {
-	switch {
-	case used*100 >= float64(stalledPercent*p.need.Processors):
-		p.stalledSince = time.Time{}
-	case p.stalledSince.IsZero():
-		p.stalledSince = now
-	}
-}
-
 // RestoreCosts loads the interference costs of image pairs that earlier owners learned.
 func (s *Scheduler) RestoreCosts(estimates []interference.Estimate) {
 	s.costModel.Restore(estimates)
--- a/internal/decision/dispatch/moves.go
+++ b/internal/decision/dispatch/moves.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // drain stops the runs on draining instances that would not finish there in time, so that
 // they continue elsewhere. It requests the deletion of the rows of draining instances without
@@ -28,9 +32,6 @@
 }
 
 const (
-	// stalledPercent is the share of its requested processors, in percent, below which a
-	// best-effort task counts as stalled.
-	stalledPercent = 30
 	// stallTimeout is how long a task must be stalled before it is moved.
 	stallTimeout = 1200 * time.Millisecond
 	// stallCheckPeriod is the minimum time between two checks for stalled tasks.
@@ -49,11 +50,8 @@
 	p.scheduler.stallCheckedAt = p.now
 	moved := 0
 	for _, in := range p.usable {
-		for name, placed := range in.reservations {
-			if placed.stopping || placed.stalledSince.IsZero() || p.now.Sub(placed.stalledSince) < stallTimeout {
-				continue
-			}
-			t := p.scheduler.findTask(name)
+		for _, placed := range in.stalledRuns(p.now) {
+			t := p.scheduler.findTask(placed.name)
 			if t == nil || !t.step.Checkpoints || moved >= maxStallMovesPerPlan || p.bestInstance(t.job, t, "") == nil {
 				continue
 			}
@@ -62,3 +60,15 @@
 		}
 	}
 }
+
+// stalledRuns returns the runs on an instance that have been stalled for stallTimeout, in a fixed order.
+func (in *instance) stalledRuns(now time.Time) []*reservation {
+	var stalled []*reservation
+	for _, placed := range in.reservations {
+		if since := placed.delivery.stalledSince; !placed.stopping && !since.IsZero() && now.Sub(since) >= stallTimeout {
+			stalled = append(stalled, placed)
+		}
+	}
+	slices.SortFunc(stalled, func(a, c *reservation) int { return cmp.Compare(a.name.String(), c.name.String()) })
+	return stalled
+}
--- a/internal/decision/dispatch/occurrence.go
+++ b/internal/decision/dispatch/occurrence.go
@@ -4,15 +4,18 @@
 	"math/big"
 	"slices"
 	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/speeds"
 )
 
 // occurrence is one pass through the steps of a job.
 type occurrence struct {
-	number    int
-	steps     [][]*task
-	remaining int       // tasks that are not done
-	undone    []int     // the same, by step
-	idleSince time.Time // since when planning has found no task of it on an instance; zero while one is
+	number     int
+	steps      [][]*task
+	remaining  int                // tasks that are not done
+	undone     []int              // the same, by step
+	references []speeds.Reference // how long the runs of each step took; nil before the first end
+	idleSince  time.Time          // since when planning has found no task of it on an instance; zero while one is
 }
 
 // stepDone reports whether all tasks of a step are done.
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -41,6 +41,7 @@
 // returns them.
 func (s *Scheduler) Plan(now time.Time) []Start {
 	s.drain(now)
+	s.reviewSpeeds(now)
 	p := newPlanner(s, now)
 	for _, in := range s.byID {
 		switch {
@@ -323,7 +324,7 @@
 	if t.step.BestEffort && (p.processorRate(t.step, in) < minRate || p.rate(t.step, in) < minRate) {
 		return false
 	}
-	return !in.excludes(t)
+	return !in.excludes(t) && p.mayProbe(in)
 }
 
 // fits reports whether the constraints of a task allow an instance and its resources are free
@@ -355,16 +356,16 @@
 	}
 	switch {
 	case step.BestEffort:
-		penalty += load + int(penaltySlow*(1-p.rate(step, in)))
+		penalty += load + int(penaltySlow*(1-p.expectedRate(step, in)))
 		penalty += int(penaltyInterference*p.interference(step, in) + penaltyOpenInstance*p.openShare(in))
 	case step.Target > 0:
 		penalty -= 2 * load // the fullest instance that has room
 		if in.latencyCriticalCount == 0 {
 			penalty += penaltyFirstLatencyCritical
 		}
-		penalty += int(penaltyExclusion * p.newlyExcludedShare(step.Image, in))
+		penalty += int(penaltyExclusion*p.newlyExcludedShare(step.Image, in)) + p.speedPenalty(in)
 	default:
-		penalty += load
+		penalty += load + p.speedPenalty(in)
 	}
 	return penalty
 }
@@ -374,6 +375,7 @@
 	t.instance, t.run, t.lastRun, t.startedAt = in.registration.Incarnation.ID, run, run, p.now
 	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation}
 	placed.setStep(t.step)
+	placed.resumed = t.checkpoint != ""
 	in.add(placed)
 	p.updateCaches(in, t.step, true)
 	in.lastStartAt = p.now
--- a/internal/decision/dispatch/quarantine.go
+++ b/internal/decision/dispatch/quarantine.go
@@ -29,17 +29,16 @@
 	return slices.DeleteFunc(slices.Clone(p.quarantined), func(in *instance) bool { return in.failedInQuarantine[t.name] })
 }
 
-// quarantine keeps new tasks off an instance for quarantineDuration, or lengthens its quarantine.
-func (in *instance) quarantine(now time.Time) {
-	if !now.Before(in.quarantinedUntil) {
-		in.failedInQuarantine = map[TaskName]bool{}
+// recordFailure passes a failed run to the record of its instance. If the instance is quarantined, it
+// also records that the task has failed there.
+func (in *instance) recordFailure(now time.Time, t *task) {
+	before := in.record.Held(now)
+	in.record.Failed(now, t.name.Job)
+	if !in.record.Held(now) {
+		return
 	}
-	in.quarantinedUntil = now.Add(quarantineDuration)
-}
-
-// recordQuarantinedFailure records that a task has failed on an instance, if that is quarantined.
-func (in *instance) recordQuarantinedFailure(now time.Time, t *task) {
-	if now.Before(in.quarantinedUntil) {
-		in.failedInQuarantine[t.name] = true
+	if !before || in.failedInQuarantine == nil {
+		in.failedInQuarantine = map[TaskName]bool{}
 	}
+	in.failedInQuarantine[t.name] = true
 }
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -48,7 +48,7 @@
 		}
 		return
 	}
-	p := &reservation{name: status.Task, run: status.Run, startedAt: now, agentIncarnation: in.registration.AgentIncarnation}
+	p := &reservation{name: status.Task, run: status.Run, startedAt: now, agentIncarnation: in.registration.AgentIncarnation, found: true}
 	p.setStep(s.findStep(status.Task))
 	s.replaceOrderedRun(now, in, p)
 	in.add(p)
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -25,11 +25,6 @@
 	// runNumbersPerEpoch is the size of the range of run numbers that each owner epoch has to
 	// itself, so that the runs of successive owners never share a number.
 	runNumbersPerEpoch = 1_000_000
-	// quarantineThreshold is the number of failed runs since the last done one after which an
-	// instance is quarantined. recordFailure counts them; consecutive ones are of different jobs.
-	quarantineThreshold = 2
-	// quarantineDuration is how long a quarantined instance gets no new tasks.
-	quarantineDuration = 4 * time.Second
 	// restartDelay is the wait before a long-running task starts again after a run that failed
 	// or ended as done.
 	restartDelay = 20 * time.Millisecond
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -61,6 +61,7 @@
 		t.log.Info("start", zap.Stringer("task", start.Task), zap.Int64("run", start.Run), zap.String("instance", start.Instance))
 		ordersFor(start.Instance).Starts = append(ordersFor(start.Instance).Starts, startOrder(start))
 	}
+	t.logSpeeds()
 	for _, stop := range t.scheduler.TakeStops() {
 		t.log.Info("stop", zap.Stringer("task", stop.Task), zap.Int64("run", stop.Run), zap.String("instance", stop.Instance), zap.Stringer("reason", stop.Reason))
 		ordersFor(stop.Instance).Stops = append(ordersFor(stop.Instance).Stops, link.StopOrder{Task: stop.Task, Run: stop.Run})
