--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -41,7 +41,14 @@
 	}
 	t.lastRun = max(t.lastRun, end.Run)
 	t.job.begun = t.job.begun || end.Sequence > 0 // the worker has listed it
-	t.recordCheckpoint(now, end.Checkpoint)
+	if placed && p.run == end.Run {
+		t.recordCheckpoint(now, end.Checkpoint, s.worked(in, p, now))
+		if end.Reason == EndDone {
+			s.recordDuration(now, in, p, t)
+		}
+	} else {
+		t.recordCheckpoint(now, end.Checkpoint, 0)
+	}
 	if current {
 		s.learnFromEnd(now, in, p, end, t)
 	}
@@ -110,6 +117,9 @@
 	} else {
 		o.setDone(t)
 	}
+	if o.stepDone(t.name.Step) {
+		s.learnStep(j, t.name.Step)
+	}
 	s.markDirty(j)
 	s.completeIfDone(j)
 }
--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -69,7 +69,7 @@
 // begins at the beginning, near its data, and ends by itself.
 func isTypical(in *instance, run *reservation, t *task) bool {
 	step := t.step
-	return !step.LongRunning && !step.Gang && !run.found && !run.resumed && (step.DataRack == "" || in.hasLabel(step.DataRack))
+	return !step.LongRunning && !step.Gang && run.fromStart && (step.DataRack == "" || in.hasLabel(step.DataRack))
 }
 
 // noteReturns records the instances that answer again.
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -26,6 +26,7 @@
 	Capacity         Resources   `json:"capacity"`
 	Draining         bool        `json:"leaving,omitempty"`   // the instance takes no new tasks and will be gone
 	GracePeriod      int64       `json:"remaining,omitempty"` // ms until a draining instance is gone, at least
+	ColdRemaining    int64       `json:"cold,omitempty"`      // ms for which the worker is still slow after its start
 }
 
 // RunStatus is one run in an instance's status report.
@@ -80,11 +81,12 @@
 	need             Resources
 	bestEffort       bool
 	latencyCritical  bool
-	startedAt        time.Time // when the start was ordered, or the run first reported
-	agentIncarnation string    // incarnation of the agent that received the start order
-	stopping         bool      // a stop was ordered
-	found            bool      // an instance reported it, and it was not ordered there
-	resumed          bool      // it has begun with a checkpoint
+	startedAt        time.Time     // when the start was ordered, or the run first reported
+	agentIncarnation string        // incarnation of the agent that received the start order
+	stopping         bool          // a stop was ordered
+	fromStart        bool          // this owner has ordered the start, without a checkpoint
+	saved            time.Duration // work that the checkpoint holds from which it began, see task
+	use              use
 	// orderedRun is another run of the same task that was ordered on this instance before the
 	// instance reported this one. Its start order may still be in transit.
 	orderedRun *reservation
@@ -115,6 +117,9 @@
 	imageRates                map[string]imageRate // of the best-effort images that run there
 	failedInQuarantine        map[TaskName]bool    // tasks that have failed there since the quarantine began
 	drainDeadline             time.Time            // when a draining instance may be gone
+	evacuated                 bool                 // its failure domain is evacuated, see SetEvacuated
+	coldUntil                 time.Time            // until when the worker says that it is slow after its start
+	cold                      bool                 // it is so at the current plan
 }
 
 // newInstance returns an instance whose row is not known to be in the table and that has no
@@ -138,7 +143,7 @@
 // ready reports whether orders can be sent to the instance and its free resources are known. It
 // may be quarantined.
 func (in *instance) ready() bool {
-	return in.rowWritten && in.reconciled && in.reachable && in.unknownSteps == 0 && !in.registration.Draining
+	return in.rowWritten && in.reconciled && in.reachable && in.unknownSteps == 0 && !in.registration.Draining && !in.evacuated
 }
 
 // free returns the resources left for tasks that are not best-effort.
--- a/internal/decision/dispatch/instances.go
+++ b/internal/decision/dispatch/instances.go
@@ -35,6 +35,7 @@
 	id := in.registration.Incarnation.ID
 	s.instances[id] = in
 	in.record = s.speeds.Record(id, in.registration.Service, in.registration.Agent)
+	s.updateEvacuated(in)
 	index, _ := s.findByID(id)
 	s.byID = slices.Insert(s.byID, index, in)
 }
@@ -85,6 +86,8 @@
 		in.rowChangeRequested = false // its row may have been deleted
 	}
 	in.registration = registration
+	s.updateEvacuated(in)
+	in.updateCold(now)
 	in.reachable = true
 	s.dropPredecessors(now, registration)
 	if registration.Draining {
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -43,14 +43,7 @@
 	s.drain(now)
 	s.reviewSpeeds(now)
 	p := newPlanner(s, now)
-	for _, in := range s.byID {
-		switch {
-		case in.usable(now):
-			p.usable = append(p.usable, in)
-		case in.ready():
-			p.quarantined = append(p.quarantined, in)
-		}
-	}
+	p.collectInstances()
 	if len(p.usable)+len(p.quarantined) == 0 {
 		return nil
 	}
@@ -69,6 +62,18 @@
 	return p.starts
 }
 
+// collectInstances collects the instances on which tasks may be placed.
+func (p *planner) collectInstances() {
+	for _, in := range p.scheduler.byID {
+		switch {
+		case in.usable(p.now):
+			p.collect(in)
+		case in.ready():
+			p.quarantined = append(p.quarantined, in)
+		}
+	}
+}
+
 // available returns the processors of each pool that the usable instances offer, in thousandths of
 // a core. Where best-effort tasks waited after the last plan, they can use no more than they use
 // now: the rest of the processors is left free for the tasks that they disturb.
@@ -92,6 +97,7 @@
 	now         time.Time
 	usable      []*instance
 	quarantined []*instance // usable but for the quarantine
+	someWarm    bool        // not all usable instances are cold
 	starts      []Start
 	// isolatedCount is the number of instances that suspects have to themselves.
 	isolatedCount int
@@ -228,7 +234,7 @@
 		}
 	}
 	for _, t := range members {
-		t.checkpoint, t.checkpointAt = latest.checkpoint, latest.checkpointAt
+		t.checkpoint, t.checkpointAt, t.saved = latest.checkpoint, latest.checkpointAt, latest.saved
 	}
 }
 
@@ -284,7 +290,7 @@
 		if rack != "" && in.registration.Rack != rack || !p.suitable(j, t, in) {
 			continue
 		}
-		penalty := p.penalty(t.step, in)
+		penalty := p.penalty(t.step, in) + in.coldPenalty()
 		if slices.Contains(t.failedOn, in.registration.Incarnation.ID) {
 			penalty += penaltyFailedBefore
 		}
@@ -324,7 +330,7 @@
 	if t.step.BestEffort && (p.processorRate(t.step, in) < minRate || p.rate(t.step, in) < minRate) {
 		return false
 	}
-	return !in.excludes(t) && p.mayProbe(in)
+	return !in.excludes(t) && !p.startsSlowly(in) && p.mayProbe(in)
 }
 
 // fits reports whether the constraints of a task allow an instance and its resources are free
@@ -373,9 +379,8 @@
 // place starts a run of a task on an instance and reserves its resources.
 func (p *planner) place(j *jobState, t *task, in *instance, run int64) {
 	t.instance, t.run, t.lastRun, t.startedAt = in.registration.Incarnation.ID, run, run, p.now
-	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation}
+	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation, fromStart: t.checkpoint == "", saved: t.saved}
 	placed.setStep(t.step)
-	placed.resumed = t.checkpoint != ""
 	in.add(placed)
 	p.updateCaches(in, t.step, true)
 	in.lastStartAt = p.now
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -47,6 +47,7 @@
 	lostAt             map[string]time.Time // by agent: when its worker last fell silent or crashed
 	stops              []Stop
 	postponements      []Postponement
+	stepDurations      []StepDuration
 	instanceChanges    []InstanceChange
 	costModel          *interference.Model
 	durations          *durations.Model
@@ -54,6 +55,7 @@
 	rebalancedAt       time.Time       // when latency-critical tasks were last moved to make room for best-effort ones
 	rebalanceCheckedAt time.Time       // when such a move was last considered
 	stallCheckedAt     time.Time       // when stalled tasks were last looked for
+	evacuated          map[string]bool // failure domains where nothing new starts
 	bestEffortWaits    map[string]bool // services for which the last plan found no instance for some best-effort tasks of on-time jobs
 }
 
@@ -91,7 +93,8 @@
 		s.finished[job.ID] = finishedJob{job, stored.State}
 		return false
 	}
-	j := &jobState{spec: job, acceptedAt: now, objective: time.Duration(job.Objective()) * time.Millisecond, favored: isFavored(job)}
+	j := &jobState{spec: job, acceptedAt: now, durations: make([]stepDuration, len(job.Steps)), favored: isFavored(job)}
+	s.refreshPredictions(j)
 	unconfirmed := job.OwnerRevision != s.ownerRevision && len(s.unconfirmed) > 0
 	s.jobs[job.ID] = j
 	if stored != nil {
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -69,6 +69,7 @@
 	for _, postponed := range t.scheduler.TakePostponements() {
 		t.log.Info("postponed", zap.String("job", postponed.Job), zap.Float64("work", postponed.Work), zap.Float64("cores", postponed.Cores))
 	}
+	t.logStepDurations()
 	for id, order := range orders {
 		t.send(id, order)
 	}
@@ -94,7 +95,7 @@
 	if s == nil {
 		return
 	}
-	orders.Session, orders.Committed = s.number, s.lastCommittedEnd
+	orders.Session, orders.Committed, orders.Evacuation = s.number, s.lastCommittedEnd, t.evacuationNotice(s)
 	s.lastSentCommit = s.lastCommittedEnd
 	t.elector.loop.Go(func() {
 		callCtx, cancel := context.WithTimeout(t.ctx, ordersTimeout)
@@ -103,6 +104,10 @@
 		if err := s.conn.link.Call(callCtx, link.MethodOrders, orders, &done); err != nil && t.ctx.Err() == nil {
 			t.log.Warn("orders-failed", zap.String("instance", id), logs.Error(err))
 			s.conn.link.Close()
+			return
+		}
+		if orders.Evacuation != nil {
+			t.post(func() { t.confirmEvacuation(s, orders.Evacuation) })
 		}
 	})
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -74,6 +74,7 @@
 	clockReadAt          time.Time // when the answer with that reading arrived
 	lastAnswerAt         time.Time // when the worker last answered
 	silent               bool
+	left                 bool      // the worker has deregistered, after which it ends
 	lastStartAnswerAt    time.Time // when the worker last answered a start
 	incarnationUncertain bool      // the last poll failed
 	lastCrash            crash     // of the worker
@@ -84,6 +85,9 @@
 	// lossReportedTo is the epoch of the last owner that has received a report of expired leases.
 	lossReportedTo uint64
 	servedAt       atomic.Pointer[time.Time] // when an owner last answered a report
+	evacuation     link.Evacuation           // of the worker's failure domain, as last known
+	evacuatedAt    time.Time                 // when it was last learned that it is evacuated
+	coldUntil      time.Time                 // until when the worker is slow after its start; zero: it never was
 	pacer          pacer
 }
 
@@ -124,7 +128,8 @@
 			return
 		}
 		changed := registration.Draining != r.registration.Draining
-		r.sequence = sequence
+		r.sequence, r.left = sequence, false
+		r.noteCold(takeCold(&registration))
 		if !reflect.DeepEqual(*r.registration, registration) {
 			*r.registration = registration
 			r.registrationVersion++
@@ -148,15 +153,17 @@
 	r.log.Info("worker-life", zap.String("instance", registration.Incarnation.ID), zap.Int64("born", registration.Incarnation.StartedAt), zap.Int("lost", len(r.runs)))
 	r.recordCrash()
 	unsettled := r.unsettled(registration)
+	r.forgetOtherDomain(registration)
 	if r.registration != nil && r.registration.Incarnation.ID == registration.Incarnation.ID {
 		r.leasesExpireAt = latest(r.leasesExpireAt, time.Now().Add(link.MaxStaleLease))
 	}
+	r.coldUntil = takeCold(&registration)
 	r.registration = &registration
 	r.registrationVersion++
 	r.sequence = 0
 	r.runs = unsettled
 	r.ends, r.lastListedEnd, r.committedEnd = nil, 0, 0
-	r.clockReadAt, r.lastAnswerAt, r.silent = time.Time{}, time.Now(), false
+	r.clockReadAt, r.lastAnswerAt, r.silent, r.left = time.Time{}, time.Now(), false, false
 	r.endSession()
 	r.wakePoll()
 }
@@ -189,13 +196,22 @@
 	r.loop.Post(func() {
 		if r.registration != nil && r.registration.Incarnation.ID == id {
 			r.log.Info("worker-left", zap.String("instance", id))
-			r.registration.Draining = true
+			r.registration.Draining, r.left = true, true
 			r.registrationVersion++
 			r.requestReport()
 		}
 	})
 }
 
+// OwesLossReport reports whether the worker has deregistered and the owner of the given epoch does not
+// know yet that nothing runs on it any more. It would wait for the worker's leases.
+func (r *Runner) OwesLossReport(epoch uint64) bool {
+	owes := false
+	// After the end of the loop nothing can be reported.
+	_ = r.loop.Do(func() { owes = r.left && r.lossReportedTo < epoch })
+	return owes
+}
+
 // StartPolling starts to poll the worker, until the loop ends. It returns at once.
 func (r *Runner) StartPolling() {
 	r.loop.Go(r.pollLoop)
@@ -256,14 +272,14 @@
 		return nil
 	}
 	s.reported = r.registrationVersion
-	registration := *r.registration
+	registration := r.withCold()
 	return &registration
 }
 
 // takeReport returns the next report to the owner and marks what it contains as reported. If it
 // is not delivered, the session must end.
 func (r *Runner) takeReport(s *session) link.Report {
-	report := link.Report{Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s), Silent: r.silent, LeasesExpired: r.declareLeasesExpired(), Measurements: slices.Clone(r.pacer.measurements)}
+	report := link.Report{Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s), Silent: r.silent, LeasesExpired: r.declareLeasesExpired(), Measurements: slices.Clone(r.pacer.measurements), Evacuation: r.knownEvacuation()}
 	for _, end := range r.ends {
 		if end.Sequence > s.lastReportedEnd {
 			report.Ends = append(report.Ends, end)
