A slow instance is held for a short time, and a long-running task is no probe

A long-running task that had started on a slow instance counted as its probe for ever. Instances on which runs stand still were not held, since nothing ended there. Change: the first hold for slowness lasts 1 s, the next ones twice as long up to 8 s; all holds end within 16 s. Long-running tasks are no probe of a slow instance, and may start beside one. Three runs that are far overdue hold an instance without an end; a probe that is far overdue decides. The work of a run that was stalled from its start is no longer taken for full.

--- a/internal/decision/dispatch/delivery.go
+++ b/internal/decision/dispatch/delivery.go
@@ -45,7 +45,8 @@
 	case age < firstMeasured:
 		return
 	case d.measuredAt.IsZero():
-		d.rate, d.work = share, age-measuredSpan+time.Duration(share*float64(measuredSpan))
+		measured := min(measuredSpan+d.stalledFor(now), age)
+		d.rate, d.work = share, age-measured+time.Duration(share*float64(measured))
 	default:
 		elapsed := now.Sub(d.measuredAt)
 		d.work += time.Duration(share * float64(elapsed))
@@ -54,6 +55,14 @@
 	d.measuredAt = now
 }
 
+// stalledFor returns how long a run has been stalled.
+func (d *delivery) stalledFor(now time.Time) time.Duration {
+	if d.stalledSince.IsZero() {
+		return 0
+	}
+	return now.Sub(d.stalledSince)
+}
+
 // workDone returns how long a run has worked at full rate, since its start or since it was found.
 func (p *reservation) workDone(now time.Time) time.Duration {
 	if !p.bestEffort || p.delivery.measuredAt.IsZero() {
@@ -109,7 +118,8 @@
 	return int(penaltySlow * (1/p.scheduler.speed(in, p.now) - 1))
 }
 
-// mayProbe reports whether an instance takes one more task in this plan.
-func (p *planner) mayProbe(in *instance) bool {
-	return !in.probed(p.now)
+// mayProbe reports whether an instance takes one more task of a step in this plan. A long-running one
+// takes what room there is.
+func (p *planner) mayProbe(step *Step, in *instance) bool {
+	return step.LongRunning || !in.probed(p.now)
 }
--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -23,7 +23,7 @@
 	}
 	probes := 0
 	for _, placed := range in.reservations {
-		if placed.startedAt.Before(in.record.HeldUntil()) {
+		if placed.startedAt.Before(in.record.HeldUntil()) || placed.step == nil || placed.step.LongRunning && in.record.Cause() == speeds.Slow {
 			continue
 		}
 		if now.Sub(placed.startedAt) >= probeSurvival && !placed.stopping && in.record.Cause() != speeds.Slow {
@@ -90,7 +90,7 @@
 	}
 	for _, in := range s.byID {
 		for name, placed := range in.reservations {
-			if placed.step == nil || placed.step.LongRunning || placed.stopping {
+			if placed.step == nil || placed.step.LongRunning || placed.stopping || in.record.Probing() && placed.startedAt.Before(in.record.HeldUntil()) {
 				continue
 			}
 			t := s.findTask(name)
--- a/internal/decision/dispatch/health_test.go
+++ b/internal/decision/dispatch/health_test.go
@@ -17,6 +17,7 @@
 		min    int // percent of the jobs in time
 	}{
 		{"slow by three", func(w *worker) { w.slowness = 3 }, speeds.Slow, 70},
+		{"runs stand still", func(w *worker) { w.slowness = 1e6 }, speeds.Slow, 80},
 		{"half of the runs fail", func(w *worker) { w.failing = 0.5 }, speeds.Failing, 90},
 		{"all runs fail", func(w *worker) { w.failing = 1 }, speeds.Failing, 90},
 		{"starts are refused", func(w *worker) { w.sheds = true }, speeds.Shedding, 90},
@@ -144,3 +145,25 @@
 		t.Errorf("%d %% in time, %d %% without moves", inTime[1], inTime[0])
 	}
 }
+
+// A slow instance is probed by runs that end. A long-running task that has started there is no probe.
+func TestALongRunningTaskIsNoProbe(t *testing.T) {
+	s := schedulerWith(registrationOf("a", 8), registrationOf("b", 8))
+	slow := s.instances["a"]
+	for range 6 {
+		slow.record.Ended(at(0), time.Second, 5*time.Second)
+		s.instances["b"].record.Ended(at(0), time.Second, time.Second)
+	}
+	s.speeds.Review(at(0))
+	expect(t, "held", slow.record.Held(at(0.1)), true)
+	s.Accept(at(0), jobOf("full", stepOf(1, 8)), nil)
+	expect(t, "start", startsOf(s.Plan(at(0.1))), []string{"full.0.0.0 1 b"})
+	lasting := stepOf(1, 1)
+	lasting.LongRunning = true
+	s.Accept(at(0), jobOf("lasting", lasting), nil)
+	s.Accept(at(0), jobOf("j", stepOf(3, 1)), nil)
+	expect(t, "during the hold", startsOf(s.Plan(at(0.2))), []string{"lasting.0.0.0 1 a"})
+	expect(t, "the probe", startsOf(s.Plan(at(1.1))), []string{"j.0.0.0 1 a"})
+	s.Ended(at(2), Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{"lasting", 0, 0, 0}, Run: 1, Reason: EndStopped}})
+	expect(t, "beside the probe", startsOf(s.Plan(at(2))), []string{"lasting.0.0.0 2 a"})
+}
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -330,7 +330,7 @@
 	if t.step.BestEffort && (p.processorRate(t.step, in) < minRate || p.rate(t.step, in) < minRate) {
 		return false
 	}
-	return !in.excludes(t) && !p.startsSlowly(in) && p.mayProbe(in)
+	return !in.excludes(t) && !p.startsSlowly(in) && p.mayProbe(t.step, in)
 }
 
 // fits reports whether the constraints of a task allow an instance and its resources are free
--- a/internal/decision/speeds/efficiency.go
+++ b/internal/decision/speeds/efficiency.go
@@ -26,14 +26,18 @@
 	// that below which it is held.
 	mildSpeed = 0.8
 	holdSpeed = 0.5
-	slowHold  = 4 * time.Second
+	// slowHold is short: while no other has room, a slow instance is better than none, and it may soon be
+	// well again.
+	slowHold = time.Second
 	// probeDelay is how long after a hold an instance is taken for as slow as before it, so that it gets
 	// work only if there is no room elsewhere.
-	probeDelay = 2 * time.Second
+	probeDelay = 200 * time.Millisecond
 	// minHoldSamples is the least weight of the samples for a hold, and minEnds that of those that are
-	// ends: runs of a heavy tail are overdue for long.
+	// ends: runs of a heavy tail are overdue for long. minOverdue of those do without an end: on some
+	// instances runs stand still.
 	minHoldSamples = 2.5
 	minEnds        = 1.6
+	minOverdue     = 3
 )
 
 // efficiency sums up how long the runs of an instance took.
@@ -126,7 +130,14 @@
 // review sets the speed of an instance. A held one keeps its speed until it has been probed.
 func (r *Record) review(now time.Time, peers []float64) {
 	mean, known := r.mean()
-	if r.Held(now) || !known && r.probing && r.cause == Slow && now.Sub(r.heldUntil) < probeDelay {
+	if r.Held(now) {
+		return
+	}
+	if r.probing && r.cause == Slow && r.overdue > 0 && r.overdueSum/r.overdue < math.Log(holdSpeed) {
+		r.hold(now, Slow, slowHold) // its probe takes too long already
+		return
+	}
+	if !known && r.probing && r.cause == Slow && now.Sub(r.heldUntil) < probeDelay {
 		return
 	}
 	speed, far := 1.0, false
@@ -136,7 +147,7 @@
 		shrunk := below * weight / (weight + priorSamples)
 		if shrunk < -minSpreads*sampleSpread/math.Sqrt(weight+priorSamples) && shrunk < math.Log(mildSpeed) {
 			speed = math.Exp(shrunk)
-			far = below < math.Log(holdSpeed) && r.weight >= minEnds && weight >= minHoldSamples
+			far = below < math.Log(holdSpeed) && weight >= minHoldSamples && (r.weight >= minEnds || r.overdue >= minOverdue)
 		}
 	}
 	r.setSpeed(now, speed, far)
--- a/internal/decision/speeds/speeds.go
+++ b/internal/decision/speeds/speeds.go
@@ -17,8 +17,9 @@
 	boundedSpeed = 0.5
 	// maxProbes bounds the runs of an instance that has to show that it is well.
 	maxProbes = 4
-	// maxHoldDoublings bounds how far repeated holds lengthen.
-	maxHoldDoublings = 2
+	// maxHoldDoublings and maxHold bound how far repeated holds lengthen.
+	maxHoldDoublings = 3
+	maxHold          = 16 * time.Second
 )
 
 // Model holds what was learned. It is not safe for concurrent use.
@@ -156,7 +157,7 @@
 	if !wasHeld && !bounded {
 		r.strikes++
 	}
-	length := base << min(max(r.strikes-1, 0), maxHoldDoublings)
+	length := min(base<<min(max(r.strikes-1, 0), maxHoldDoublings), maxHold)
 	if bounded {
 		r.boundedUntil = now.Add(length)
 	} else {
