The log says that an instance is well once its hold is over

Cause: a run that had begun before a hold and ended in it was logged as instance-well, while the instance still got nothing. Change: such a run spares the instance its probe, as before, and is not logged; the first good run after the hold is.

--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -39,7 +39,7 @@
 func (s *Scheduler) learnFromEnd(now time.Time, in *instance, run *reservation, end End, t *task) {
 	switch end.Reason {
 	case EndDone:
-		in.record.Done()
+		in.record.Done(now)
 		s.learnDuration(now, in, run, t)
 	case EndNotStarted:
 		if run != nil && !run.stopping {
--- a/internal/decision/speeds/answers.go
+++ b/internal/decision/speeds/answers.go
@@ -20,10 +20,15 @@
 	sameSilence = 500 * time.Millisecond
 )
 
-// Done records a run that ended as done.
-func (r *Record) Done() {
+// Done records a run that ended as done. One that ends in a hold does not end it, but the instance needs
+// no probe after that.
+func (r *Record) Done(now time.Time) {
 	r.failures, r.refusals = 0, 0
-	if r.probing && r.cause != Slow {
+	switch {
+	case r.cause == Slow:
+	case r.Held(now):
+		r.strikes, r.probing = 0, false
+	default:
 		r.Clear()
 	}
 }
--- a/internal/decision/speeds/speeds_test.go
+++ b/internal/decision/speeds/speeds_test.go
@@ -40,7 +40,7 @@
 					now = at(0)
 				}
 				if c.good {
-					r.Done()
+					r.Done(now)
 					r.Failed(now, "other")
 				}
 				r.Failed(now, string(rune('j'+i)))
