Crowds of clients that nobody controls are played against the real processes

Cause: a trial of such clients ended a process; no test shows it. Change: test/crowd starts an entry or an agent with a limit of memory and descriptors, sends one kind of requests at a time from 400 clients, and checks that the process lives, stays within both and answers an ordinary request afterwards. The settings memory and descriptors exist and decide nothing yet. The stand-ins of the store and of workers move from soak to a package of their own.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SETTINGS := mkutano lechtal
 WEATHERS := calm bad
 
-.PHONY: build check race fmt lint docs generate traces tools demo clean kills soak soak-fresh fuzz
+.PHONY: build check race fmt lint docs generate traces tools demo clean kills soak soak-fresh crowd crowd-short fuzz
 
 build:
 	go build -o bin/apricotwind ./cmd/apricotwind
@@ -61,6 +61,16 @@
 	go build -o bin/soak ./test/soak
 	bin/soak --seed 0 --seeds 10 --length 8s
 
+# Sends the requests of clients that nobody controls to real processes, apart from other load: every
+# kind of them by hand, and the cases of CI.
+crowd: build
+	go build -o bin/crowd ./test/crowd
+	bin/crowd
+
+crowd-short: build
+	go build -o bin/crowd ./test/crowd
+	bin/crowd --short
+
 # Fuzzes the readers of messages, rows and texts, by hand. CI plays the seeds of the fuzz tests, as
 # part of the tests.
 fuzz:
--- a/internal/verb/common.go
+++ b/internal/verb/common.go
@@ -112,3 +112,21 @@
 	}
 	return log, writer.Close, nil
 }
+
+// budgetFlags holds the flags for what a process may use of its machine.
+type budgetFlags struct{ memory, descriptors *int }
+
+// Bounds and default of the settings for what a process may use of its machine.
+const (
+	defaultMemoryMB = 1024
+	minMemoryMB     = 64
+	minDescriptors  = 300
+	maxDescriptors  = 1 << 24
+)
+
+func newBudgetFlags(flags *flag.FlagSet) budgetFlags {
+	return budgetFlags{
+		memory:      intVar(flags, "memory", defaultMemoryMB, minMemoryMB, maxMemoryMB, "`MB` of memory that the process may use"),
+		descriptors: intVar(flags, "descriptors", 4096, minDescriptors, maxDescriptors, "`number` of descriptors that the process may have open, of which 200 are kept for files"),
+	}
+}
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -37,6 +37,7 @@
 	name, level    *string
 	store, metrics *addressFlag
 	retention      *time.Duration
+	budget         budgetFlags
 }
 
 func newPlatformFlags(flags *flag.FlagSet) platformFlags {
@@ -47,6 +48,7 @@
 		store:   addressVar(flags, "store", "", "`address` of the platform's store"),
 		metrics: addressVar(flags, "metrics", "", "`address` of metrics and health; none if empty"),
 
+		budget:    newBudgetFlags(flags),
 		retention: durationVar(flags, "keep", 150*time.Second, time.Second, maxRetention, "`time` for which a finished job's state is kept"),
 	}
 }
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -19,6 +19,7 @@
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/testcluster"
+	"github.com/apricotwind/apricotwind/test/standins"
 )
 
 const (
@@ -221,7 +222,7 @@
 // addProcess adds a process that reaches the stand-in store through its own proxy. It does not
 // start the process.
 func (c *cluster) addProcess(ctx context.Context, binary, name, role string, flags ...string) (*process, error) {
-	storeProxy, err := serveBehindProxy(ctx, storeHandler(c.store.View(name)))
+	storeProxy, err := serveBehindProxy(ctx, standins.StoreHandler(c.store.View(name)))
 	if err != nil {
 		return nil, err
 	}
@@ -251,7 +252,7 @@
 func (c *cluster) addWorker(ctx context.Context, binary, name string) error {
 	registrationAddress := assignAddress()
 	worker := testcluster.NewWorker(name, c.checker)
-	workerProxy, err := serveBehindProxy(ctx, workerHandler(worker))
+	workerProxy, err := serveBehindProxy(ctx, standins.WorkerHandler(worker))
 	if err != nil {
 		return err
 	}
--- a/test/soak/standins.go
+++ b/test/standins/standins.go
@@ -1,4 +1,6 @@
-package main
+// Package standins serves stand-ins of the store and of workers over HTTP, in the platform's protocol, to
+// tests that start real processes.
+package standins
 
 import (
 	"context"
@@ -77,8 +79,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// storeHandler serves the stand-in store to one process over HTTP.
-func storeHandler(store *table.Store) http.Handler {
+// StoreHandler serves the stand-in store to one process over HTTP.
+func StoreHandler(store *table.Store) http.Handler {
 	mux := http.NewServeMux()
 	writeError := func(w http.ResponseWriter, r *http.Request, err error) {
 		switch {
@@ -148,8 +150,8 @@
 	runner.Unhealthy: http.StatusServiceUnavailable, runner.WrongIncarnation: http.StatusMisdirectedRequest,
 }
 
-// workerHandler serves a stand-in worker to its agent over HTTP.
-func workerHandler(worker *testcluster.Worker) http.Handler {
+// WorkerHandler serves a stand-in worker to its agent over HTTP.
+func WorkerHandler(worker *testcluster.Worker) http.Handler {
 	calls := worker.Calls()
 	mux := http.NewServeMux()
 	handle := func(path string, execute func(ctx context.Context, incarnation dispatch.Incarnation, request workerRequest, name dispatch.TaskName) (runner.PollResult, error)) {
