Clients share one budget of memory and connections in each process

Cause: nothing bounded what clients hold together. Heads of many short lines, bodies that stop just short of their end, messages of links without end and calls without reading took up to 2.6 GB from 400 clients; connections were accepted until the descriptors ran out. Change: internal/budget, through which every listener of requests and of links is built, with a share for connections, heads, bodies, links and messages, from the settings memory and descriptors. What exceeds a share is refused with 503 and Retry-After or closed, the slowest first.

--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -12,6 +12,7 @@
 
 	"github.com/apricotwind/apricotwind/internal/logs"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/loop"
@@ -53,13 +54,14 @@
 	hooks Hooks
 	log   *zap.Logger
 
+	bounds  *budget.Budget
 	metrics *metrics.Registry
 	agents  map[string]*linkedAgent // by instance
 }
 
 // NewLinks returns links without connections; Serve accepts them.
-func NewLinks(l *loop.Loop, hooks Hooks, log *zap.Logger, registry *metrics.Registry) *Links {
-	return &Links{loop: l, hooks: hooks, log: log, metrics: registry, agents: map[string]*linkedAgent{}}
+func NewLinks(l *loop.Loop, hooks Hooks, bounds *budget.Budget, log *zap.Logger, registry *metrics.Registry) *Links {
+	return &Links{loop: l, hooks: hooks, bounds: bounds, log: log, metrics: registry, agents: map[string]*linkedAgent{}}
 }
 
 // Serve accepts connections of agents until the listener fails or is closed, and
@@ -85,7 +87,7 @@
 
 func (l *Links) serve(stream net.Conn) {
 	s := &session{links: l, ready: make(chan struct{}), heard: make(chan struct{}, 1)}
-	s.conn = link.New(l.loop.Context(), stream, stream.RemoteAddr().String(), l.metrics, s.handle)
+	s.conn = link.NewBounded(l.loop.Context(), stream, stream.RemoteAddr().String(), l.metrics, l.bounds.Link(), s.handle)
 	close(s.ready)
 	s.waitForEnd()
 	l.loop.Post(func() { l.removeAgent(s) })
--- /dev/null
+++ b/internal/budget/body.go
@@ -0,0 +1,164 @@
+package budget
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// bodyGrace is how long a client may let the process wait for its body in all, apart from the
+	// time for its bytes at leastRate.
+	bodyGrace = 10 * time.Second
+	// leastRate is the rate below which a body is too slow, in bytes per second.
+	leastRate = 8 << 10
+	// permitTimeout bounds how long a body waits for memory before it is refused.
+	permitTimeout = time.Second
+	// smallHold is what a small body holds, in bytes. A part of the share is for these alone.
+	smallHold     = 64 << 10
+	smallBodyPart = 4 // a quarter
+)
+
+// body is the body of a request. It reads under a permit, and no slower than at the least rate. One
+// goroutine reads it.
+type body struct {
+	io.ReadCloser
+	conn    *Conn
+	budget  *Budget
+	most    int64 // bytes that the handler holds at a time; 0: all
+	began   time.Time
+	held    int64 // of the share of bodies
+	waited  time.Duration
+	ended   bool
+	read    atomic.Int64
+	evicted atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.ended {
+		return b.ReadCloser.Read(p)
+	}
+	if err := b.permit(); err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	allowed := bodyGrace + time.Duration(b.read.Load())*time.Second/leastRate - b.waited
+	_ = b.conn.SetReadDeadline(began.Add(allowed)) // the read fails as well
+	if b.evicted.Load() {
+		return 0, errExceeded
+	}
+	b.conn.reading.Store(true)
+	n, err := b.ReadCloser.Read(p)
+	b.conn.reading.Store(false)
+	b.waited += time.Since(began)
+	b.read.Add(int64(n))
+	var late net.Error
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		b.ended = true
+		_ = b.conn.SetReadDeadline(time.Time{}) // the next read of the connection fails as well
+	case b.evicted.Load():
+		err = errExceeded
+	case errors.As(err, &late) && late.Timeout():
+		b.budget.note(BodySlow)
+	}
+	return n, err
+}
+
+// permit takes memory for what the body holds. While there is none, the slowest body gives way, and
+// this one waits for a while.
+func (b *body) permit() error {
+	holds := b.read.Load()
+	if b.most > 0 {
+		holds = min(holds, b.most)
+	}
+	more := (holds-freeBody)*bodyCost - b.held
+	if more <= 0 {
+		return nil
+	}
+	reserve := int64(0)
+	if b.held+more > smallHold {
+		reserve = b.budget.bodies.capacity / smallBodyPart
+	}
+	deadline := time.Now().Add(permitTimeout)
+	for {
+		ok, freed := b.budget.bodies.take(more, reserve)
+		if ok {
+			b.held += more
+			b.budget.holders.add(b)
+			return nil
+		}
+		wait := time.Until(deadline)
+		if wait <= 0 || b.evicted.Load() {
+			b.budget.note(BodiesFull)
+			return errExceeded
+		}
+		b.budget.holders.evictSlowest()
+		select {
+		case <-freed:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// finish releases what the body holds. What the handler has not read is bounded in time.
+func (b *body) finish() {
+	b.budget.holders.remove(b)
+	b.budget.bodies.release(b.held)
+	b.held = 0
+	if !b.ended {
+		b.conn.reading.Store(true)
+		_ = b.conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // the next read fails as well
+	}
+}
+
+// holders are the bodies that hold memory.
+type holders struct {
+	mu     sync.Mutex
+	bodies map[*body]struct{}
+}
+
+func (h *holders) add(b *body) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.bodies == nil {
+		h.bodies = map[*body]struct{}{}
+	}
+	h.bodies[b] = struct{}{}
+}
+
+func (h *holders) remove(b *body) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.bodies, b)
+}
+
+// evictSlowest ends the body that has come at the lowest rate, among those that are awaited and began
+// minSlowAge ago or earlier.
+func (h *holders) evictSlowest() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var slowest *body
+	lowest := 0.0
+	for b := range h.bodies {
+		age := time.Since(b.began)
+		if age < minSlowAge || !b.conn.readsBody() || b.evicted.Load() {
+			continue
+		}
+		if rate := float64(b.read.Load()) / age.Seconds(); slowest == nil || rate < lowest {
+			slowest, lowest = b, rate
+		}
+	}
+	if slowest == nil {
+		return
+	}
+	slowest.evicted.Store(true)
+	slowest.budget.note(BodySlow)
+	_ = slowest.conn.SetReadDeadline(time.Unix(1, 0)) // its read fails now
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/agent"
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/decision/routing"
 	"github.com/apricotwind/apricotwind/internal/entry"
 	"github.com/apricotwind/apricotwind/internal/ledger"
@@ -184,6 +185,9 @@
 	if err == nil {
 		err = wrapped.Duplex(w)
 	}
+	if budget.Exceeded(err) {
+		return nil, refusal(http.StatusServiceUnavailable, "body", err.Error())
+	}
 	if err != nil {
 		return nil, refusal(http.StatusBadRequest, "body", bodyText(err))
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -169,13 +170,32 @@
 type stream struct {
 	net.Conn
 	registry *metrics.Registry
-	cut      atomic.Bool // a write failed after a part of its bytes, or took too long
+	bounds   *budget.Link // nil: none
+	begun    bool         // a part of a message has arrived
+	cut      atomic.Bool  // a write failed after a part of its bytes, or took too long
 }
 
 // Read reads from the connection and counts the bytes received.
 func (s *stream) Read(p []byte) (int, error) {
 	n, err := s.Conn.Read(p)
 	s.registry.Add("link-bytes-in", int64(n))
+	if s.bounds == nil {
+		return n, err
+	}
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		s.bounds.Late()
+	}
+	if n == 0 {
+		return n, err
+	}
+	if !s.begun {
+		s.begun = true
+		_ = s.Conn.SetReadDeadline(time.Now().Add(budget.MessageTimeout)) // the next read fails as well
+	}
+	if exceeded := s.bounds.Receive(n); exceeded != nil {
+		return 0, errors.CombineErrors(exceeded, s.Conn.Close())
+	}
 	return n, err
 }
 
@@ -197,9 +217,60 @@
 	return n, nil
 }
 
+// boundedObjects reads the messages of a link within its budget.
+type boundedObjects struct {
+	jsonrpc2.ObjectStream
+	stream *stream
+}
+
+// ReadObject implements jsonrpc2.ObjectStream.
+func (b *boundedObjects) ReadObject(v any) error {
+	err := b.ObjectStream.ReadObject(v)
+	s := b.stream
+	s.bounds.Received()
+	if s.begun {
+		s.begun = false
+		_ = s.Conn.SetReadDeadline(time.Time{}) // the next read fails as well
+	}
+	if marked, ok := s.Conn.(*budget.Conn); ok && err == nil {
+		marked.MarkMessage()
+	}
+	return err
+}
+
+// boundedCalls runs each call on a goroutine of its own, as jsonrpc2.AsyncHandler does, within the
+// budget of the link. A link that makes more calls is closed.
+type boundedCalls struct {
+	handler jsonrpc2.Handler
+	bounds  *budget.Link
+}
+
+// Handle implements jsonrpc2.Handler.
+func (b *boundedCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	size := 0
+	if r.Params != nil {
+		size = len(*r.Params)
+	}
+	release, ok := b.bounds.BeginCall(size)
+	if !ok {
+		_ = conn.Close() // it may be closed already
+		return
+	}
+	go func() {
+		defer release()
+		b.handler.Handle(ctx, conn, r)
+	}()
+}
+
 // New runs the protocol with the named peer over conn and counts the bytes in registry.
 // Each incoming call runs handler on its own goroutine. The link closes when ctx ends.
 func New(ctx context.Context, conn net.Conn, peer string, registry *metrics.Registry, handler Handler) *Conn {
+	return NewBounded(ctx, conn, peer, registry, nil, handler)
+}
+
+// NewBounded is New for a peer that may be anyone: its messages and calls stay within bounds, and the
+// link closes if they do not. With nil it is New.
+func NewBounded(ctx context.Context, conn net.Conn, peer string, registry *metrics.Registry, bounds *budget.Link, handler Handler) *Conn {
 	serve := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		var params json.RawMessage
 		if r.Params != nil {
@@ -209,8 +280,13 @@
 	}
 	async := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(serve))
 	noLog := jsonrpc2.SetLogger(discardLogger{})
-	counted := &stream{Conn: conn, registry: registry}
-	return &Conn{rpc: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(counted), async, noLog), stream: counted, peer: peer}
+	counted := &stream{Conn: conn, registry: registry, bounds: bounds}
+	objects := jsonrpc2.NewPlainObjectStream(counted)
+	if bounds != nil {
+		async = &boundedCalls{handler: jsonrpc2.HandlerWithError(serve), bounds: bounds}
+		objects = &boundedObjects{ObjectStream: objects, stream: counted}
+	}
+	return &Conn{rpc: jsonrpc2.NewConn(ctx, objects, async, noLog), stream: counted, peer: peer}
 }
 
 // discardLogger drops the log lines of the JSON-RPC library; callers receive its errors.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/metrics"
+	"go.uber.org/zap"
 )
 
 func ignoreCalls(context.Context, string, json.RawMessage) (any, error) { return struct{}{}, nil }
@@ -40,3 +44,63 @@
 		_ = far.Close() // only ends the test
 	})
 }
+
+// A peer that may be anyone gets no more memory than its bounds: its link closes, and that of another
+// peer goes on.
+func TestAPeerOverItsBoundsIsGivenUp(t *testing.T) {
+	cases := []struct {
+		name string
+		text string
+		wait time.Duration
+		open bool
+	}{
+		{"ordinary call", `{"jsonrpc":"2.0","method":"beat","params":{}}`, 0, true},
+		{"message of 1 MB", `{"jsonrpc":"2.0","method":"beat","params":"` + strings.Repeat("a", 1<<20) + `"}`, 0, true},
+		{"message without end", `{"params":"` + strings.Repeat("a", 8<<20), 0, false},
+		{"spaces without end", strings.Repeat(" ", 8<<20), 0, false},
+		{"message that stops", `{"params":"`, budget.MessageTimeout, false},
+		{"more calls than are served at a time", strings.Repeat(`{"jsonrpc":"2.0","method":"wait"}`, 3000), 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const memory = 96 << 20
+				bounds := budget.New(budget.Settings{Memory: memory}, metrics.New(), zap.NewNop())
+				ended := make(chan struct{})
+				handle := func(_ context.Context, method string, _ json.RawMessage) (any, error) {
+					if method == "wait" {
+						<-ended
+					}
+					return struct{}{}, nil
+				}
+				near, far := net.Pipe()
+				other, otherFar := net.Pipe()
+				conn := NewBounded(t.Context(), near, "crowd", metrics.New(), bounds.Link(), handle)
+				ordinary := NewBounded(t.Context(), other, "ordinary", metrics.New(), bounds.Link(), handle)
+				caller := New(t.Context(), otherFar, "entry", metrics.New(), ignoreCalls)
+				go func() { _, _ = io.Copy(io.Discard, far) }()    // the link may close
+				go func() { _, _ = io.WriteString(far, c.text) }() // the link may close
+				synctest.Wait()
+				time.Sleep(c.wait)
+				synctest.Wait()
+				open := true
+				select {
+				case <-conn.Done():
+					open = false
+				default:
+				}
+				if open != c.open {
+					t.Errorf("the link is open: %t, want %t", open, c.open)
+				}
+				if err := caller.Call(t.Context(), MethodHeartbeat, Heartbeat{Sequence: 1}, nil); err != nil {
+					t.Errorf("a call on another link: %v", err)
+				}
+				close(ended)
+				for _, each := range []*Conn{conn, ordinary, caller} {
+					each.Close()
+				}
+				_ = far.Close() // only ends the test
+			})
+		})
+	}
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/apricotwind/apricotwind/internal/logs"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/config"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
 	"github.com/apricotwind/apricotwind/internal/job"
@@ -125,7 +126,9 @@
 	var value T
 	decoder := json.NewDecoder(c.r.Body)
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&value); err != nil {
+	if err := decoder.Decode(&value); budget.Exceeded(err) {
+		return value, problem.New(http.StatusServiceUnavailable, problem.Refused, "read", err.Error()).WithRetryAfter(time.Second)
+	} else if err != nil {
 		return value, problem.New(http.StatusBadRequest, problem.Refused, "read", err.Error())
 	}
 	return value, nil
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotwind/apricotwind/internal/logs"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/decision/admission"
 	"github.com/apricotwind/apricotwind/internal/decision/interference"
 	"github.com/apricotwind/apricotwind/internal/decision/placement"
@@ -55,6 +56,7 @@
 	Capacity     link.Capacity
 	DrainTimeout time.Duration // how long Drain waits for running work
 	Identity     *identity.Identity
+	Budget       budget.Settings
 }
 
 // Agent is the process that runs beside one upstream instance. It forwards requests
@@ -85,6 +87,7 @@
 	gateListener    net.Listener
 	metricsListener net.Listener
 	servers         []*http.Server
+	budget          *budget.Budget
 	drainRequested  atomic.Bool
 	cause           atomic.Pointer[error]
 }
@@ -109,6 +112,9 @@
 		loop: loop.New(ctx), metrics: metrics.New(), http: network.client(workerTimeout), upstream: up,
 		throttle: interference.NewThrottle(), gateListener: gateListener, metricsListener: metricsListener,
 	}
+	a.budget = budget.New(settings.Budget, a.metrics, log)
+	a.gateListener = a.budget.Listener(gateListener, budget.Clients)
+	a.metricsListener = a.budget.Listener(metricsListener, budget.Side)
 	a.table = table.NewOverHTTP(settings.Platform, network.client(platformTimeout))
 	a.start()
 	return a, nil
@@ -128,16 +134,17 @@
 		a.links = entry.NewLinks(a.loop, a.hooks(), a.dial, a.log, a.metrics)
 	})
 	a.loop.Every(throttleInterval, a.updateThrottle)
-	a.serve(a.gateListener, a.gate)
+	a.serve(a.gateListener, a.gate, heldBody)
 	router := httprouter.New()
 	addHealthRoutes(router, a.metrics, a.ready)
-	a.serve(a.metricsListener, router)
+	a.serve(a.metricsListener, router, 0)
 	a.log.Info("agent-up", zap.String("instance", a.settings.Name), zap.String("incarnation", a.incarnation),
 		zap.Stringer("gate", a.gateListener.Addr()), zap.Stringer("ops", a.metricsListener.Addr()))
 }
 
-func (a *Agent) serve(listener net.Listener, handler http.Handler) {
-	server := newServer(handler)
+// serve serves requests; held bounds the bytes of a body that the handler holds, 0 means all.
+func (a *Agent) serve(listener net.Listener, handler http.Handler, held int64) {
+	server := a.budget.Server(handler, held)
 	a.servers = append(a.servers, server)
 	a.loop.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/agent"
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/caller"
 	"github.com/apricotwind/apricotwind/internal/decision/routing"
 	"github.com/apricotwind/apricotwind/internal/identity"
@@ -59,6 +60,7 @@
 	Sample         int // one of this many request log lines is written
 	DrainTimeout   time.Duration
 	Identity       *identity.Identity
+	Budget         budget.Settings
 }
 
 // Entry is the process that callers, operators and agents connect to. It routes
@@ -93,6 +95,7 @@
 	listeners      listeners
 	failureLoggers failureLoggers
 	servers        []*http.Server
+	budget         *budget.Budget
 }
 
 // failureLoggers log the operations that fail while the platform is unavailable.
@@ -127,6 +130,8 @@
 			ledger:  logs.NewFailureLogger(log, "ledger-unstored"),
 		},
 	}
+	e.budget = budget.New(settings.Budget, e.metrics, log)
+	e.listeners.bound(e.budget)
 	e.document.Store(&contract.Document{})
 	e.store = ledger.NewStore(e.table, object.NewOverHTTP(settings.Platform, platform))
 	e.gates = agent.NewGates(network.Dial, settings.Identity.Client())
@@ -160,6 +165,13 @@
 	return opened, nil
 }
 
+// bound keeps the listeners within a budget.
+func (l *listeners) bound(b *budget.Budget) {
+	l.caller = b.Listener(l.caller, budget.Clients)
+	l.operator = b.Listener(l.operator, budget.Side)
+	l.link = b.Listener(l.link, budget.Links)
+}
+
 func (l listeners) close() {
 	for _, each := range []net.Listener{l.caller, l.operator, l.link} {
 		if each != nil {
@@ -177,7 +189,7 @@
 	_ = e.loop.Do(func() {
 		e.routing = routing.New(e.settings.Domain, routing.LeastWait, seed)
 		e.recorder = ledger.New(time.Now(), e.settings.Name, e.incarnation)
-		e.links = agent.NewLinks(e.loop, agent.Hooks{Announced: e.announced, Heartbeat: e.heartbeat, Disconnected: e.disconnected}, e.log, e.metrics)
+		e.links = agent.NewLinks(e.loop, agent.Hooks{Announced: e.announced, Heartbeat: e.heartbeat, Disconnected: e.disconnected}, e.budget, e.log, e.metrics)
 		e.shardManager = shard.New(e.settings.Name, e.incarnation, e.loop, e.table, e.log, shard.Hooks{
 			Live:             e.liveEntries,
 			Document:         func() contract.Document { return *e.document.Load() },
@@ -206,7 +218,7 @@
 	callers.HandleMethodNotAllowed = false
 	callers.RedirectTrailingSlash = false
 	callers.RedirectFixedPath = false
-	e.serve(e.listeners.caller, callers)
+	e.serve(e.listeners.caller, callers, heldBody)
 
 	operators := httprouter.New()
 	addHealthRoutes(operators, e.metrics, e.ready)
@@ -214,7 +226,7 @@
 		return operator.NewClient(base, e.platform)
 	})
 	server.Routes(operators)
-	e.serve(e.listeners.operator, operators)
+	e.serve(e.listeners.operator, operators, 0)
 
 	e.loop.Go(func() {
 		if err := e.links.Serve(e.listeners.link); e.loop.Context().Err() == nil {
@@ -227,8 +239,9 @@
 	})
 }
 
-func (e *Entry) serve(listener net.Listener, handler http.Handler) {
-	server := newServer(handler)
+// serve serves requests; held bounds the bytes of a body that the handler holds, 0 means all.
+func (e *Entry) serve(listener net.Listener, handler http.Handler, held int64) {
+	server := e.budget.Server(handler, held)
 	e.servers = append(e.servers, server)
 	e.loop.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && e.loop.Context().Err() == nil {
--- a/internal/process/job_agent.go
+++ b/internal/process/job_agent.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/metrics"
@@ -39,6 +40,7 @@
 	Name                        string
 	Registration, Metrics, Link string        // listen addresses, host:port; empty: not served
 	Retention                   time.Duration // how long a finished job's state stays readable, while this agent is the owner
+	Budget                      budget.Settings
 }
 
 // JobAgentDeps are the parts of an agent that depend on the protocols of the platform
@@ -120,14 +122,16 @@
 }
 
 func (a *JobAgent) listen(network Network) error {
+	bounds := budget.New(a.settings.Budget, a.metrics, a.log)
 	health := httprouter.New()
 	addHealthRoutes(health, a.metrics, func() error { return nil })
 	serve := []struct {
 		setting, address string
 		handler          http.Handler
+		class            budget.Class
 	}{
-		{"control", a.settings.Registration, a.deps.Registration(a.runner, a.log)},
-		{"metrics", a.settings.Metrics, health},
+		{"control", a.settings.Registration, a.deps.Registration(a.runner, a.log), budget.Clients},
+		{"metrics", a.settings.Metrics, health, budget.Side},
 	}
 	for _, s := range serve {
 		if s.address == "" {
@@ -137,7 +141,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "setting %s: cannot listen on %s", s.setting, s.address)
 		}
-		server := newServer(s.handler)
+		listener = bounds.Listener(listener, s.class)
+		server := bounds.Server(s.handler, 0)
 		a.servers = append(a.servers, server)
 		a.loop.Go(func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -153,7 +158,7 @@
 		return errors.Wrapf(err, "setting link: cannot listen on %s", a.settings.Link)
 	}
 	a.loop.Go(func() {
-		serveLinks(links, a.loop, a.metrics, func(ctx context.Context, conn *owner.Conn, method string, params []byte) (any, error) {
+		serveLinks(links, bounds, a.loop, a.metrics, func(ctx context.Context, conn *owner.Conn, method string, params []byte) (any, error) {
 			return serveElector(ctx, a.elector, conn, method, params)
 		})
 	})
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/loop"
@@ -39,6 +40,7 @@
 	API, Ready, Link, Metrics string        // listen addresses, host:port; empty: not served, except Link
 	Retention                 time.Duration // how long a finished job's state stays readable
 	Cores                     float64       // cores that the process may use; may be a fraction; 0: unknown
+	Budget                    budget.Settings
 }
 
 // JobEntryDeps are the parts of an entry that depend on the protocols of the platform
@@ -67,7 +69,8 @@
 	loop        *loop.Loop
 	elector     *owner.Elector
 	ownerClient *owner.Client
-	routes      submission.ActiveRoutes
+	routes      *submission.ActiveRoutes
+	budget      *budget.Budget
 	servers     []*http.Server
 	service     *submission.Service
 	peers       *submission.Peers
@@ -79,6 +82,11 @@
 // error reports a listener that cannot be opened.
 func NewJobEntry(ctx context.Context, settings JobEntrySettings, deps JobEntryDeps, network Network, log *zap.Logger) (*JobEntry, error) {
 	e := &JobEntry{settings: settings, network: network, log: log, metrics: metrics.New(), loop: loop.New(ctx)}
+	e.budget = budget.New(settings.Budget, e.metrics, log)
+	e.routes = submission.NewActiveRoutes(func(routes *submission.Routes) {
+		limits := routes.Limits()
+		e.budget.SetLimits(budget.Limits{HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout})
+	})
 	deps.Store, e.health = table.WithHealth(deps.Store)
 	e.deps = deps
 	pool := link.NewPool(e.dial, e.loop, e.metrics)
@@ -101,7 +109,7 @@
 	e.ownerClient.Start(e.elector)
 	e.peers.Run()
 	e.elector.Run()
-	e.loop.Go(func() { deps.WatchConfiguration(e.loop.Context(), &e.routes) })
+	e.loop.Go(func() { deps.WatchConfiguration(e.loop.Context(), e.routes) })
 	log.Info("started", zap.String("front", settings.API), zap.String("link", settings.Link), zap.String("domain", settings.Domain))
 	return e, nil
 }
@@ -137,10 +145,11 @@
 	serve := []struct {
 		setting, address string
 		handler          http.Handler
+		class            budget.Class
 	}{
-		{"front", e.settings.API, e.deps.API(e.service, &e.routes, e.draining.Load, e.log)},
-		{"ready", e.settings.Ready, e.deps.Ready(e.ready)},
-		{"metrics", e.settings.Metrics, health},
+		{"front", e.settings.API, e.deps.API(e.service, e.routes, e.draining.Load, e.log), budget.Clients},
+		{"ready", e.settings.Ready, e.deps.Ready(e.ready), budget.Side},
+		{"metrics", e.settings.Metrics, health, budget.Side},
 	}
 	for _, s := range serve {
 		if s.address == "" {
@@ -150,7 +159,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "setting %s: cannot listen on %s", s.setting, s.address)
 		}
-		server := newServer(s.handler)
+		listener = e.budget.Listener(listener, s.class)
+		server := e.budget.Server(s.handler, 0)
 		e.servers = append(e.servers, server)
 		e.loop.Go(func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -162,7 +172,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "setting link: cannot listen on %s", e.settings.Link)
 	}
-	e.loop.Go(func() { serveLinks(links, e.loop, e.metrics, e.handleCall) })
+	e.loop.Go(func() { serveLinks(links, e.budget, e.loop, e.metrics, e.handleCall) })
 	return nil
 }
 
--- a/internal/process/links.go
+++ b/internal/process/links.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/metrics"
@@ -16,7 +17,8 @@
 type callHandler func(ctx context.Context, conn *owner.Conn, method string, params []byte) (any, error)
 
 // serveLinks accepts links from agents and entries and serves their calls until the loop ends.
-func serveLinks(listener net.Listener, l *loop.Loop, registry *metrics.Registry, handle callHandler) {
+func serveLinks(inner net.Listener, bounds *budget.Budget, l *loop.Loop, registry *metrics.Registry, handle callHandler) {
+	listener := bounds.Listener(inner, budget.Links)
 	l.Go(func() {
 		<-l.Context().Done()
 		// The loop has ended, so an error has no receiver.
@@ -30,7 +32,7 @@
 		}
 		conn := owner.NewConn()
 		bound := make(chan struct{}) // closed once Bind was called: calls are served only after that
-		conn.Bind(link.New(l.Context(), stream, stream.RemoteAddr().String(), registry, func(ctx context.Context, method string, params json.RawMessage) (any, error) {
+		conn.Bind(link.NewBounded(l.Context(), stream, stream.RemoteAddr().String(), registry, bounds.Link(), func(ctx context.Context, method string, params json.RawMessage) (any, error) {
 			<-bound
 			return handle(ctx, conn, method, params)
 		}))
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -22,12 +22,9 @@
 )
 
 const (
-	// maxHeaderBytes bounds the header of a request, in bytes.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds how long a client may take to send a header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection stays open.
-	idleTimeout = 60 * time.Second
+	// heldBody bounds the bytes of a body that are in memory at a time when it is passed on. A caller's
+	// body is sent again if it is no longer.
+	heldBody = 64 << 10
 )
 
 // Network opens listeners and connections. Tests substitute an in-memory network.
@@ -65,16 +62,6 @@
 	return &http.Client{Transport: &http.Transport{DialContext: n.Dial}, Timeout: timeout}
 }
 
-// newServer returns a server with the limits that apply to every HTTP listener.
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-}
-
 // newIncarnation returns a random ID for one run of a process.
 func newIncarnation() string {
 	var raw [8]byte
--- a/internal/submission/routes.go
+++ b/internal/submission/routes.go
@@ -19,15 +19,21 @@
 
 // Routes is one version of the routing table. It is immutable and safe for concurrent use.
 type Routes struct {
-	version      uint64
-	byHost       map[string][]Route
-	maxBodyBytes int64
+	version uint64
+	byHost  map[string][]Route
+	limits  Limits
 }
 
-// NewRoutes returns the routing table of a configuration version. maxBodyBytes bounds request
-// bodies, in bytes; 0 means no limit.
-func NewRoutes(version uint64, routes []Route, maxBodyBytes int64) *Routes {
-	r := &Routes{version: version, byHost: map[string][]Route{}, maxBodyBytes: maxBodyBytes}
+// Limits are the limits of a configuration for requests. A value of 0 means that it sets none.
+type Limits struct {
+	BodyBytes                  int64
+	HeaderBytes                int
+	HeaderTimeout, IdleTimeout time.Duration // to send a head; between two requests
+}
+
+// NewRoutes returns the routing table of a configuration version.
+func NewRoutes(version uint64, routes []Route, limits Limits) *Routes {
+	r := &Routes{version: version, byHost: map[string][]Route{}, limits: limits}
 	for _, route := range routes {
 		r.byHost[route.Host] = append(r.byHost[route.Host], route)
 	}
@@ -37,8 +43,8 @@
 // Version returns the version of the configuration that the routes come from.
 func (r *Routes) Version() uint64 { return r.version }
 
-// MaxBodyBytes returns the maximum size of a request body, in bytes; 0 means no limit.
-func (r *Routes) MaxBodyBytes() int64 { return r.maxBodyBytes }
+// Limits returns the limits of requests.
+func (r *Routes) Limits() Limits { return r.limits }
 
 // Find returns the route of a host with the longest prefix of path, and the rest of the path
 // after that prefix. ok is false if no route matches.
@@ -55,7 +61,13 @@
 }
 
 // ActiveRoutes holds the active version of the routes. Get is safe for concurrent use.
-type ActiveRoutes struct{ routes atomic.Pointer[Routes] }
+type ActiveRoutes struct {
+	routes  atomic.Pointer[Routes]
+	applied func(*Routes)
+}
+
+// NewActiveRoutes returns no routes. The first Apply makes some active; each calls applied.
+func NewActiveRoutes(applied func(*Routes)) *ActiveRoutes { return &ActiveRoutes{applied: applied} }
 
 // Get returns the active routes, or nil before the first Apply.
 func (a *ActiveRoutes) Get() *Routes { return a.routes.Load() }
@@ -68,5 +80,8 @@
 		return false
 	}
 	a.routes.Store(routes)
+	if a.applied != nil {
+		a.applied(routes)
+	}
 	return true
 }
--- a/internal/submission/service_test.go
+++ b/internal/submission/service_test.go
@@ -13,7 +13,7 @@
 		applied bool
 	}{{3, true}, {3, false}, {2, false}, {7, true}, {5, false}}
 	for _, c := range cases {
-		if got := active.Apply(NewRoutes(c.version, nil, 0)); got != c.applied {
+		if got := active.Apply(NewRoutes(c.version, nil, Limits{})); got != c.applied {
 			t.Errorf("version %d applied: %v, want %v", c.version, got, c.applied)
 		}
 	}
--- a/internal/verb/common.go
+++ b/internal/verb/common.go
@@ -4,9 +4,11 @@
 	"flag"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/identity"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/operator"
@@ -119,8 +121,11 @@
 // Bounds and default of the settings for what a process may use of its machine.
 const (
 	defaultMemoryMB = 1024
-	minMemoryMB     = 64
-	minDescriptors  = 300
+	minMemoryMB     = 16
+	// memoryLimitPart is the part of the memory above which the garbage collector works harder. It
+	// helps to keep the bound; the budget of clients is the bound.
+	memoryLimitPart = 0.8
+	minDescriptors  = 250
 	maxDescriptors  = 1 << 24
 )
 
@@ -130,3 +135,10 @@
 		descriptors: intVar(flags, "descriptors", 4096, minDescriptors, maxDescriptors, "`number` of descriptors that the process may have open, of which 200 are kept for files"),
 	}
 }
+
+// apply sets the limit of the garbage collector and returns the budget.
+func (f budgetFlags) apply() budget.Settings {
+	memory := int64(*f.memory) << 20
+	debug.SetMemoryLimit(int64(memoryLimitPart * float64(memory)))
+	return budget.Settings{Memory: memory, Descriptors: *f.descriptors}
+}
--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -117,7 +117,7 @@
 		Name: *c.name, Domain: *c.domain, Caller: c.caller.String(), Operator: c.operator.String(),
 		Link: c.link.String(), Platform: c.platform.String(), Shards: *c.shards, Routes: routes,
 		MaxBodyBytes: int64(*c.maxBodyBytes), MaxConnections: *c.maxConnections, Window: *c.window, Sample: *c.sample,
-		DrainTimeout: *c.drainTimeout, Identity: loaded,
+		DrainTimeout: *c.drainTimeout, Identity: loaded, Budget: c.budget.apply(),
 	}, nil
 }
 
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -93,7 +93,7 @@
 	running, err := platform.NewEntry(ctx, c.store.String(), process.JobEntrySettings{
 		Name: *c.name, Domain: *c.domain, API: c.api.String(), Ready: c.ready.String(),
 		Link: c.link.String(), Metrics: c.metrics.String(), Retention: *c.retention,
-		Cores: *c.processors,
+		Cores: *c.processors, Budget: c.budget.apply(),
 	}, process.NewNetwork(), log)
 	if err != nil {
 		return err
@@ -143,7 +143,7 @@
 	defer closeLog()
 	running, err := platform.NewAgent(ctx, c.store.String(), c.worker.String(), process.JobAgentSettings{
 		Name: *c.name, Registration: c.control.String(), Metrics: c.metrics.String(),
-		Link: c.link.String(), Retention: *c.retention,
+		Link: c.link.String(), Retention: *c.retention, Budget: c.budget.apply(),
 	}, process.NewNetwork(), log)
 	if err != nil {
 		return err
