Every process has a budget for clients, also the agent beside an instance

Cause: the agent had no settings for its budget; the defaults allowed an entry fewer connections than its setting connections does. Change: settings process-memory and descriptors of agent (its memory is that for batch tasks); without descriptors the system's limit counts, and without memory 2048 MB. The crowd plays gate and ops too.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -16,7 +16,7 @@
 
 const (
 	// DefaultMemory is the memory of a process whose settings name none, in bytes.
-	DefaultMemory = 1024 << 20
+	DefaultMemory = 2048 << 20
 	// DefaultDescriptors is the number of descriptors of a process whose settings name none.
 	DefaultDescriptors = 4096
 	// fileDescriptors are kept for files.
--- a/internal/verb/agent.go
+++ b/internal/verb/agent.go
@@ -44,6 +44,7 @@
 	capacity           *capacityFlags
 	drainTimeout       *time.Duration
 	common             *commonFlags
+	budget             budgetFlags
 }
 
 func newAgentCommand(flags *flag.FlagSet) *agentCommand {
@@ -59,6 +60,7 @@
 		capacity:     newCapacityFlags(flags),
 		drainTimeout: durationVar(flags, "drain", 30*time.Second, 0, maxDrainTimeout, "longest `wait` for work to leave at SIGTERM"),
 		common:       newCommonFlags(flags),
+		budget:       newBudgetFlags(flags, "process-memory"),
 	}
 	flags.Var(&c.entries, "entries", "link `address` of an entry to start with; may be given several times")
 	return c
@@ -84,6 +86,7 @@
 		Name: *c.name, Domain: *c.domain, Rack: *c.rack, Gate: c.gate.String(), Metrics: c.metrics.String(),
 		Upstream: c.upstream.String(), Platform: c.platform.String(), Entries: c.entries,
 		Capacity: c.capacity.capacity(), DrainTimeout: *c.drainTimeout, Identity: loaded,
+		Budget: c.budget.apply(),
 	}, process.NewNetwork(), log)
 	if err != nil {
 		return err
--- a/internal/verb/common.go
+++ b/internal/verb/common.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/budget"
@@ -120,19 +121,19 @@
 
 // Bounds and default of the settings for what a process may use of its machine.
 const (
-	defaultMemoryMB = 1024
+	defaultMemoryMB = budget.DefaultMemory >> 20
 	minMemoryMB     = 16
 	// memoryLimitPart is the part of the memory above which the garbage collector works harder. It
 	// helps to keep the bound; the budget of clients is the bound.
 	memoryLimitPart = 0.8
-	minDescriptors  = 250
 	maxDescriptors  = 1 << 24
 )
 
-func newBudgetFlags(flags *flag.FlagSet) budgetFlags {
+// newBudgetFlags defines the flags; memory is the name of that for memory.
+func newBudgetFlags(flags *flag.FlagSet, memory string) budgetFlags {
 	return budgetFlags{
-		memory:      intVar(flags, "memory", defaultMemoryMB, minMemoryMB, maxMemoryMB, "`MB` of memory that the process may use"),
-		descriptors: intVar(flags, "descriptors", 4096, minDescriptors, maxDescriptors, "`number` of descriptors that the process may have open, of which 200 are kept for files"),
+		memory:      intVar(flags, memory, defaultMemoryMB, minMemoryMB, maxMemoryMB, "`MB` of memory that the process may use"),
+		descriptors: intVar(flags, "descriptors", 0, 0, maxDescriptors, "`number` of descriptors that the process may have open, of which 200 are kept for files (0: as many as the system allows)"),
 	}
 }
 
@@ -140,5 +141,10 @@
 func (f budgetFlags) apply() budget.Settings {
 	memory := int64(*f.memory) << 20
 	debug.SetMemoryLimit(int64(memoryLimitPart * float64(memory)))
-	return budget.Settings{Memory: memory, Descriptors: *f.descriptors}
+	descriptors := *f.descriptors
+	var limit syscall.Rlimit
+	if descriptors == 0 && syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
+		descriptors = int(min(limit.Cur, maxDescriptors))
+	}
+	return budget.Settings{Memory: memory, Descriptors: descriptors}
 }
--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -74,7 +74,7 @@
 		window:         durationVar(flags, "window", 10*time.Second, time.Second, time.Hour, "`length` of a window of the ledger"),
 		drainTimeout:   durationVar(flags, "drain", 30*time.Second, 0, maxDrainTimeout, "longest `wait` for requests in flight at SIGTERM"),
 		common:         newCommonFlags(flags),
-		budget:         newBudgetFlags(flags),
+		budget:         newBudgetFlags(flags, "memory"),
 	}
 	flags.Var(&c.routes, "route", "`PREFIX=CLASS@WORKSPACE`; may be given several times")
 	return c
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -48,7 +48,7 @@
 		store:   addressVar(flags, "store", "", "`address` of the platform's store"),
 		metrics: addressVar(flags, "metrics", "", "`address` of metrics and health; none if empty"),
 
-		budget:    newBudgetFlags(flags),
+		budget:    newBudgetFlags(flags, "memory"),
 		retention: durationVar(flags, "keep", 150*time.Second, time.Second, maxRetention, "`time` for which a finished job's state is kept"),
 	}
 }
--- a/test/crowd/kinds.go
+++ b/test/crowd/kinds.go
@@ -39,6 +39,7 @@
 	method, path, host string
 	body               func(i int) []byte // whole and legal body of client i; nil: the address takes none
 	links              bool               // it takes links, and no requests
+	status             int                // of an ordinary answer, if it is not 200
 }
 
 // start returns the request line and the host of a request.
--- a/test/crowd/processes.go
+++ b/test/crowd/processes.go
@@ -40,6 +40,7 @@
 	{"platform-entry", []string{"front", "ready", "metrics", "link"}, startPlatformEntry},
 	{"platform-agent", []string{"control", "metrics", "link"}, startPlatformAgent},
 	{"entry", []string{"caller", "operator", "link"}, startEntry},
+	{"agent", []string{"gate", "ops"}, startAgent},
 }
 
 // running is the process under test.
@@ -81,7 +82,11 @@
 
 // launchBounded starts the process under test with its limits, and waits until its targets answer.
 func launchBounded(o options, targets []target, stop func(), arguments ...string) (*running, error) {
-	arguments = append(arguments, "--memory", strconv.Itoa(o.memory), "--descriptors", strconv.Itoa(o.descriptors))
+	memory := "--memory"
+	if arguments[0] == "agent" {
+		memory = "--process-memory" // its memory is that for batch tasks
+	}
+	arguments = append(arguments, memory, strconv.Itoa(o.memory), "--descriptors", strconv.Itoa(o.descriptors))
 	command, ended, err := launch(o, arguments...)
 	if err != nil {
 		return nil, err
@@ -176,7 +181,7 @@
 	callers, operators, link := address(), address(), address()
 	targets := []target{
 		// Without a contract, an entry answers a caller with 503.
-		{setting: "caller", address: callers, method: "POST", path: "/", host: host, body: func(int) []byte { return []byte("a") }},
+		{setting: "caller", address: callers, method: "POST", path: "/", host: host, body: func(int) []byte { return []byte("a") }, status: http.StatusServiceUnavailable},
 		{setting: "operator", address: operators, method: "PUT", path: "/target", host: host},
 		{setting: "link", address: link, links: true, method: "GET", path: "/", host: host},
 	}
@@ -184,6 +189,23 @@
 		"--caller", callers, "--operator", operators, "--link", link)
 }
 
+func startAgent(o options) (*running, error) {
+	platform := address()
+	command, ended, err := launch(o, "standin", "platform", "--listen", platform)
+	if err != nil {
+		return nil, err
+	}
+	stop := func() { _ = command.Process.Kill(); <-ended }
+	gate, ops := address(), address()
+	targets := []target{
+		// A gate answers a request without an attempt with 400.
+		{setting: "gate", address: gate, method: "POST", path: "/", host: host, body: func(int) []byte { return []byte("a") }, status: http.StatusBadRequest},
+		{setting: "ops", address: ops, method: "GET", path: "/healthz", host: host},
+	}
+	return launchBounded(o, targets, stop, "agent", "--name", "a", "--domain", "d", "--rack", "r", "--platform", "http://"+platform,
+		"--upstream", "http://"+address(), "--gate", gate, "--ops", ops)
+}
+
 // target returns the target of a setting.
 func (p *running) target(setting string) target {
 	for _, t := range p.targets {
@@ -262,7 +284,7 @@
 		return err.Error()
 	}
 	defer func() { _ = response.Body.Close() }()
-	if t.setting == "caller" && response.StatusCode == http.StatusServiceUnavailable {
+	if response.StatusCode == t.status {
 		return "answered"
 	}
 	return strconv.Itoa(response.StatusCode)
