--- a/internal/verb/common.go
+++ b/internal/verb/common.go
@@ -4,9 +4,12 @@
 	"flag"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/budget"
 	"github.com/apricotwind/apricotwind/internal/identity"
 	"github.com/apricotwind/apricotwind/internal/logs"
 	"github.com/apricotwind/apricotwind/internal/operator"
@@ -112,3 +115,36 @@
 	}
 	return log, writer.Close, nil
 }
+
+// budgetFlags holds the flags for what a process may use of its machine.
+type budgetFlags struct{ memory, descriptors *int }
+
+// Bounds and default of the settings for what a process may use of its machine.
+const (
+	defaultMemoryMB = budget.DefaultMemory >> 20
+	minMemoryMB     = 16
+	// memoryLimitPart is the part of the memory above which the garbage collector works harder. It
+	// helps to keep the bound; the budget of clients is the bound.
+	memoryLimitPart = 0.8
+	maxDescriptors  = 1 << 24
+)
+
+// newBudgetFlags defines the flags; memory is the name of that for memory.
+func newBudgetFlags(flags *flag.FlagSet, memory string) budgetFlags {
+	return budgetFlags{
+		memory:      intVar(flags, memory, defaultMemoryMB, minMemoryMB, maxMemoryMB, "`MB` of memory that the process may use"),
+		descriptors: intVar(flags, "descriptors", 0, 0, maxDescriptors, "`number` of descriptors that the process may have open, of which 200 are kept for files (0: as many as the system allows)"),
+	}
+}
+
+// apply sets the limit of the garbage collector and returns the budget.
+func (f budgetFlags) apply() budget.Settings {
+	memory := int64(*f.memory) << 20
+	debug.SetMemoryLimit(int64(memoryLimitPart * float64(memory)))
+	descriptors := *f.descriptors
+	var limit syscall.Rlimit
+	if descriptors == 0 && syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
+		descriptors = int(min(limit.Cur, maxDescriptors))
+	}
+	return budget.Settings{Memory: memory, Descriptors: descriptors}
+}
