A gang that is not placed gives back the room beside a window

Cause: a placement on a held instance takes its room from the spare room of the window, and the rollback of a gang did not give it back. Each try of a gang that fits nowhere (one per rack) took more, so smaller tasks after it were kept off in that plan. Change: the rollback undoes it (Window.TakeBack). Result: TestAGangWithoutRoomTakesNoneBesideAWindow failed before and passes.

--- a/internal/decision/backfill/backfill.go
+++ b/internal/decision/backfill/backfill.go
@@ -234,3 +234,10 @@
 		share.Spare = share.Spare.Minus(take.of(share.Need))
 	}
 }
+
+// TakeBack undoes Start with the same arguments.
+func (w *Window) TakeBack(share *Share, take Room, gone time.Time) {
+	if gone.IsZero() || gone.After(w.From) {
+		share.Spare = share.Spare.Plus(take.of(share.Need))
+	}
+}
--- a/internal/decision/dispatch/gangs.go
+++ b/internal/decision/dispatch/gangs.go
@@ -74,6 +74,7 @@
 		p.updateCaches(in, start.Step, false)
 		t := p.scheduler.findTask(start.Task)
 		t.instance, t.run = "", 0
+		p.takeBack(t, in)
 	}
 	p.starts = p.starts[:first]
 }
--- a/internal/decision/dispatch/windows.go
+++ b/internal/decision/dispatch/windows.go
@@ -307,6 +307,13 @@
 	}
 }
 
+// takeBack undoes backfilled for a task whose start is undone in the same plan.
+func (p *planner) takeBack(t *task, in *instance) {
+	if in.held != nil && !in.held.hold.holds(t) {
+		in.held.hold.window.TakeBack(in.held.share, takeOf(t.step), p.certainlyGone(t.job.spec, t.step, in))
+	}
+}
+
 // endHold ends the hold of a step of which the tasks have just been placed.
 func (p *planner) endHold(t *task) {
 	if h := t.job.hold; h != nil && h.holds(t) {
--- a/internal/decision/dispatch/windows_test.go
+++ b/internal/decision/dispatch/windows_test.go
@@ -348,3 +348,35 @@
 	expect(t, "changes", s.TakeWindowChanges(), []WindowChange(nil))
 	expect(t, "room", s.Fragmentation(at(5)), map[string]Fragmentation{"s": {}})
 }
+
+// A gang that is given room beside a window and then finds none for its other members leaves that room
+// to others.
+func TestAGangWithoutRoomTakesNoneBesideAWindow(t *testing.T) {
+	s := schedulerWith(registrationOf("a", 8))
+	for i, running := range []struct {
+		cores    int
+		estimate int64
+	}{{2, 9000}, {2, 10_000}, {3, 30_000}} {
+		step := stepOf(1, running.cores)
+		step.Estimate = running.estimate
+		job := jobOf(fmt.Sprintf("running%d", i), step)
+		job.Queue = "running"
+		s.Accept(startTime, job, nil)
+	}
+	s.Plan(at(0))
+	waiting := func(id string, latency int64, step Step) {
+		step.Estimate = 60_000
+		job := jobOf(id, step)
+		job.Policy.Latency, job.Policy.Priority = latency, 1
+		s.Accept(startTime, job, nil)
+	}
+	waiting("large", 40_000, stepOf(1, 4))
+	s.Plan(at(0.5))
+	expect(t, "windows", s.Windows(), 1)
+	gang := stepOf(2, 1)
+	gang.Gang = true
+	waiting("gang", 50_000, gang)
+	waiting("small", 60_000, stepOf(1, 1))
+	starts := s.Plan(at(1))
+	expect(t, "starts", startsOf(starts), []string{"small.0.0.0 1 a"})
+}
