Steps that were to be served by ends are searched again

Cause: servedByEnds keeps steps of up to a size out of the search and is only renewed by a search. If it left out all blocked steps and there was no window, no search was made any more, so that it stayed: steps that had come to need a window got none as long as no larger one was blocked. Change: a search that is due and has nothing to look at clears it. Result: TestStepsThatEndsDidNotServeAreSearchedAgain failed before and passes.

--- a/internal/decision/dispatch/windowsearch.go
+++ b/internal/decision/dispatch/windowsearch.go
@@ -103,7 +103,11 @@
 // makeHolds makes windows for the first of the steps that the plan has found blocked.
 func (p *planner) makeHolds() {
 	s := p.scheduler
-	if len(p.blockedSteps)+len(p.lateSteps)+len(s.holds) == 0 || p.now.Sub(s.windowsSearchedAt) < windowSearchPeriod {
+	if p.now.Sub(s.windowsSearchedAt) < windowSearchPeriod {
+		return
+	}
+	if len(p.blockedSteps)+len(p.lateSteps)+len(s.holds) == 0 {
+		s.servedByEnds = nil // it may be why no step is blocked, and the runs may have changed since
 		return
 	}
 	s.windowsSearchedAt = p.now
