Refused starts of an evacuated domain are not held against instances

Cause: agents of an evacuated domain refuse the starts in flight. Three of those counted as load that the instance sheds: it was held and, once the domain was taken back, got four runs at a time. Tasks avoided the instance as one where they had failed. Such holds also used up the bound of held instances. Change: refusals are not learned from while the domain is evacuated. Result: TestRefusalsOfAnEvacuatedDomainAreNotHeldAgainstInstances failed before and passes.

--- a/internal/decision/dispatch/evacuation_test.go
+++ b/internal/decision/dispatch/evacuation_test.go
@@ -98,3 +98,21 @@
 	s.Accept(at(0), jobOf("j", stepOf(16, 1)), nil)
 	expect(t, "starts if all instances are cold", len(s.Plan(at(0))), 16)
 }
+
+// An agent refuses what is in flight when its domain is evacuated. That says nothing of its instance.
+func TestRefusalsOfAnEvacuatedDomainAreNotHeldAgainstInstances(t *testing.T) {
+	s := domainsOf()
+	s.Accept(at(0), jobOf("j", stepOf(16, 2)), nil)
+	starts := s.Plan(at(0))
+	s.SetEvacuated([]string{"d0"})
+	refused := 0
+	for _, start := range starts {
+		if start.Instance == "i0" {
+			s.Ended(at(0.1), Incarnation{"i0", 1}, []End{{Task: start.Task, Run: start.Run, Reason: EndNotStarted}})
+			refused++
+		}
+	}
+	expect(t, "refused", refused, 4)
+	expect(t, "held", s.instances["i0"].record.Held(at(0.1)), false)
+	expect(t, "changes", len(s.TakeSpeedChanges()), 0)
+}
--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -42,7 +42,7 @@
 		in.record.Done(now)
 		s.learnDuration(now, in, run, t)
 	case EndNotStarted:
-		if run != nil && !run.stopping {
+		if run != nil && !run.stopping && !in.evacuated { // agents of an evacuated domain refuse all starts
 			in.record.Refused(now)
 			t.recordFailedOn(in.registration.Incarnation.ID)
 		}
