Idle best-effort jobs respect the limits of cold and probed instances

Cause: fastestInstance, which places a best-effort task of a job that has waited for 1.5 s, asked neither for the limit of starts on a cold instance nor for that of probes. An instance that has just joined is the emptiest, so all jobs that waited went there in one plan. Change: it asks for both. Such a job then goes to the next fastest instance, or waits for the limit. Result: TestIdleBestEffortJobsRespectTheLimitOfAColdInstance failed before (6 starts instead of 2) and passes.

--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -257,7 +257,7 @@
 	var best *instance
 	var highest float64
 	for _, in := range p.usable {
-		if !fits(j, t, in) || p.withheld(j, t, in) {
+		if !fits(j, t, in) || p.startsSlowly(in) || !p.mayProbe(t.step, in) || p.withheld(j, t, in) {
 			continue
 		}
 		rate := p.rate(t.step, in)
