An instance forgets the rates of images that it does not run

Cause: imageRates kept an entry for each image that ever ran on an instance, until its worker restarted. Entries older than deliveryMemory are not used. Change: they are deleted with the next measurement. Result: TestRatesOfImagesAreForgotten failed before (10 images) and passes.

--- a/internal/decision/dispatch/delivery.go
+++ b/internal/decision/dispatch/delivery.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -87,6 +88,7 @@
 			sums[placed.step.Image] = [2]float64{sum[0] + need*placed.delivery.rate, sum[1] + need}
 		}
 	}
+	maps.DeleteFunc(in.imageRates, func(_ string, known imageRate) bool { return now.Sub(known.at) >= deliveryMemory })
 	for image, sum := range sums {
 		if in.imageRates == nil {
 			in.imageRates = map[string]imageRate{}
--- a/internal/decision/dispatch/samples_test.go
+++ b/internal/decision/dispatch/samples_test.go
@@ -180,3 +180,20 @@
 	expect(t, "for a drain", s.remainingTime(in, run, at(4)), 8*time.Second)
 	expect(t, "for a window", s.expectedRest(in, run, at(4)), 8*time.Second)
 }
+
+// An instance forgets the rates of images that no longer run there.
+func TestRatesOfImagesAreForgotten(t *testing.T) {
+	in := newInstance(registrationOf("a", 8))
+	for i := range 10 {
+		now := at(float64(i))
+		step := bestEffortStep()
+		step.Image = fmt.Sprint("image", i)
+		run := &reservation{name: TaskName{Job: step.Image}, startedAt: now.Add(-time.Second)}
+		run.setStep(&step)
+		in.add(run)
+		run.observeUse(now, 100)
+		in.observeImages(now)
+		in.remove(run)
+	}
+	expect(t, "images", len(in.imageRates), 1)
+}
