A job that is not due has no expected end

Cause: Explain returned the present time as the expected and certain end of a job without an occurrence. Change: both are zero, as for other ends that are not known. Result: TestAJobThatIsNotDueHasNoExpectedEnd failed before and passes.

--- a/internal/decision/dispatch/explain.go
+++ b/internal/decision/dispatch/explain.go
@@ -104,6 +104,7 @@
 		Place: place + 1, Jobs: len(line), Objective: r.objective, ExpectedEnd: now, CertainlyEnd: now,
 	}
 	if len(j.occurrences) == 0 {
+		e.ExpectedEnd, e.CertainlyEnd = time.Time{}, time.Time{} // it is not due yet
 		return e
 	}
 	o := j.occurrences[len(j.occurrences)-1]
--- a/internal/decision/dispatch/explain_test.go
+++ b/internal/decision/dispatch/explain_test.go
@@ -63,3 +63,13 @@
 		expect(t, c.name+": changes", len(s.TakePostponements())+len(s.TakeWindowChanges())+len(s.TakeStops())+len(s.Plan(at(2))), 0)
 	}
 }
+
+// Of a job that is not due yet, nothing is known.
+func TestAJobThatIsNotDueHasNoExpectedEnd(t *testing.T) {
+	s := schedulerWith(registrationOf("a", 8))
+	job := jobOf("later", stepOf(1, 1))
+	job.FirstDue = at(60).UnixMilli()
+	s.Accept(at(0), job, nil)
+	e, _ := s.Explain(at(0), "later")
+	expect(t, "ends", []float64{seconds(e.ExpectedEnd), seconds(e.CertainlyEnd)}, []float64{-1, -1})
+}
