A hold is not shortened by another

Cause: failed runs in a hold begin a hold of 4 s at first, also if the one that lasts ends later. Change: the later end counts. Result: TestAHoldIsNotShortenedByAnother failed before and passes.

--- a/internal/decision/speeds/speeds.go
+++ b/internal/decision/speeds/speeds.go
@@ -161,7 +161,10 @@
 	if bounded {
 		r.boundedUntil = now.Add(length)
 	} else {
-		r.heldUntil, r.probing = now.Add(length), true
+		if until := now.Add(length); until.After(r.heldUntil) {
+			r.heldUntil = until
+		}
+		r.probing = true
 		r.efficiency = efficiency{}
 	}
 	if !wasHeld && !(bounded && wasBounded) {
--- a/internal/decision/speeds/speeds_test.go
+++ b/internal/decision/speeds/speeds_test.go
@@ -104,3 +104,14 @@
 		}
 	}
 }
+
+// A hold for another cause never ends the one that lasts.
+func TestAHoldIsNotShortenedByAnother(t *testing.T) {
+	_, r := group(8)
+	r.hold(at(0), Flapping, 10*time.Second)
+	r.Failed(at(1), "first")
+	r.Failed(at(1), "second")
+	if !r.Held(at(9)) {
+		t.Errorf("held until %v only", r.HeldUntil().Sub(start))
+	}
+}
