Only plans clear probed instances

Cause: usable, which explanations and gauges ask too, cleared an instance of which a probe had survived, so reading changed what is known (Explain promises that it does not). Change: Plan clears them after its review of speeds, before it collects instances, where it happened before. Result: TestReadingClearsNoProbedInstance failed before and passes.

--- a/internal/decision/dispatch/explain_test.go
+++ b/internal/decision/dispatch/explain_test.go
@@ -73,3 +73,18 @@
 	e, _ := s.Explain(at(0), "later")
 	expect(t, "ends", []float64{seconds(e.ExpectedEnd), seconds(e.CertainlyEnd)}, []float64{-1, -1})
 }
+
+// Reading changes nothing, also not what is known of an instance of which a probe has survived.
+func TestReadingClearsNoProbedInstance(t *testing.T) {
+	s := schedulerWith(registrationOf("a", 8))
+	quarantine(s.instances["a"], at(0))
+	s.Accept(at(0), jobOf("j", stepOf(2, 1)), nil)
+	s.Plan(at(5))
+	s.TakeSpeedChanges()
+	s.Explain(at(9), "j")
+	s.Fragmentation(at(9))
+	s.LongRunningWaits(at(9))
+	expect(t, "changes by reading", len(s.TakeSpeedChanges()), 0)
+	s.Plan(at(9))
+	expect(t, "changes by a plan", len(s.TakeSpeedChanges()), 1)
+}
--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -23,11 +23,10 @@
 	}
 	probes := 0
 	for _, placed := range in.reservations {
-		if placed.startedAt.Before(in.record.HeldUntil()) || placed.step == nil || placed.step.LongRunning && in.record.Cause() == speeds.Slow {
+		if !in.isProbe(placed) {
 			continue
 		}
-		if now.Sub(placed.startedAt) >= probeSurvival && !placed.stopping && in.record.Cause() != speeds.Slow {
-			in.record.Clear()
+		if in.survived(placed, now) {
 			return false
 		}
 		probes++
@@ -35,6 +34,31 @@
 	return probes >= in.record.Probes()
 }
 
+// isProbe reports whether a run is to show that its instance is well.
+func (in *instance) isProbe(run *reservation) bool {
+	return !run.startedAt.Before(in.record.HeldUntil()) && run.step != nil && !(run.step.LongRunning && in.record.Cause() == speeds.Slow)
+}
+
+// survived reports whether a probe has lasted long enough to show that its instance is well.
+func (in *instance) survived(probe *reservation, now time.Time) bool {
+	return now.Sub(probe.startedAt) >= probeSurvival && !probe.stopping && in.record.Cause() != speeds.Slow
+}
+
+// clearProbed records the instances of which a probe has survived as well.
+func (s *Scheduler) clearProbed(now time.Time) {
+	for _, in := range s.byID {
+		if !in.record.Probing() || in.record.Held(now) || !in.ready() {
+			continue
+		}
+		for _, placed := range in.reservations {
+			if in.isProbe(placed) && in.survived(placed, now) {
+				in.record.Clear()
+				break
+			}
+		}
+	}
+}
+
 // learnFromEnd passes the end of a run to the record of its instance.
 func (s *Scheduler) learnFromEnd(now time.Time, in *instance, run *reservation, end End, t *task) {
 	switch end.Reason {
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -42,6 +42,7 @@
 func (s *Scheduler) Plan(now time.Time) []Start {
 	s.drain(now)
 	s.reviewSpeeds(now)
+	s.clearProbed(now)
 	p := newPlanner(s, now)
 	p.collectInstances()
 	if len(p.usable)+len(p.quarantined) == 0 {
