Explanations name evacuated and cold instances

Cause: obstacle left out the limit of starts on a cold instance, which suitable asks for, so it named a candidate that gets nothing now; an instance of an evacuated domain was called not ready. Change: two obstacles, evacuated and cold. Result: TestObstaclesOfEvacuatedAndColdInstances passes; it does not build without the new obstacles.

--- a/internal/decision/dispatch/explain.go
+++ b/internal/decision/dispatch/explain.go
@@ -15,11 +15,13 @@
 
 // The obstacles, in the order in which they are looked for. ObstacleRun: an earlier run of the task may
 // still be there. ObstacleProcessors and ObstacleInterference: a best-effort task would be too slow, for
-// want of processors, or since it would be paced for latency-critical tasks.
+// want of processors, or since it would be paced for latency-critical tasks. ObstacleCold:
+// the instance is slow after its start and has as many recent starts as it may have.
 const (
 	ObstacleNone           Obstacle = iota // none
 	ObstacleService                        // other-service
 	ObstacleDraining                       // draining
+	ObstacleEvacuated                      // evacuated
 	ObstacleNotReady                       // not-ready
 	ObstacleQuarantine                     // quarantined
 	ObstacleLabel                          // label
@@ -29,6 +31,7 @@
 	ObstacleIsolation                      // isolated
 	ObstacleRun                            // earlier-run
 	ObstacleMaxPerInstance                 // most-per-instance
+	ObstacleCold                           // cold
 	ObstacleWindow                         // window
 )
 
@@ -235,6 +238,8 @@
 		return ObstacleService
 	case in.registration.Draining:
 		return ObstacleDraining
+	case in.evacuated:
+		return ObstacleEvacuated
 	case !in.ready():
 		return ObstacleNotReady
 	case !in.usable(p.now):
@@ -253,6 +258,8 @@
 		return ObstacleRun
 	case in.excludes(t):
 		return ObstacleMaxPerInstance
+	case p.startsSlowly(in):
+		return ObstacleCold
 	case p.withheld(j, t, in):
 		return ObstacleWindow
 	}
--- a/internal/decision/dispatch/explain_test.go
+++ b/internal/decision/dispatch/explain_test.go
@@ -88,3 +88,30 @@
 	s.Plan(at(9))
 	expect(t, "changes by a plan", len(s.TakeSpeedChanges()), 1)
 }
+
+// What keeps a task off an instance is told as it is.
+func TestObstaclesOfEvacuatedAndColdInstances(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Scheduler)
+		want   Obstacle
+	}{
+		{"neither", func(*Scheduler) {}, ObstacleNone},
+		{"evacuated", func(s *Scheduler) { s.SetEvacuated([]string{s.instances["a"].registration.Domain}) }, ObstacleEvacuated},
+		{"cold", func(s *Scheduler) { s.instances["a"].coldUntil = at(60) }, ObstacleCold},
+	}
+	for _, c := range cases {
+		warm := registrationOf("warm", 1)
+		warm.Domain = "other"
+		cold := registrationOf("a", 8)
+		cold.Domain = "evacuated"
+		s := schedulerWith(cold)
+		s.Accept(at(0), jobOf("running", stepOf(maxColdStarts, 1)), nil)
+		s.Plan(at(0))
+		registerOn(s, warm)
+		c.change(s)
+		s.Accept(at(0), jobOf("waiting", stepOf(1, 2)), nil)
+		e, _ := s.Explain(at(0.1), "waiting")
+		expect(t, c.name, e.Steps[0].Candidates[0].Obstacle, c.want)
+	}
+}
--- a/internal/decision/dispatch/obstacle_string.go
+++ b/internal/decision/dispatch/obstacle_string.go
@@ -11,21 +11,23 @@
 	_ = x[ObstacleNone-0]
 	_ = x[ObstacleService-1]
 	_ = x[ObstacleDraining-2]
-	_ = x[ObstacleNotReady-3]
-	_ = x[ObstacleQuarantine-4]
-	_ = x[ObstacleLabel-5]
-	_ = x[ObstacleResources-6]
-	_ = x[ObstacleProcessors-7]
-	_ = x[ObstacleInterference-8]
-	_ = x[ObstacleIsolation-9]
-	_ = x[ObstacleRun-10]
-	_ = x[ObstacleMaxPerInstance-11]
-	_ = x[ObstacleWindow-12]
+	_ = x[ObstacleEvacuated-3]
+	_ = x[ObstacleNotReady-4]
+	_ = x[ObstacleQuarantine-5]
+	_ = x[ObstacleLabel-6]
+	_ = x[ObstacleResources-7]
+	_ = x[ObstacleProcessors-8]
+	_ = x[ObstacleInterference-9]
+	_ = x[ObstacleIsolation-10]
+	_ = x[ObstacleRun-11]
+	_ = x[ObstacleMaxPerInstance-12]
+	_ = x[ObstacleCold-13]
+	_ = x[ObstacleWindow-14]
 }
 
-const _Obstacle_name = "noneother-servicedrainingnot-readyquarantinedlabelresourcesprocessors-leftinterferenceisolatedearlier-runmost-per-instancewindow"
+const _Obstacle_name = "noneother-servicedrainingevacuatednot-readyquarantinedlabelresourcesprocessors-leftinterferenceisolatedearlier-runmost-per-instancecoldwindow"
 
-var _Obstacle_index = [...]uint8{0, 4, 17, 25, 34, 45, 50, 59, 74, 86, 94, 105, 122, 128}
+var _Obstacle_index = [...]uint8{0, 4, 17, 25, 34, 43, 54, 59, 68, 83, 95, 103, 114, 131, 135, 141}
 
 func (i Obstacle) String() string {
 	idx := int(i) - 0
