--- a/internal/decision/dispatch/cold.go
+++ b/internal/decision/dispatch/cold.go
@@ -39,6 +39,7 @@
 	return starts
 }
 
+// coldPenalty returns the penalty of a task on the instance for being cold.
 func (in *instance) coldPenalty() int {
 	if in.cold {
 		return penaltyCold
--- a/internal/decision/dispatch/delivery.go
+++ b/internal/decision/dispatch/delivery.go
@@ -31,8 +31,9 @@
 	stalledSince time.Time     // since when it has got little; zero otherwise
 }
 
-// observeUse records the processors, in thousandths of a core, that a best-effort run has used.
-func (p *reservation) observeUse(now time.Time, used float64) {
+// recordDelivery records the rate and the work of a best-effort run, from a measurement of the processors
+// that it uses, in thousandths of a core.
+func (p *reservation) recordDelivery(now time.Time, used float64) {
 	share := min(used/float64(max(p.need.Processors, 1)), 1)
 	d := &p.delivery
 	switch {
--- a/internal/decision/dispatch/evacuation.go
+++ b/internal/decision/dispatch/evacuation.go
@@ -12,6 +12,7 @@
 	}
 }
 
+// updateEvacuated sets whether the domain of an instance is evacuated.
 func (s *Scheduler) updateEvacuated(in *instance) {
 	in.evacuated = s.evacuated[in.registration.Domain]
 }
--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -64,7 +64,7 @@
 	switch end.Reason {
 	case EndDone:
 		in.record.Done(now)
-		s.learnDuration(now, in, run, t)
+		s.compareWithStep(now, in, run, t)
 	case EndNotStarted:
 		if run != nil && !run.stopping && !in.evacuated { // agents of an evacuated domain refuse all starts
 			in.record.Refused(now)
@@ -74,12 +74,10 @@
 	}
 }
 
-// learnDuration compares a run that is done with the others of its step.
-func (s *Scheduler) learnDuration(now time.Time, in *instance, run *reservation, t *task) {
-	if run == nil {
-		return
-	}
-	if !isTypical(in, run, t) {
+// compareWithStep passes to the record of an instance how long a run that is done took beside the last
+// ones of its step.
+func (s *Scheduler) compareWithStep(now time.Time, in *instance, run *reservation, t *task) {
+	if run == nil || !isTypical(in, run, t) {
 		return
 	}
 	taken := run.workDone(now)
--- a/internal/decision/dispatch/measurements.go
+++ b/internal/decision/dispatch/measurements.go
@@ -37,8 +37,8 @@
 			in.headrooms[measurement.Task] = interference.Headroom(float64(p.step.Target), measurement.Value)
 		case p.bestEffort:
 			cores[p.step.Image] += measurement.Value / 1000
-			p.observeUse(now, measurement.Value)
-			p.recordUse(now, measurement.Value)
+			p.recordDelivery(now, measurement.Value)
+			p.recordLoss(now, measurement.Value)
 		}
 	}
 	in.observeImages(now)
--- a/internal/decision/dispatch/samples.go
+++ b/internal/decision/dispatch/samples.go
@@ -10,9 +10,6 @@
 	// fullUsePercent is the share of its requested processors, in percent, from which on a
 	// best-effort task counts as working at full speed.
 	fullUsePercent = 90
-	// measuringInterval is the time that a measurement covers. One that is made sooner after the
-	// start of a run covers time before it.
-	measuringInterval = 500 * time.Millisecond
 	// maxMeasuringGap is the longest time for which a measurement is taken to hold.
 	maxMeasuringGap = time.Second
 	// maxLostPercent is the share of a run, in percent, that may be lost to slow progress if the run
@@ -29,11 +26,11 @@
 	lost       time.Duration // by then, to a share below 1
 }
 
-// recordUse records a measurement of the processors that a best-effort run uses, in thousandths of a
-// core.
-func (p *reservation) recordUse(now time.Time, used float64) {
-	if now.Sub(p.startedAt) < measuringInterval {
-		return
+// recordLoss records the time that a best-effort run loses, from a measurement of the processors that it
+// uses, in thousandths of a core.
+func (p *reservation) recordLoss(now time.Time, used float64) {
+	if now.Sub(p.startedAt) < measuredSpan {
+		return // it covers time before the start
 	}
 	p.use.share = 1
 	if needed := float64(p.need.Processors); needed > 0 && used*100 < fullUsePercent*needed {
@@ -47,6 +44,7 @@
 	p.use.measuredAt = now
 }
 
+// lostBetween returns the time that a run loses at a share of its requested processors.
 func lostBetween(since, now time.Time, share float64) time.Duration {
 	return time.Duration(float64(min(now.Sub(since), maxMeasuringGap)) * (1 - share))
 }
--- a/internal/decision/dispatch/samples_test.go
+++ b/internal/decision/dispatch/samples_test.go
@@ -191,7 +191,7 @@
 		run := &reservation{name: TaskName{Job: step.Image}, startedAt: now.Add(-time.Second)}
 		run.setStep(&step)
 		in.add(run)
-		run.observeUse(now, 100)
+		run.recordDelivery(now, 100)
 		in.observeImages(now)
 		in.remove(run)
 	}
--- a/internal/decision/dispatch/windows.go
+++ b/internal/decision/dispatch/windows.go
@@ -117,7 +117,7 @@
 	return a.objective.Before(b.objective)
 }
 
-// needOf returns the room that a task needs to start, and takeOf what it takes once it runs.
+// needOf returns the room that a task of a step needs to start.
 func needOf(step *Step) backfill.Room {
 	need := backfill.Room{Processors: step.Need.Processors, Memory: step.Need.Memory, Accelerators: step.Need.Accelerators}
 	if step.BestEffort {
@@ -126,6 +126,7 @@
 	return need
 }
 
+// takeOf returns the room that a task of a step takes once it runs.
 func takeOf(step *Step) backfill.Room {
 	take := backfill.Room{Processors: step.Need.Processors, Leftover: step.Need.Processors, Memory: step.Need.Memory, Accelerators: step.Need.Accelerators}
 	switch {
--- a/internal/decision/dispatch/windowsearch.go
+++ b/internal/decision/dispatch/windowsearch.go
@@ -138,7 +138,7 @@
 				served[b.pool()] = need
 			}
 		default:
-			made = w.make(b, window) || made
+			made = w.makeHold(b, window) || made
 		}
 	}
 	s.servedByEnds = nil
@@ -236,8 +236,8 @@
 	return min(max(w.usable[service]/heldFraction, 1), maxHeld)
 }
 
-// make gives a step its window, unless too many instances are held. It reports whether it did.
-func (w *windowSearch) make(b blockedStep, window backfill.Window) bool {
+// makeHold gives a step its window, unless too many instances are held. It reports whether it did.
+func (w *windowSearch) makeHold(b blockedStep, window backfill.Window) bool {
 	service := b.ranked.spec.Policy.Service
 	if held := w.held[service]; held > 0 && held+len(window.Shares) > w.limit(service) {
 		return false
