--- a/internal/decision/dispatch/delivery.go
+++ b/internal/decision/dispatch/delivery.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -30,8 +31,9 @@
 	stalledSince time.Time     // since when it has got little; zero otherwise
 }
 
-// observeUse records the processors, in thousandths of a core, that a best-effort run has used.
-func (p *reservation) observeUse(now time.Time, used float64) {
+// recordDelivery records the rate and the work of a best-effort run, from a measurement of the processors
+// that it uses, in thousandths of a core.
+func (p *reservation) recordDelivery(now time.Time, used float64) {
 	share := min(used/float64(max(p.need.Processors, 1)), 1)
 	d := &p.delivery
 	switch {
@@ -87,6 +89,7 @@
 			sums[placed.step.Image] = [2]float64{sum[0] + need*placed.delivery.rate, sum[1] + need}
 		}
 	}
+	maps.DeleteFunc(in.imageRates, func(_ string, known imageRate) bool { return now.Sub(known.at) >= deliveryMemory })
 	for image, sum := range sums {
 		if in.imageRates == nil {
 			in.imageRates = map[string]imageRate{}
--- a/internal/decision/dispatch/explain_test.go
+++ b/internal/decision/dispatch/explain_test.go
@@ -63,3 +63,55 @@
 		expect(t, c.name+": changes", len(s.TakePostponements())+len(s.TakeWindowChanges())+len(s.TakeStops())+len(s.Plan(at(2))), 0)
 	}
 }
+
+// Of a job that is not due yet, nothing is known.
+func TestAJobThatIsNotDueHasNoExpectedEnd(t *testing.T) {
+	s := schedulerWith(registrationOf("a", 8))
+	job := jobOf("later", stepOf(1, 1))
+	job.FirstDue = at(60).UnixMilli()
+	s.Accept(at(0), job, nil)
+	e, _ := s.Explain(at(0), "later")
+	expect(t, "ends", []float64{seconds(e.ExpectedEnd), seconds(e.CertainlyEnd)}, []float64{-1, -1})
+}
+
+// Reading changes nothing, also not what is known of an instance of which a probe has survived.
+func TestReadingClearsNoProbedInstance(t *testing.T) {
+	s := schedulerWith(registrationOf("a", 8))
+	quarantine(s.instances["a"], at(0))
+	s.Accept(at(0), jobOf("j", stepOf(2, 1)), nil)
+	s.Plan(at(5))
+	s.TakeSpeedChanges()
+	s.Explain(at(9), "j")
+	s.Fragmentation(at(9))
+	s.LongRunningWaits(at(9))
+	expect(t, "changes by reading", len(s.TakeSpeedChanges()), 0)
+	s.Plan(at(9))
+	expect(t, "changes by a plan", len(s.TakeSpeedChanges()), 1)
+}
+
+// What keeps a task off an instance is told as it is.
+func TestObstaclesOfEvacuatedAndColdInstances(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Scheduler)
+		want   Obstacle
+	}{
+		{"neither", func(*Scheduler) {}, ObstacleNone},
+		{"evacuated", func(s *Scheduler) { s.SetEvacuated([]string{s.instances["a"].registration.Domain}) }, ObstacleEvacuated},
+		{"cold", func(s *Scheduler) { s.instances["a"].coldUntil = at(60) }, ObstacleCold},
+	}
+	for _, c := range cases {
+		warm := registrationOf("warm", 1)
+		warm.Domain = "other"
+		cold := registrationOf("a", 8)
+		cold.Domain = "evacuated"
+		s := schedulerWith(cold)
+		s.Accept(at(0), jobOf("running", stepOf(maxColdStarts, 1)), nil)
+		s.Plan(at(0))
+		registerOn(s, warm)
+		c.change(s)
+		s.Accept(at(0), jobOf("waiting", stepOf(1, 2)), nil)
+		e, _ := s.Explain(at(0.1), "waiting")
+		expect(t, c.name, e.Steps[0].Candidates[0].Obstacle, c.want)
+	}
+}
--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -23,11 +23,10 @@
 	}
 	probes := 0
 	for _, placed := range in.reservations {
-		if placed.startedAt.Before(in.record.HeldUntil()) || placed.step == nil || placed.step.LongRunning && in.record.Cause() == speeds.Slow {
+		if !in.isProbe(placed) {
 			continue
 		}
-		if now.Sub(placed.startedAt) >= probeSurvival && !placed.stopping && in.record.Cause() != speeds.Slow {
-			in.record.Clear()
+		if in.survived(placed, now) {
 			return false
 		}
 		probes++
@@ -35,14 +34,39 @@
 	return probes >= in.record.Probes()
 }
 
+// isProbe reports whether a run is to show that its instance is well.
+func (in *instance) isProbe(run *reservation) bool {
+	return !run.startedAt.Before(in.record.HeldUntil()) && run.step != nil && !(run.step.LongRunning && in.record.Cause() == speeds.Slow)
+}
+
+// survived reports whether a probe has lasted long enough to show that its instance is well.
+func (in *instance) survived(probe *reservation, now time.Time) bool {
+	return now.Sub(probe.startedAt) >= probeSurvival && !probe.stopping && in.record.Cause() != speeds.Slow
+}
+
+// clearProbed records the instances of which a probe has survived as well.
+func (s *Scheduler) clearProbed(now time.Time) {
+	for _, in := range s.byID {
+		if !in.record.Probing() || in.record.Held(now) || !in.ready() {
+			continue
+		}
+		for _, placed := range in.reservations {
+			if in.isProbe(placed) && in.survived(placed, now) {
+				in.record.Clear()
+				break
+			}
+		}
+	}
+}
+
 // learnFromEnd passes the end of a run to the record of its instance.
 func (s *Scheduler) learnFromEnd(now time.Time, in *instance, run *reservation, end End, t *task) {
 	switch end.Reason {
 	case EndDone:
 		in.record.Done(now)
-		s.learnDuration(now, in, run, t)
+		s.compareWithStep(now, in, run, t)
 	case EndNotStarted:
-		if run != nil && !run.stopping {
+		if run != nil && !run.stopping && !in.evacuated { // agents of an evacuated domain refuse all starts
 			in.record.Refused(now)
 			t.recordFailedOn(in.registration.Incarnation.ID)
 		}
@@ -50,12 +74,10 @@
 	}
 }
 
-// learnDuration compares a run that is done with the others of its step.
-func (s *Scheduler) learnDuration(now time.Time, in *instance, run *reservation, t *task) {
-	if run == nil {
-		return
-	}
-	if !isTypical(in, run, t) {
+// compareWithStep passes to the record of an instance how long a run that is done took beside the last
+// ones of its step.
+func (s *Scheduler) compareWithStep(now time.Time, in *instance, run *reservation, t *task) {
+	if run == nil || !isTypical(in, run, t) {
 		return
 	}
 	taken := run.workDone(now)
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -42,6 +42,7 @@
 func (s *Scheduler) Plan(now time.Time) []Start {
 	s.drain(now)
 	s.reviewSpeeds(now)
+	s.clearProbed(now)
 	p := newPlanner(s, now)
 	p.collectInstances()
 	if len(p.usable)+len(p.quarantined) == 0 {
@@ -257,7 +258,7 @@
 	var best *instance
 	var highest float64
 	for _, in := range p.usable {
-		if !fits(j, t, in) || p.withheld(j, t, in) {
+		if !fits(j, t, in) || p.startsSlowly(in) || !p.mayProbe(t.step, in) || p.withheld(j, t, in) {
 			continue
 		}
 		rate := p.rate(t.step, in)
