A body that ends as it is chosen to give way keeps its request

Cause: holders.evictSlowest looked whether a body is awaited and then set a deadline in the past; a body that ended in between cleared its deadline first, so the past one stayed. net/http then reads in the background, fails and cancels the context of a request that has arrived whole. Change: a mutex of the body covers both the start and the end of a wait, and the eviction; if the chosen body has come meanwhile, the next slowest is chosen. Result: TestABodyThatEndsIsNotEvicted failed before; go test -race ./internal/budget passes.

--- a/internal/budget/body.go
+++ b/internal/budget/body.go
@@ -36,6 +36,8 @@
 	ended   bool
 	read    atomic.Int64
 	evicted atomic.Bool
+
+	mu sync.Mutex // held for the start and the end of a wait, and for an eviction, with their deadlines
 }
 
 // Read implements io.Reader.
@@ -48,21 +50,17 @@
 	}
 	began := time.Now()
 	allowed := bodyGrace + time.Duration(b.read.Load())*time.Second/leastRate - b.waited
-	_ = b.conn.SetReadDeadline(began.Add(allowed)) // the read fails as well
-	if b.evicted.Load() {
+	if !b.beginWait(began.Add(allowed)) {
 		return 0, errExceeded
 	}
-	b.conn.reading.Store(true)
 	n, err := b.ReadCloser.Read(p)
-	b.conn.reading.Store(false)
+	b.ended = errors.Is(err, io.EOF)
+	b.endWait()
 	b.waited += time.Since(began)
 	b.read.Add(int64(n))
 	var late net.Error
 	switch {
-	case err == nil:
-	case errors.Is(err, io.EOF):
-		b.ended = true
-		_ = b.conn.SetReadDeadline(time.Time{}) // the next read of the connection fails as well
+	case err == nil || b.ended:
 	case b.evicted.Load():
 		err = errExceeded
 	case errors.As(err, &late) && late.Timeout():
@@ -71,6 +69,42 @@
 	return n, err
 }
 
+// beginWait marks that the client's bytes are awaited until a deadline. It reports false if the body has
+// given way.
+func (b *body) beginWait(deadline time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.evicted.Load() {
+		return false
+	}
+	_ = b.conn.SetReadDeadline(deadline) // the read fails as well
+	b.conn.reading.Store(true)
+	return true
+}
+
+// endWait marks that bytes have come, or the end of the body.
+func (b *body) endWait() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.conn.reading.Store(false)
+	if b.ended {
+		_ = b.conn.SetReadDeadline(time.Time{}) // the next read of the connection fails as well
+	}
+}
+
+// evict ends the body. It reports false if the body is not awaited any more.
+func (b *body) evict() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.conn.readsBody() {
+		return false
+	}
+	b.evicted.Store(true)
+	b.budget.note(BodySlow)
+	_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // its read fails now
+	return true
+}
+
 // permit takes memory for what the body holds. While there is none, the slowest body gives way, and
 // this one waits for a while.
 func (b *body) permit() error {
@@ -144,6 +178,16 @@
 func (h *holders) evictSlowest() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	for {
+		slowest := h.slowest()
+		if slowest == nil || slowest.evict() {
+			return
+		}
+	}
+}
+
+// slowest returns the body to end, or nil. The caller holds the mutex.
+func (h *holders) slowest() *body {
 	var slowest *body
 	lowest := 0.0
 	for b := range h.bodies {
@@ -155,10 +199,5 @@
 			slowest, lowest = b, rate
 		}
 	}
-	if slowest == nil {
-		return
-	}
-	slowest.evicted.Store(true)
-	slowest.budget.note(BodySlow)
-	_ = slowest.conn.SetReadDeadline(time.Unix(1, 0)) // its read fails now
+	return slowest
 }
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -214,3 +215,55 @@
 		}
 	}
 }
+
+// lateDeadlines is a connection on which a deadline in the past takes effect a moment after the body has
+// ended.
+type lateDeadlines struct {
+	net.Conn
+	evicting, ended chan struct{}
+	late            atomic.Bool // the last deadline is in the past
+}
+
+func (c *lateDeadlines) SetReadDeadline(at time.Time) error {
+	past := !at.IsZero() && time.Until(at) < 0
+	if past {
+		close(c.evicting)
+		select {
+		case <-c.ended:
+		case <-time.After(50 * time.Millisecond): // the body waits for the eviction
+		}
+	}
+	c.late.Store(past)
+	return nil
+}
+
+// readerFunc is a body.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// A body that ends as it is chosen to give way leaves no deadline on its connection: the request would be
+// cancelled although all of it has arrived.
+func TestABodyThatEndsIsNotEvicted(t *testing.T) {
+	b := New(Settings{}, metrics.New(), zap.NewNop())
+	inner := &lateDeadlines{evicting: make(chan struct{}), ended: make(chan struct{})}
+	conn := &Conn{Conn: inner, budget: b, listener: &listener{}}
+	conn.phase.Store(int32(inRequest))
+	reading := make(chan struct{})
+	read := &body{conn: conn, budget: b, began: time.Now().Add(-time.Minute), ReadCloser: io.NopCloser(readerFunc(func([]byte) (int, error) {
+		close(reading)
+		<-inner.evicting
+		return 0, io.EOF
+	}))}
+	b.holders.add(read)
+	go func() {
+		_, _ = read.Read(nil) // ends
+		close(inner.ended)
+	}()
+	<-reading
+	b.holders.evictSlowest()
+	<-inner.ended
+	if inner.late.Load() {
+		t.Error("the connection has a deadline in the past")
+	}
+}
