A link gives back the buffer of a large message

Cause: a link has one json.Decoder, whose buffer grows and never shrinks, while the budget counts a message only until it is complete. Each link could keep some MB for ever: 32 links held 73 MB after one message of 1 MB each. Bytes of the next message that had come in the same buffer were not counted either, and had no deadline. Change: after a message over 4 KB the decoder is replaced and what it has not decoded is kept; more than 4 KB that wait in the decoder are counted as a message and get its deadline. Result: TestALargeMessageLeavesNoMemory failed before (72,553,640 bytes); go test -race ./internal/link passes.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,8 +5,10 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -172,6 +174,7 @@
 	registry *metrics.Registry
 	bounds   *budget.Link // nil: none
 	begun    bool         // a part of a message has arrived
+	arrived  int64        // bytes, if there are bounds
 	cut      atomic.Bool  // a write failed after a part of its bytes, or took too long
 }
 
@@ -189,16 +192,22 @@
 	if n == 0 {
 		return n, err
 	}
-	if !s.begun {
-		s.begun = true
-		_ = s.Conn.SetReadDeadline(time.Now().Add(budget.MessageTimeout)) // the next read fails as well
-	}
+	s.arrived += int64(n)
+	s.begin()
 	if exceeded := s.bounds.Receive(n); exceeded != nil {
 		return 0, errors.CombineErrors(exceeded, s.Conn.Close())
 	}
 	return n, err
 }
 
+// begin bounds the time in which a message must be complete.
+func (s *stream) begin() {
+	if !s.begun {
+		s.begun = true
+		_ = s.Conn.SetReadDeadline(time.Now().Add(budget.MessageTimeout)) // the next read fails as well
+	}
+}
+
 // Write writes to the connection and counts the bytes sent. If the write fails or takes longer
 // than WriteTimeout, it closes the connection, since the peer has received part of a message.
 func (s *stream) Write(p []byte) (int, error) {
@@ -217,27 +226,54 @@
 	return n, nil
 }
 
+// keptBuffer is the size, in bytes, of messages whose buffer is used again for the next ones.
+const keptBuffer = 4 << 10
+
 // boundedObjects reads the messages of a link within its budget.
 type boundedObjects struct {
 	jsonrpc2.ObjectStream
-	stream *stream
+	stream  *stream
+	source  io.Reader // of decoder: what an earlier decoder has not decoded, then stream
+	decoder *json.Decoder
+	decoded int64 // bytes of the messages that earlier decoders have decoded
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
 func (b *boundedObjects) ReadObject(v any) error {
-	err := b.ObjectStream.ReadObject(v)
+	before := b.decoder.InputOffset()
+	err := b.decoder.Decode(v)
 	s := b.stream
 	s.bounds.Received()
 	if s.begun {
 		s.begun = false
 		_ = s.Conn.SetReadDeadline(time.Time{}) // the next read fails as well
 	}
+	if err != nil {
+		return err
+	}
+	if b.decoder.InputOffset()-before > keptBuffer {
+		b.renew()
+	}
+	if rest := s.arrived - b.decoded - b.decoder.InputOffset(); rest > keptBuffer {
+		s.begin()
+		err = s.bounds.Receive(int(rest))
+	}
 	if marked, ok := s.Conn.(*budget.Conn); ok && err == nil {
 		marked.MarkMessage()
 	}
 	return err
 }
 
+// renew replaces the decoder, whose buffer never shrinks.
+func (b *boundedObjects) renew() {
+	rest, _ := io.ReadAll(b.decoder.Buffered()) // reads memory
+	b.decoded += b.decoder.InputOffset()
+	if len(rest) > 0 {
+		b.source = io.MultiReader(bytes.NewReader(rest), b.source)
+	}
+	b.decoder = json.NewDecoder(b.source)
+}
+
 // boundedCalls runs each call on a goroutine of its own, as jsonrpc2.AsyncHandler does, within the
 // budget of the link. A link that makes more calls is closed.
 type boundedCalls struct {
@@ -284,7 +320,7 @@
 	objects := jsonrpc2.NewPlainObjectStream(counted)
 	if bounds != nil {
 		async = &boundedCalls{handler: jsonrpc2.HandlerWithError(serve), bounds: bounds}
-		objects = &boundedObjects{ObjectStream: objects, stream: counted}
+		objects = &boundedObjects{ObjectStream: objects, stream: counted, source: counted, decoder: json.NewDecoder(counted)}
 	}
 	return &Conn{rpc: jsonrpc2.NewConn(ctx, objects, async, noLog), stream: counted, peer: peer}
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -104,3 +105,47 @@
 		})
 	}
 }
+
+// A link that has had a large message holds no more memory for it, and decodes what came with it.
+func TestALargeMessageLeavesNoMemory(t *testing.T) {
+	const links, size = 32, 1 << 20
+	bounds := budget.New(budget.Settings{Memory: 96 << 20}, metrics.New(), zap.NewNop())
+	handle := func(_ context.Context, method string, _ json.RawMessage) (any, error) { return method, nil }
+	large := `{"jsonrpc":"2.0","id":1,"method":"beat","params":"` + strings.Repeat("a", size) + `"}`
+	allocated := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	before := allocated()
+	for range links {
+		near, far := net.Pipe()
+		defer far.Close()
+		conn := NewBounded(t.Context(), near, "crowd", metrics.New(), bounds.Link(), handle)
+		defer conn.Close()
+		go func() {
+			for _, text := range []string{large, `{"jsonrpc":"2.0","id":2,"method":"a"}{"jsonrpc":"2.0","id":3,`, `"method":"b"}`} {
+				_, _ = io.WriteString(far, text) // a failure shows in the answers
+			}
+		}()
+		answers := json.NewDecoder(far)
+		got := map[int]string{}
+		for range 3 {
+			var answer struct {
+				ID     int
+				Result string
+			}
+			if err := answers.Decode(&answer); err != nil {
+				t.Fatal(err)
+			}
+			got[answer.ID] = answer.Result
+		}
+		if got[1] != "beat" || got[2] != "a" || got[3] != "b" {
+			t.Fatalf("answers %v", got)
+		}
+	}
+	if held := int64(allocated()) - int64(before); held > links*size/4 {
+		t.Errorf("%d links hold %d bytes after messages of %d bytes", links, held, size)
+	}
+}
