The loop of an owner does not wait for itself when an agent knows of an evacuation

Cause: a report is handled on the loop; if its agent knows more, the tracker calls its subscribers there, and that of the term posts to the loop. Post blocks while the queue is full, on the loop for ever. Change: the subscriber sets a mark, and a goroutine of the term posts. Changes that come together are applied once. Result: TestAnEvacuationIsRecordedWhileTheLoopIsBusy ended with a deadlock before; go test ./internal/owner passes.

--- a/internal/owner/evacuation.go
+++ b/internal/owner/evacuation.go
@@ -31,14 +31,27 @@
 // ends.
 func (t *term) followEvacuations() {
 	evacuations := t.elector.settings.Evacuations
-	cancel := evacuations.Known.Subscribe(func() { t.post(t.applyEvacuations) })
+	changed := make(chan struct{}, 1)
+	cancel := evacuations.Known.Subscribe(func() { // also called on the loop, where a post may block for ever
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	})
 	t.elector.loop.Go(func() {
-		if evacuations.Follow {
-			evacuations.Requests.Run(t.ctx, evacuations.Known, t.log)
+		defer cancel()
+		for {
+			select {
+			case <-t.ctx.Done():
+				return
+			case <-changed:
+				t.post(t.applyEvacuations)
+			}
 		}
-		<-t.ctx.Done()
-		cancel()
 	})
+	if evacuations.Follow {
+		t.elector.loop.Go(func() { evacuations.Requests.Run(t.ctx, evacuations.Known, t.log) })
+	}
 	t.applyEvacuations()
 }
 
--- a/internal/owner/evacuation_test.go
+++ b/internal/owner/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
@@ -94,3 +95,21 @@
 		}
 	})
 }
+
+// An agent's report may change what is known while the loop's queue is full. The loop must not wait for
+// itself then.
+func TestAnEvacuationIsRecordedWhileTheLoopIsBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		onTerm(t, func(current *term, _ *Conn) {
+			current.followEvacuations()
+			go func() {
+				for range 10_000 { // more than the queue holds
+					current.post(func() {})
+				}
+			}()
+			synctest.Wait()
+			current.noteAgentEvacuation(&session{domain: "d0"}, &link.Evacuation{Evacuated: true, Revision: 9})
+			current.stop()
+		})
+	})
+}
