An agent says nothing of a new domain from the old one, and reports a second loss

Cause: (1) a worker that changes its domain with the same incarnation kept the evacuation of the old one; the report stated it for the new one, and the owner evacuated that if it had read the table before. (2) lossReportedTo was never reset: a worker whose loss the owner of an epoch knows, and which then answers again or is replaced, and leaves, was not owed another report, and its agent did not attach for one. The owner waited for the leases. Change: Register forgets the evacuation of another domain; a session that starts resets lossReportedTo.

--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/metrics"
 	"github.com/cockroachdb/errors"
 )
 
@@ -82,3 +86,39 @@
 		}
 	})
 }
+
+// What is known of one domain is not said of another to which the worker changes.
+func TestAnotherDomainIsNotEvacuated(t *testing.T) {
+	withRunner(t, Worker{Poll: unansweredPoll}, func(t *testing.T, r *Runner) {
+		onLoop(t, r, func() {
+			r.applyOrders(link.Orders{Session: 1, Evacuation: &link.Evacuation{Evacuated: true, Revision: 5}})
+		})
+		r.Register(dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "w", StartedAt: 5}, Service: "s", Domain: "d1"}, 2)
+		onLoop(t, r, func() {
+			if known := r.takeReport(r.session).Evacuation; known != nil {
+				t.Errorf("reported of d1: %+v", *known)
+			}
+		})
+	})
+}
+
+// A worker whose loss the owner knows may answer again, and then leave: the owner is owed another report.
+func TestASecondLossIsOwed(t *testing.T) {
+	withRunner(t, Worker{Poll: unansweredPoll}, func(t *testing.T, r *Runner) {
+		near, far := net.Pipe()
+		conn := link.New(t.Context(), near, "owner", metrics.New(), link.RejectCalls)
+		owner := link.New(t.Context(), far, "agent", metrics.New(), func(context.Context, string, json.RawMessage) (any, error) {
+			return link.AttachReply{Epoch: 1}, nil
+		})
+		onLoop(t, r, func() { r.lossReportedTo, r.session = 1, nil })
+		if _, err := r.attach(t.Context(), conn, 1); err != nil {
+			t.Fatal(err)
+		}
+		r.Deregister("w")
+		if !r.OwesLossReport(1) {
+			t.Error("no report is owed")
+		}
+		conn.Close()
+		owner.Close()
+	})
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -129,6 +129,7 @@
 		}
 		changed := registration.Draining != r.registration.Draining
 		r.sequence, r.left = sequence, false
+		r.forgetOtherDomain(registration)
 		r.noteCold(takeCold(&registration))
 		if !reflect.DeepEqual(*r.registration, registration) {
 			*r.registration = registration
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -174,6 +174,7 @@
 			r.lossReportedTo, s = epoch, nil
 		default:
 			r.fence, r.session = attached.Epoch, s
+			r.lossReportedTo = 0 // a later loss is to be reported to the same owner again
 			r.noteEvacuation(attached.Evacuation)
 			r.wakePoll()
 			r.pollNow()
