apricotwind explain: where a job would go now, and why

Cause: an operator could not ask why a job waits; the explanation in the decision code had no caller. Change: the link method explain, which any platform entry passes on to the owner once, and the verb explain, for a known job or for one of one step that its flags describe, as text or JSON. It changes nothing.

--- a/internal/decision/dispatch/explain.go
+++ b/internal/decision/dispatch/explain.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -32,37 +33,58 @@
 	ObstacleWindow                         // window
 )
 
+// MarshalText returns the name of the obstacle.
+func (o Obstacle) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// UnmarshalText reads the name of an obstacle.
+func (o *Obstacle) UnmarshalText(text []byte) error {
+	for known := ObstacleNone; known <= ObstacleWindow; known++ {
+		if known.String() == string(text) {
+			*o = known
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown obstacle %q", text)
+}
+
 // Explanation says where a job is in the line and where its tasks would go.
 type Explanation struct {
-	Job                       string
-	OnTime, Worthless         bool // neither: it is late
-	Postponed                 bool
-	Priority                  int
-	Place, Jobs               int // its place among the unfinished jobs, from 1 on, and their number
-	Objective                 time.Time
-	Steps                     []StepExplanation
-	ExpectedEnd, CertainlyEnd time.Time // of the job; zero if they are not known
+	Job          string            `json:"job"`
+	OnTime       bool              `json:"ontime,omitempty"` // neither this nor Worthless: it is late
+	Worthless    bool              `json:"worthless,omitempty"`
+	Postponed    bool              `json:"postponed,omitempty"`
+	Priority     int               `json:"priority"`
+	Place        int               `json:"place"` // among the unfinished jobs, from 1 on
+	Jobs         int               `json:"jobs"`  // number of unfinished jobs
+	Objective    time.Time         `json:"objective,omitzero"`
+	Steps        []StepExplanation `json:"steps"`
+	ExpectedEnd  time.Time         `json:"expected,omitzero"` // of the job; the ends are zero if they are not known
+	CertainlyEnd time.Time         `json:"certain,omitzero"`
 }
 
 // StepExplanation says so for one step of the last occurrence.
 type StepExplanation struct {
-	Waiting, Running, Done int
-	AfterOthers            bool        // steps before it are not done
-	Candidates             []Candidate // for its first waiting task; the best first, then those with an obstacle
-	Window                 []string    // instances that are held for it
+	Waiting     int         `json:"waiting"`
+	Running     int         `json:"running"`
+	Done        int         `json:"done"`
+	AfterOthers bool        `json:"afterothers,omitempty"` // steps before it are not done
+	Candidates  []Candidate `json:"candidates,omitempty"`  // for its first waiting task; the best first, then those with an obstacle
+	Window      []string    `json:"window,omitempty"`      // instances that are held for it
 	// Start is when its waiting tasks start at the earliest, if nothing else comes before; zero if no
 	// expected end makes room. The ends are zero if they are not known.
-	Start, ExpectedEnd, CertainlyEnd time.Time
+	Start        time.Time `json:"start,omitzero"`
+	ExpectedEnd  time.Time `json:"expected,omitzero"`
+	CertainlyEnd time.Time `json:"certain,omitzero"`
 }
 
 // Candidate is an instance for a task.
 type Candidate struct {
-	Instance string
-	Obstacle Obstacle
-	Penalty  int       // where there is no obstacle: the lowest is best
-	Free     Resources // for tasks that reserve them
-	Leftover int       // processors left for best-effort tasks, in thousandths of a core
-	Holder   string    // job that has the window
+	Instance string    `json:"instance"`
+	Obstacle Obstacle  `json:"obstacle"`
+	Penalty  int       `json:"penalty,omitempty"` // where there is no obstacle: the lowest is best
+	Free     Resources `json:"free"`              // for tasks that reserve them
+	Leftover int       `json:"leftover"`          // processors left for best-effort tasks, in thousandths of a core
+	Holder   string    `json:"holder,omitempty"`  // job that has the window
 }
 
 // Explain explains a job that has not ended, without any change. ok is false if it is not known.
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -24,6 +24,7 @@
 	MethodSubmit    = "submit"    // entry to another entry
 	MethodState     = "state"     // entry to another entry
 	MethodCancel    = "cancel"    // entry to another entry
+	MethodExplain   = "explain"   // any process to an entry, entry to owner
 	MethodEvacuated = "evacuated" // entry to owner, with an evacuation.State
 )
 
@@ -180,6 +181,28 @@
 	State dispatch.State `json:"state"`
 }
 
+// Explain asks where the tasks of a job would go now: the job with the ID or, if Job is set, one that
+// is described and not submitted. Forwarded says that an entry has passed the call on to the owner.
+type Explain struct {
+	ID        string        `json:"id,omitempty"`
+	Job       *dispatch.Job `json:"job,omitempty"`
+	Forwarded bool          `json:"forwarded,omitempty"`
+}
+
+// Explained is the reply to Explain. Known is false if the owner has no unfinished job with the ID.
+type Explained struct {
+	Known       bool                 `json:"known"`
+	Explanation dispatch.Explanation `json:"explanation"`
+}
+
+// Validate returns why the described job cannot be scheduled, or nil.
+func (e *Explain) Validate() error {
+	if e.Job == nil {
+		return nil
+	}
+	return errors.Wrapf(e.Job.Validate(), "job %q", e.Job.ID)
+}
+
 // ForwardReply is the reply to a call that one entry forwarded to another. Outcome is an
 // outcome of package submission.
 type ForwardReply struct {
--- a/internal/owner/elector.go
+++ b/internal/owner/elector.go
@@ -315,7 +315,7 @@
 	case link.MethodEvacuated:
 		result, err = e.handleEvacuated(params)
 		return result, true, err
-	case link.MethodAttach, link.MethodReport, link.MethodAccepted, link.MethodCancelled, link.MethodBacklog, link.MethodKnown:
+	case link.MethodAttach, link.MethodReport, link.MethodAccepted, link.MethodCancelled, link.MethodBacklog, link.MethodKnown, link.MethodExplain:
 		return e.serveTerm(ctx, conn, method, params)
 	}
 	return nil, false, nil
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -223,6 +223,12 @@
 			return nil, err
 		}
 		return t.known(job.ID), nil
+	case link.MethodExplain:
+		asked, err := link.Decode[link.Explain](params)
+		if err != nil {
+			return nil, err
+		}
+		return t.explain(&asked)
 	case link.MethodBacklog:
 		return link.Backlog{Counts: t.scheduler.Backlog()}, nil
 	}
@@ -238,6 +244,18 @@
 	return link.Known{Known: t.scheduler.Active(id), State: dispatch.Running}
 }
 
+// explain explains where the tasks of a job would go now. It changes nothing.
+func (t *term) explain(asked *link.Explain) (link.Explained, error) {
+	if err := asked.Validate(); err != nil {
+		return link.Explained{}, err
+	}
+	if asked.Job != nil {
+		return link.Explained{Known: true, Explanation: t.scheduler.ExplainDescribed(time.Now(), asked.Job)}, nil
+	}
+	explanation, known := t.scheduler.Explain(time.Now(), asked.ID)
+	return link.Explained{Known: known, Explanation: explanation}, nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -194,9 +194,32 @@
 	if result, ok, err := e.service.Serve(ctx, method, params); ok {
 		return result, err
 	}
+	if method == link.MethodExplain {
+		return e.explain(ctx, conn, params)
+	}
 	return serveElector(ctx, e.elector, conn, method, params)
 }
 
+// explain passes a call of link.MethodExplain on to the owner, once: an entry that has not learned
+// of a takeover yet would pass it back.
+func (e *JobEntry) explain(ctx context.Context, conn *owner.Conn, params []byte) (any, error) {
+	asked, err := link.Decode[link.Explain](params)
+	if err == nil {
+		// The owner does so too, but an error that it returns costs the link to it.
+		err = asked.Validate()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if asked.Forwarded {
+		return serveElector(ctx, e.elector, conn, link.MethodExplain, params)
+	}
+	asked.Forwarded = true
+	var explained link.Explained
+	err = e.ownerClient.Call(ctx, link.MethodExplain, asked, &explained)
+	return explained, err
+}
+
 // Drain stops the entry gracefully. It reports that it is not ready, resigns as owner and removes
 // its row from the table of entries. It accepts connections for connectionDrainTime, waits up to
 // requestDrainTimeout for requests in flight, and stops. The error reports connections or
--- a/internal/verb/addresses.go
+++ b/internal/verb/addresses.go
@@ -63,6 +63,7 @@
 	"agent":            {"name", "domain", "platform", "upstream"},
 	"platform entry":   {"name", "domain", "store", "front", "ready", "link"},
 	"platform agent":   {"name", "store", "control", "worker"},
+	"explain":          {"link"},
 	"standin upstream": {"name"},
 	"standin-upstream": {"name"},
 }
--- a/internal/verb/commands.go
+++ b/internal/verb/commands.go
@@ -29,6 +29,7 @@
 		jobStatusVerb(),
 		jobListVerb(),
 		jobCancelVerb(),
+		explainVerb(),
 		reportVerb(),
 		replayVerb(),
 		experimentVerb(),
