Speeds forgets the hosts that are gone

Cause: the silences of a host were kept for each host that ever had an instance. Change: a review drops hosts without instances of which no silence is remembered. Result: TestHostsThatAreGoneAreForgotten failed before (3 hosts kept) and passes; the tests of internal/decision, internal/owner and internal/process pass.

--- a/internal/decision/speeds/answers.go
+++ b/internal/decision/speeds/answers.go
@@ -1,6 +1,9 @@
 package speeds
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// failureThreshold is the number of failed runs since the last done one after which an
@@ -59,7 +62,8 @@
 
 // flaps are the silences of the instances of one host.
 type flaps struct {
-	at []time.Time // the last ones, flapsThreshold + maxHoldDoublings at most
+	instances int         // of the host that are known
+	at        []time.Time // the last ones, flapsThreshold + maxHoldDoublings at most
 }
 
 // Silent records that the instance on a host stopped to answer.
@@ -77,6 +81,11 @@
 	}
 }
 
+// forgetHosts forgets the hosts that have no instance and of which no silence is remembered.
+func (m *Model) forgetHosts(now time.Time) {
+	maps.DeleteFunc(m.flaps, func(_ string, f *flaps) bool { return f.instances == 0 && f.recent(now) == 0 })
+}
+
 // recent returns how many of the silences are remembered.
 func (f *flaps) recent(now time.Time) int {
 	recent := 0
--- a/internal/decision/speeds/efficiency.go
+++ b/internal/decision/speeds/efficiency.go
@@ -102,6 +102,7 @@
 // far slower.
 func (m *Model) Review(now time.Time) {
 	m.reviewedAt = now
+	m.forgetHosts(now)
 	means := map[string][]float64{}
 	for _, r := range m.sorted {
 		r.forget(now)
--- a/internal/decision/speeds/speeds.go
+++ b/internal/decision/speeds/speeds.go
@@ -62,6 +62,7 @@
 		m.flaps[host] = &flaps{}
 	}
 	r := &Record{model: m, instance: instance, group: group, speed: 1, flaps: m.flaps[host]}
+	r.flaps.instances++
 	m.records[instance] = r
 	index, _ := slices.BinarySearchFunc(m.sorted, instance, func(r *Record, id string) int { return cmp.Compare(r.instance, id) })
 	m.sorted = slices.Insert(m.sorted, index, r)
@@ -70,6 +71,9 @@
 
 // Drop forgets an instance that is gone.
 func (m *Model) Drop(instance string) {
+	if r, known := m.records[instance]; known {
+		r.flaps.instances--
+	}
 	delete(m.records, instance)
 	m.sorted = slices.DeleteFunc(m.sorted, func(r *Record) bool { return r.instance == instance })
 }
--- a/internal/decision/speeds/speeds_test.go
+++ b/internal/decision/speeds/speeds_test.go
@@ -115,3 +115,18 @@
 		t.Errorf("held until %v only", r.HeldUntil().Sub(start))
 	}
 }
+
+// Hosts whose instances are gone for long are forgotten, those of which a silence is remembered are not.
+func TestHostsThatAreGoneAreForgotten(t *testing.T) {
+	m, _ := group(3)
+	m.Silent(at(0), "A")
+	for _, instance := range []string{"a", "b"} {
+		m.Drop(instance)
+	}
+	for i, want := range []int{2, 1} {
+		m.Review(at(1 + float64(i)*flapMemory.Seconds()))
+		if len(m.flaps) != want {
+			t.Errorf("review %d: %d hosts, not %d", i, len(m.flaps), want)
+		}
+	}
+}
