An instance that was slow is not probed for ever

Cause: a probe of a slow instance says nothing if fewer than three runs of its step have ended elsewhere. Change: after 5 s without a verdict it gets all work again. Result: TestASlowInstanceIsNotProbedForEver failed before and passes.

--- a/internal/decision/speeds/efficiency.go
+++ b/internal/decision/speeds/efficiency.go
@@ -32,6 +32,9 @@
 	// probeDelay is how long after a hold an instance is taken for as slow as before it, so that it gets
 	// work only if there is no room elsewhere.
 	probeDelay = 200 * time.Millisecond
+	// probeTimeout bounds how long an instance is probed for slowness: runs of steps of which too few
+	// others have ended say nothing.
+	probeTimeout = 5 * time.Second
 	// minHoldSamples is the least weight of the samples for a hold, and minEnds that of those that are
 	// ends: runs of a heavy tail are overdue for long. minOverdue of those do without an end: on some
 	// instances runs stand still.
@@ -138,6 +141,9 @@
 		r.hold(now, Slow, slowHold) // its probe takes too long already
 		return
 	}
+	if r.probing && r.cause == Slow && now.Sub(r.heldUntil) >= probeTimeout {
+		r.Clear()
+	}
 	if !known && r.probing && r.cause == Slow && now.Sub(r.heldUntil) < probeDelay {
 		return
 	}
--- a/internal/decision/speeds/speeds_test.go
+++ b/internal/decision/speeds/speeds_test.go
@@ -105,6 +105,20 @@
 	}
 }
 
+// The probes of a slow instance say nothing if no others of their step have ended. It gets all work again
+// after a while.
+func TestASlowInstanceIsNotProbedForEver(t *testing.T) {
+	m, r := group(8)
+	r.hold(at(0), Slow, slowHold)
+	for second := range 8 {
+		r.Ended(at(float64(second)), 0, time.Second)
+		m.Review(at(float64(second)))
+		if want := second < 6; r.Probing() != want {
+			t.Errorf("%d s after the hold began: probed %v, want %v", second, r.Probing(), want)
+		}
+	}
+}
+
 // A hold for another cause never ends the one that lasts.
 func TestAHoldIsNotShortenedByAnother(t *testing.T) {
 	_, r := group(8)
