FuzzCalls calls explain as well

Cause: explain is a call of any process, and no call may end the owner. Change: the method and the bad jobs as described jobs are among the seeds.

--- a/internal/owner/fuzz_test.go
+++ b/internal/owner/fuzz_test.go
@@ -65,9 +65,10 @@
 
 // No call of another process ends the owner, whatever its parameters.
 func FuzzCalls(f *testing.F) {
-	methods := []string{link.MethodAttach, link.MethodReport, link.MethodAccepted, link.MethodCancelled, link.MethodKnown}
+	methods := []string{link.MethodAttach, link.MethodReport, link.MethodAccepted, link.MethodCancelled, link.MethodKnown, link.MethodExplain}
 	for _, job := range badJobs {
 		f.Add(2, []byte(`{"job":`+job+`}`))
+		f.Add(5, []byte(`{"job":`+job+`}`))
 	}
 	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s"},"full":true,"running":[{"task":"j.0.0.1","run":3}]}`))
 	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s"},"ends":[{"task":"j.-1.7.99","run":-3}],"figures":[{}]}`))
