Single best-effort tasks have no windows

Change: only gangs of best-effort tasks have windows. Result: TestSingleBestEffortTasksHaveNoWindows failed before and passes; the mixes of TestLargeTasksAreServedBesideSmallOnes pass as before.

--- a/internal/decision/dispatch/windowsearch.go
+++ b/internal/decision/dispatch/windowsearch.go
@@ -50,8 +50,13 @@
 	return pool{b.ranked.spec.Policy.Service, b.spec().BestEffort}
 }
 
-// blocked records a step of which a task does not fit anywhere, unless a window keeps it off.
+// blocked records a step of which a task does not fit anywhere, unless a window keeps it off. Single
+// best-effort tasks get no windows: what is short for them is mostly the headroom of latency-critical
+// tasks, and the processors that a window gathers would be idle meanwhile.
 func (p *planner) blocked(j ranked, o *occurrence, step int) {
+	if spec := &j.spec.Steps[step]; spec.BestEffort && !spec.Gang {
+		return
+	}
 	if h := j.hold; h != nil {
 		if h.occurrence == o.number && h.step == step && !h.late {
 			h.turn = turnOf(j)
--- a/internal/decision/dispatch/windowsearch_test.go
+++ b/internal/decision/dispatch/windowsearch_test.go
@@ -19,3 +19,24 @@
 	}
 	expect(t, "windows", s.Windows(), 1)
 }
+
+// Of best-effort tasks only gangs have windows.
+func TestSingleBestEffortTasksHaveNoWindows(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		s := heldScheduler(t)
+		s.Cancel("large")
+		step := stepOf(2, 4)
+		step.BestEffort, step.Gang = true, gang
+		job := jobOf("waiting", step)
+		job.Policy.Latency = 60_000
+		s.Accept(at(2), job, nil)
+		for i := range 5 {
+			s.Plan(at(2 + float64(i)/4))
+		}
+		want := 0
+		if gang {
+			want = 1
+		}
+		expect(t, "windows", s.Windows(), want)
+	}
+}
