--- a/internal/budget/body.go
+++ b/internal/budget/body.go
@@ -31,15 +31,20 @@
 	budget  *Budget
 	most    int64 // bytes that the handler holds at a time; 0: all
 	began   time.Time
-	held    int64 // of the share of bodies
 	waited  time.Duration
 	ended   bool
 	read    atomic.Int64
 	evicted atomic.Bool
 
-	mu sync.Mutex // held for the start and the end of a wait, and for an eviction, with their deadlines
+	mu       sync.Mutex // guards held and finished; held for the start and the end of a wait, and for an eviction, with their deadlines
+	held     int64      // of the share of bodies
+	finished bool       // the handler has returned
 }
 
+// errFinished is returned by a read after the handler has returned, such as of a request that is passed on
+// and was answered before its body had come.
+var errFinished = errors.New("the request has ended")
+
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	if b.ended {
@@ -50,8 +55,8 @@
 	}
 	began := time.Now()
 	allowed := bodyGrace + time.Duration(b.read.Load())*time.Second/leastRate - b.waited
-	if !b.beginWait(began.Add(allowed)) {
-		return 0, errExceeded
+	if err := b.beginWait(began.Add(allowed)); err != nil {
+		return 0, err
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.ended = errors.Is(err, io.EOF)
@@ -69,23 +74,29 @@
 	return n, err
 }
 
-// beginWait marks that the client's bytes are awaited until a deadline. It reports false if the body has
-// given way.
-func (b *body) beginWait(deadline time.Time) bool {
+// beginWait marks that the client's bytes are awaited until a deadline. It fails if the body has given
+// way or the handler has returned.
+func (b *body) beginWait(deadline time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.evicted.Load() {
-		return false
+	switch {
+	case b.finished:
+		return errFinished
+	case b.evicted.Load():
+		return errExceeded
 	}
 	_ = b.conn.SetReadDeadline(deadline) // the read fails as well
 	b.conn.reading.Store(true)
-	return true
+	return nil
 }
 
 // endWait marks that bytes have come, or the end of the body.
 func (b *body) endWait() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.finished {
+		return // the connection may have the next request
+	}
 	b.conn.reading.Store(false)
 	if b.ended {
 		_ = b.conn.SetReadDeadline(time.Time{}) // the next read of the connection fails as well
@@ -112,21 +123,20 @@
 	if b.most > 0 {
 		holds = min(holds, b.most)
 	}
-	more := (holds-freeBody)*bodyCost - b.held
+	held := b.holding()
+	more := (holds-freeBody)*bodyCost - held
 	if more <= 0 {
 		return nil
 	}
 	reserve := int64(0)
-	if b.held+more > smallHold {
+	if held+more > smallHold {
 		reserve = b.budget.bodies.capacity / smallBodyPart
 	}
 	deadline := time.Now().Add(permitTimeout)
 	for {
 		ok, freed := b.budget.bodies.take(more, reserve)
 		if ok {
-			b.held += more
-			b.budget.holders.add(b)
-			return nil
+			return b.hold(more)
 		}
 		wait := time.Until(deadline)
 		if wait <= 0 || b.evicted.Load() {
@@ -141,12 +151,38 @@
 	}
 }
 
+func (b *body) holding() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// hold records n bytes that were taken of the share, and gives them back if the handler has returned.
+func (b *body) hold(n int64) error {
+	b.budget.holders.add(b)
+	b.mu.Lock()
+	finished := b.finished
+	if !finished {
+		b.held += n
+	}
+	b.mu.Unlock() // an eviction locks the holders before a body
+	if finished {
+		b.budget.holders.remove(b)
+		b.budget.bodies.release(n)
+		return errFinished
+	}
+	return nil
+}
+
 // finish releases what the body holds. What the handler has not read is bounded in time.
 func (b *body) finish() {
+	b.mu.Lock()
+	held, ended := b.held, b.ended
+	b.held, b.finished = 0, true
+	b.mu.Unlock()
 	b.budget.holders.remove(b)
-	b.budget.bodies.release(b.held)
-	b.held = 0
-	if !b.ended {
+	b.budget.bodies.release(held)
+	if !ended {
 		b.conn.reading.Store(true)
 		_ = b.conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // the next read fails as well
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -267,3 +267,28 @@
 		t.Error("the connection has a deadline in the past")
 	}
 }
+
+// A request that was passed on may be answered before its body has come, and the rest is read later.
+func TestAReadAfterTheHandlerTakesNothing(t *testing.T) {
+	b := New(Settings{}, metrics.New(), zap.NewNop())
+	inner := &lateDeadlines{evicting: make(chan struct{}), ended: make(chan struct{})}
+	conn := &Conn{Conn: inner, budget: b, listener: &listener{}}
+	conn.phase.Store(int32(inRequest))
+	read := &body{conn: conn, budget: b, began: time.Now(), ReadCloser: io.NopCloser(readerFunc(func(p []byte) (int, error) { return len(p), nil }))}
+	for range 2 {
+		if _, err := read.Read(make([]byte, 64<<10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if b.bodies.inUse() == 0 {
+		t.Error("nothing is held before the end")
+	}
+	read.finish()
+	conn.begin() // the next request
+	if _, err := read.Read(make([]byte, 64<<10)); err == nil {
+		t.Error("read after the end")
+	}
+	if held := b.bodies.inUse(); held != 0 || len(b.holders.bodies) != 0 || conn.readsBody() {
+		t.Errorf("%d bytes and %d bodies are held, the body is awaited: %t", held, len(b.holders.bodies), conn.readsBody())
+	}
+}
