--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -14,7 +14,7 @@
 	return &share{capacity: capacity}
 }
 
-// take takes n bytes if more than that many and reserve are free. Otherwise it returns a channel that
+// take takes n bytes if as many, and reserve, are free. Otherwise it returns a channel that
 // is closed at the next release.
 func (s *share) take(n, reserve int64) (ok bool, freed <-chan struct{}) {
 	s.mu.Lock()
