--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -20,7 +20,6 @@
 	"largest-job":          largestJob,
 	"gang-waits":           gangWaits,
 	"wide-gang":            wideGang,
-	"failed-by-crashes":    failedByCrashes,
 }
 
 func main() {
--- a/review/lab2/sightings.go
+++ b/review/lab2/sightings.go
@@ -3,21 +3,19 @@
 package main
 
 import (
-	"strings"
 	"sync"
 	"time"
 )
 
 // sighting is one run as its worker has seen it.
 type sighting struct {
-	worker     *worker
-	task       string
-	number     int64
-	began      time.Time
-	ended      time.Time // zero while it runs
-	how        string
-	takenNote  time.Time // when its end was taken note of; zero before
-	atTheStart int       // other runs of the task that ran when it began
+	worker    *worker
+	task      string
+	number    int64
+	began     time.Time
+	ended     time.Time // zero while it runs
+	how       string
+	takenNote time.Time // when its end was taken note of; zero before
 }
 
 // sightings are the runs that all workers have seen.
@@ -38,7 +36,7 @@
 func (s *sightings) began(w *worker, task string, number int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seen := &sighting{worker: w, task: task, number: number, began: time.Now(), atTheStart: len(s.active[task])}
+	seen := &sighting{worker: w, task: task, number: number, began: time.Now()}
 	s.record.note("%s starts %s run %d", w.machine, task, number)
 	for _, other := range s.active[task] {
 		if s.onTwo != nil {
@@ -89,16 +87,3 @@
 	}
 	return active, len(s.all)
 }
-
-// failed returns how many runs of a job have ended as failed.
-func (s *sightings) failed(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	count := 0
-	for _, seen := range s.all {
-		if strings.HasPrefix(seen.task, id+".") && seen.how == "failed" {
-			count++
-		}
-	}
-	return count
-}
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -122,16 +122,6 @@
 	w.record.note("worker %s crashed", w.machine)
 }
 
-// crashFor is a crash, after which the worker starts again as another one.
-func (w *worker) crashFor(down time.Duration) {
-	w.crash()
-	time.AfterFunc(down, func() {
-		if err := w.begin(); err != nil {
-			w.record.note("worker %s does not start: %v", w.machine, err)
-		}
-	})
-}
-
 func (w *worker) beat(life int, done chan struct{}) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
