A late end of an earlier run no longer releases a long-running task

Cause: Scheduler.runEnded released the task on an end "done" of any run, since a task that is done needs no run. A long-running task is not done by it: its current run was stopped, and the next plan started it elsewhere without waiting for the end of that stop. The next owner hears of the current run from one worker and of the earlier end, which nobody acknowledged, from another. TestALateEndDoesNotFreeALongRunningTask failed before the fix in the case "done": a start "j.0.0.0 1000001 a" and a stop of run 2 on b, neither expected. It passes now, with all tests of the package. Why it works: only the end of the current run releases a task. The end of another run stops the current one only where it has made the task done, which never starts again. Related paths: ends failed, stopped and lapsed of other runs released nothing before; the test covers them. Ruled out: two owners at once, and a late start order (the new owner had listed run 2000006).

--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -53,20 +53,20 @@
 		s.learnFromEnd(now, in, p, end, t)
 	}
 	s.applyEnd(now, in, end, t)
-	if current || end.Reason == EndDone {
-		s.release(t, current)
+	switch {
+	case current:
+		t.instance, t.run = "", 0
+	case t.done:
+		s.stopCurrent(t)
 	}
 }
 
-// release removes a task from its instance. If the run that ended is not the current one, the
-// current one is stopped.
-func (s *Scheduler) release(t *task, current bool) {
-	if !current && t.instance != "" {
-		// The task is done by another run: the run that is placed now is not needed.
-		if in, ok := s.instances[t.instance]; ok {
-			if p, placed := in.reservations[t.name]; placed {
-				s.stop(in, p, StopSuperseded)
-			}
+// stopCurrent stops the current run of a task that another run has completed, and removes the
+// task from its instance.
+func (s *Scheduler) stopCurrent(t *task) {
+	if in, ok := s.instances[t.instance]; ok {
+		if p, placed := in.reservations[t.name]; placed {
+			s.stop(in, p, StopSuperseded)
 		}
 	}
 	t.instance, t.run = "", 0
