Leases that a restarted worker got from calls to its former incarnation are waited for

Workers started again under their IDs and were cut off soon after. Cause: a worker that is back carries out calls that were meant for its former incarnation. Their lease ends on the former clock, so the worker cuts it to the longest one, up to 10.2 s, which no owner has granted. Only the owner of the term knew of that: the next owner waited 8.25 s from its claim, or 3.64 s after its own last grant, and the next agent process 4 s. A call that was carried out up to 15 s late counted from the wrong moment. Answers of the other incarnation were taken for those of the one that was meant. Why it works: one rule, at the agent, which alone knows what it sent. Each session has a higher fencing token than those before, so after the first answer to a poll of the session no older call has an effect, and a stale lease ends 10.3 s later; before that answer the bound is 25.3 s. Reports carry it to the owner, the instance's row says that there was a restart, and a new owner waits 10.3 s for instances that do not attach. An agent that still reaches its worker stops the runs 1 s before the granted leases end. An answer of another incarnation settles nothing, and is logged. Related paths: the drift of a lease counts from the reading of the worker's clock; a vacant agent, and a later agent process, no longer end the wait for a restarted worker's leases. Tests: the stand-in no longer drops late calls to a new incarnation, so TestSchedules and the soak are stricter. TestALeaseLastsOnASlowClock now also reads the clock long before. Cost: tasks of an instance that does not attach wait 2.05 s longer after a takeover.

--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -27,6 +27,9 @@
 	Draining         bool        `json:"leaving,omitempty"`   // the instance takes no new tasks and will be gone
 	GracePeriod      int64       `json:"remaining,omitempty"` // ms until a draining instance is gone, at least
 	ColdRemaining    int64       `json:"cold,omitempty"`      // ms for which the worker is still slow after its start
+	// Restarted says that the ID has had an earlier incarnation, calls to which may have given this
+	// one a lease that no owner has granted. The owner sets it.
+	Restarted bool `json:"restarted,omitempty"`
 }
 
 // RunStatus is one run in an instance's status report.
--- a/internal/decision/dispatch/instances.go
+++ b/internal/decision/dispatch/instances.go
@@ -77,6 +77,7 @@
 	in, known := s.instances[id]
 	if known && in.registration.Incarnation != registration.Incarnation {
 		in.restart()
+		registration.Restarted = true
 	}
 	if !known {
 		in = newInstance(registration)
@@ -85,6 +86,7 @@
 	if in.registration.Draining && !registration.Draining {
 		in.rowChangeRequested = false // its row may have been deleted
 	}
+	registration.Restarted = registration.Restarted || in.registration.Restarted
 	in.registration = registration
 	s.updateEvacuated(in)
 	in.updateCold(now)
@@ -100,11 +102,16 @@
 	return !in.rowWritten
 }
 
-// IsNewIncarnation reports whether the ID is known with another incarnation. It is false for an
-// unknown ID.
-func (s *Scheduler) IsNewIncarnation(incarnation Incarnation) bool {
-	in, known := s.instances[incarnation.ID]
-	return known && in.registration.Incarnation != incarnation
+// Restarted reports whether the ID of a known instance has had an earlier incarnation.
+func (s *Scheduler) Restarted(id string) bool {
+	in, known := s.instances[id]
+	return known && in.registration.Restarted
+}
+
+// DrivenBy reports whether the given agent process was the last that registered a known instance.
+func (s *Scheduler) DrivenBy(id, agentIncarnation string) bool {
+	in, known := s.instances[id]
+	return known && in.registration.AgentIncarnation == agentIncarnation
 }
 
 // dropPredecessors removes the earlier incarnations registered by the same agent under other
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -28,16 +28,30 @@
 	MethodEvacuated = "evacuated" // entry to owner, with an evacuation.State
 )
 
-// MaxStaleLease bounds the lease that a restarted worker may hold although no owner
-// granted it to the new incarnation. It arises when an order for the previous incarnation
-// is carried out late: the end of its lease is on the clock of that incarnation, and the
-// longest lease is 10 s. StaleOrderWindow bounds the time after the first attach of the new
-// incarnation during which such an order may arrive.
+// A worker that has restarted under its ID carries out calls that were sent to its previous
+// incarnation. The lease of such a call ends on the clock of that incarnation, which is far ahead, so
+// the new one cuts it to the longest lease: a stale lease, which no owner has granted.
 const (
-	MaxStaleLease    = 10*time.Second + 300*time.Millisecond
-	StaleOrderWindow = 15 * time.Second
+	// MaxStaleLease bounds the time from when such a call is carried out until its lease has expired:
+	// the longest lease is 10 s, on a clock that may be 2 % slow.
+	MaxStaleLease = 10*time.Second + 300*time.Millisecond
+	// MaxCallDelay is the longest time after a call was sent in which a worker may still carry it
+	// out, unless it has seen a higher fencing token since.
+	MaxCallDelay = 15 * time.Second
+	// UnfencedStaleLease bounds the time from the end of the calls to the previous incarnation until
+	// each stale lease has expired, as long as the new one may have seen no higher fencing token.
+	UnfencedStaleLease = MaxCallDelay + MaxStaleLease
 )
 
+// fencesPerEpoch is the size of the range of fencing tokens that each owner epoch has to itself.
+const fencesPerEpoch = 1_000_000
+
+// Fence returns the fencing token of an agent's calls to its worker: attach is the number of the
+// agent's session among those of the worker's ID under the owner of an epoch. Each session has a higher one
+// than all before it, so that a call of an earlier session, which may have been meant for an earlier
+// incarnation of the worker, has no effect once the worker has seen it.
+func Fence(epoch, attach uint64) uint64 { return epoch*fencesPerEpoch + min(attach, fencesPerEpoch-1) }
+
 // Attach starts a session of an agent with the owner. The owner sends no starts until the
 // agent has sent a full report; it may send stops and Committed before.
 type Attach struct {
@@ -52,6 +66,8 @@
 	// an earlier process of the agent gave have expired. Registration then names the agent only, and
 	// no session starts. Epoch is as above.
 	Vacant bool `json:"vacant,omitempty"`
+	// StaleLease is how long the worker may still hold a stale lease, in ms.
+	StaleLease int64 `json:"stale,omitempty"`
 	// Crash is the last crash of the worker, if it was lately. Each attach repeats it, since the
 	// owner may have changed.
 	Crash *Crash `json:"crash,omitempty"`
@@ -71,6 +87,10 @@
 // AttachReply is the reply to Attach. Epoch is the fencing token of the owner's orders.
 type AttachReply struct {
 	Epoch uint64 `json:"epoch"`
+	// Attach is the number of this attach among those of the worker's ID in this epoch, see Fence.
+	Attach uint64 `json:"n,omitempty"`
+	// Restarted says that the worker's ID has had an earlier incarnation.
+	Restarted bool `json:"restarted,omitempty"`
 	// Incremental says that the owner keeps the registration of the session: a report without
 	// one means that it has not changed. Owners of earlier versions need it in each report.
 	Incremental bool `json:"incremental,omitempty"`
@@ -93,6 +113,7 @@
 	Measurements  []dispatch.Measurement `json:"figures,omitempty"`
 	Silent        bool                   `json:"silent,omitempty"` // the worker does not respond to its agent
 	LeasesExpired bool                   `json:"lapsed,omitempty"` // Silent, and all leases of the worker have expired
+	StaleLease    int64                  `json:"stale,omitempty"`  // as in Attach
 	// Evacuation is what the agent knows, nil unless its domain is evacuated.
 	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -53,7 +53,7 @@
 	if a.LeasesExpired {
 		// The message may arrive late. Once the instance has attached in this term, its worker
 		// may have been given leases since, and the owner waits for those instead.
-		if a.Epoch == t.epoch && !t.attached[id] {
+		if a.Epoch == t.epoch && !t.attached[id] && !t.awaitsStaleLease(id, a.Registration.AgentIncarnation) {
 			t.lose(id, a.Registration.Incarnation, "worker silent, its leases are over")
 		}
 		return link.AttachReply{Epoch: t.epoch, Incremental: true}
@@ -63,11 +63,14 @@
 		old.conn.link.Close()
 	}
 	t.log.Info("attach", zap.String("instance", id), zap.Int64("born", a.Registration.Incarnation.StartedAt), zap.String("agent", a.Registration.Agent), zap.Uint64("session", a.Session))
-	if t.scheduler.IsNewIncarnation(a.Registration.Incarnation) {
-		t.staleLeaseUntil[id] = time.Now().Add(link.StaleOrderWindow)
-	}
+	t.attaches[id]++
 	t.recordCrash(a)
+	newProcess := !t.scheduler.DrivenBy(id, a.Registration.AgentIncarnation)
 	t.scheduler.Register(time.Now(), a.Registration)
+	t.extendStaleLease(id, time.Duration(a.StaleLease)*time.Millisecond)
+	if newProcess && t.scheduler.Restarted(id) {
+		t.extendStaleLease(id, link.UnfencedStaleLease) // the agent does not know of it before the reply
+	}
 	t.scheduler.SetReachable(id, false) // until the agent has sent its full run list
 	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, agent: a.Registration.Agent, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}, domain: a.Registration.Domain}
 	t.sessions[id] = s
@@ -88,7 +91,7 @@
 	})
 	t.noteAgentEvacuation(s, a.Evacuation)
 	t.schedulePlan()
-	return link.AttachReply{Epoch: t.epoch, Incremental: true, Evacuation: t.evacuationNotice(s)}
+	return link.AttachReply{Epoch: t.epoch, Attach: t.attaches[id], Restarted: t.scheduler.Restarted(id), Incremental: true, Evacuation: t.evacuationNotice(s)}
 }
 
 // recordCrash passes the crash of a worker that its agent reports to the scheduler.
@@ -124,8 +127,15 @@
 	delete(t.sessions, id)
 	t.scheduler.SetReachable(id, false)
 	t.leaseExpiry[id] = s.leaseCountedFrom.Add(leaseExpiryWait)
-	if now := time.Now(); now.Before(t.staleLeaseUntil[id]) {
-		t.leaseExpiry[id] = now.Add(link.MaxStaleLease)
+	if until := t.staleLeaseUntil[id]; until.After(t.leaseExpiry[id]) {
+		t.leaseExpiry[id] = until
+	}
+}
+
+// extendStaleLease records that the worker of an instance may hold a stale lease for that long.
+func (t *term) extendStaleLease(id string, remaining time.Duration) {
+	if until := time.Now().Add(remaining); until.After(t.staleLeaseUntil[id]) {
+		t.staleLeaseUntil[id] = until
 	}
 }
 
@@ -141,6 +151,7 @@
 	}
 	now := time.Now()
 	s.lastReportAt = now
+	t.staleLeaseUntil[id] = now.Add(time.Duration(r.StaleLease) * time.Millisecond)
 	if r.Registration != nil {
 		t.scheduler.Register(now, *r.Registration)
 		s.domain = r.Registration.Domain
@@ -170,17 +181,25 @@
 }
 
 // handleVacant handles the message of an agent process without a worker. The instances in the table that
-// earlier processes of the agent registered are lost, unless they have attached in this term.
+// earlier processes of the agent registered are lost, unless they have attached in this term or their
+// worker may hold a stale lease.
 func (t *term) handleVacant(a link.Attach) link.AttachReply {
+	process := a.Registration.AgentIncarnation
 	for _, registration := range t.scheduler.RegisteredBy(a.Registration.Agent) {
 		id := registration.Incarnation.ID
-		if a.Epoch == t.epoch && !t.attached[id] && registration.AgentIncarnation != a.Registration.AgentIncarnation {
+		if a.Epoch == t.epoch && !t.attached[id] && registration.AgentIncarnation != process && !t.awaitsStaleLease(id, process) {
 			t.lose(id, registration.Incarnation, "its agent has restarted and has no worker")
 		}
 	}
 	return link.AttachReply{Epoch: t.epoch, Incremental: true}
 }
 
+// awaitsStaleLease reports whether the worker of an instance without a session may hold a stale lease of
+// which the given agent process does not know, since an earlier process drove the worker.
+func (t *term) awaitsStaleLease(id, agentIncarnation string) bool {
+	return t.scheduler.Restarted(id) && !t.scheduler.DrivenBy(id, agentIncarnation) && time.Now().Before(t.leaseExpiry[id])
+}
+
 // lose ends the session of an instance if its agent has reported that all leases given to the worker
 // have expired: nothing runs there any more.
 func (t *term) lose(id string, incarnation dispatch.Incarnation, reason string) {
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -30,9 +30,10 @@
 	// is open: a link may turn silent without a close. An agent that reports has by then given
 	// the session up itself, since it waits for at most one second for a reply.
 	sessionTimeout = 2500 * time.Millisecond
-	// takeoverWait is the time from a claim until every lease that an earlier owner granted
-	// has expired. A fortieth of epochConfirmationTTL is added for the clocks' rates too.
-	takeoverWait = epochConfirmationTTL + epochConfirmationTTL/40 + leaseExpiryWait
+	// takeoverWait is the time from a claim until every lease that an earlier owner granted, and
+	// every stale lease that a worker got before the claim, has expired. A fortieth of
+	// epochConfirmationTTL is added for the clocks' rates too.
+	takeoverWait = max(epochConfirmationTTL+epochConfirmationTTL/40+leaseExpiryWait, link.MaxStaleLease)
 	// tickPeriod is the time between two calls of term.tick.
 	tickPeriod = 50 * time.Millisecond
 	// planIdleFactor times the duration of a plan is the pause before a plan that
@@ -68,7 +69,8 @@
 	leaseExpiry      map[string]time.Time      // of instances without a session: when their last lease expires
 	revisions        map[table.RowKey]uint64   // last known revision per row
 	changes          []dispatch.InstanceChange // instance rows to be committed
-	staleLeaseUntil  map[string]time.Time      // until when an order to the previous incarnation may still give a restarted instance a lease
+	attaches         map[string]uint64         // by instance ID: how often its agent has attached in this term
+	staleLeaseUntil  map[string]time.Time      // until when the worker of an instance may hold a stale lease, as its agent says
 	removing         map[string]bool           // by instance ID: a removal of its row is in flight
 	removalUncertain map[string]bool           // instances whose row an unanswered removal may still remove
 	finished         []finishedJob             // in the order in which they finished
@@ -115,7 +117,7 @@
 		progressFailures: logs.NewFailureLogger(log, "progress-not-stored"),
 		epoch:            holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
 		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{}, attached: map[string]bool{},
-		leaseExpiry: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, staleLeaseUntil: map[string]time.Time{},
+		leaseExpiry: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, attaches: map[string]uint64{}, staleLeaseUntil: map[string]time.Time{},
 		inForce: map[string]bool{},
 		ctx:     ctx, stop: stop,
 	}
--- a/internal/runner/crashes_test.go
+++ b/internal/runner/crashes_test.go
@@ -73,7 +73,7 @@
 			r.session = nil
 			call, _ := r.nextPoll(0)
 			before := r.aliveAt()
-			r.handlePoll(call, PollResult{Clock: 1, StartedAt: 9}, nil, time.Now(), time.Now().Add(time.Second))
+			r.handlePoll(call, PollResult{Clock: 1, Answer: Answer{StartedAt: 9}}, nil, time.Now(), time.Now().Add(time.Second))
 			if r.lastCrash.at != before {
 				t.Errorf("the answer of another incarnation was counted: the last one came at %v, not at %v", r.lastCrash.at, before)
 			}
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -38,7 +38,7 @@
 					if s.conn = conn; !inSession {
 						r.session = nil
 					}
-					r.silent, r.leasesExpireAt = true, time.Now().Add(-time.Second)
+					r.silent, r.leases.grantedUntil = true, time.Now().Add(-time.Second)
 				})
 				var err error
 				if inSession {
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -107,7 +107,7 @@
 	next := pacedRun{known.number, pace}
 	p.sent[name] = next
 	r.registry.Add("paced", 1)
-	call := PaceCall{Incarnation: r.registration.Incarnation, Fence: r.fence, Task: name, Run: known.number, Pace: pace}
+	call := PaceCall{Incarnation: r.registration.Incarnation, Fence: r.sessionFence, Task: name, Run: known.number, Pace: pace}
 	r.loop.Go(func() {
 		callCtx, cancel := context.WithTimeout(r.loop.Context(), orderTimeout)
 		defer cancel()
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -23,7 +23,10 @@
 	for ctx.Err() == nil {
 		var call PollCall
 		ready := false
-		if r.loop.Do(func() { call, ready = r.nextPoll(pollWait) }) != nil {
+		if r.loop.Do(func() {
+			r.stopUngranted()
+			call, ready = r.nextPoll(pollWait)
+		}) != nil {
 			return
 		}
 		if !ready {
@@ -54,10 +57,10 @@
 // nextPoll returns the parameters of the next poll. ready is false until the worker has
 // registered and an owner has attached.
 func (r *Runner) nextPoll(wait time.Duration) (call PollCall, ready bool) {
-	if r.registration == nil || r.fence == 0 {
+	if r.registration == nil || r.sessionFence == 0 {
 		return PollCall{}, false
 	}
-	call = PollCall{Incarnation: r.registration.Incarnation, Fence: r.fence, LeaseDeadline: r.grantLease(), Acked: r.committedEnd, Wait: wait.Milliseconds()}
+	call = PollCall{Incarnation: r.registration.Incarnation, Fence: r.sessionFence, LeaseDeadline: r.grantLease(), Acked: r.committedEnd, Wait: wait.Milliseconds()}
 	if r.incarnationUncertain || time.Since(r.lastAnswerAt) > incarnationTrustPeriod {
 		// The worker may be another incarnation with the same ID, which numbers its ends
 		// from the start again.
@@ -66,20 +69,6 @@
 	return call, true
 }
 
-// grantLease returns the granted lease deadline on the worker's clock, for a call that is about
-// to be sent, or 0 if there is no lease to give. The lease of a silent worker is not
-// extended, so that it can expire. The worker reads its clock before its answer arrives, so
-// the result is never later than the granted deadline. grantLease also moves leasesExpireAt, so
-// it is only called for a call that is sent.
-func (r *Runner) grantLease() int64 {
-	if r.silent || r.clockReadAt.IsZero() || !time.Now().Before(r.grantDeadline) {
-		return 0
-	}
-	remaining := time.Until(r.grantDeadline)
-	r.leasesExpireAt = latest(r.leasesExpireAt, r.grantDeadline.Add(remaining/clockDriftDivisor+leaseExpiryMargin))
-	return r.workerClock + r.grantDeadline.Sub(r.clockReadAt).Milliseconds()
-}
-
 // pollOnce polls the worker once and handles its answer on the loop. It reports whether the
 // poll failed.
 func (r *Runner) pollOnce(ctx context.Context, call PollCall) bool {
@@ -126,14 +115,22 @@
 	}
 	r.workerClock, r.clockReadAt = result.Clock, got
 	r.reconcile(result, sent)
-	if r.session != nil && call.Fence == r.session.epoch && !sent.Before(r.session.began) && !r.session.listed && !result.EndsCutOff {
-		r.session.listed = true
-		r.requestReport()
+	if r.session != nil && call.Fence == r.sessionFence && !sent.Before(r.session.began) {
+		r.leases.fence(got)
+		r.noteListed(result)
 	}
 	r.pacer.observe(r, result.Running, got)
 	return false
 }
 
+// noteListed records that a poll of the current session has listed all runs and ends.
+func (r *Runner) noteListed(result PollResult) {
+	if !r.session.listed && !result.EndsCutOff {
+		r.session.listed = true
+		r.requestReport()
+	}
+}
+
 // recordAnswer records that the current incarnation of the worker has answered a poll.
 func (r *Runner) recordAnswer(got time.Time) {
 	r.lastAnswerAt, r.incarnationUncertain = got, false
@@ -155,23 +152,6 @@
 	}
 }
 
-// leasesExpired reports whether the worker is silent and all leases given to it have expired. A worker
-// that is silent after it has deregistered has ended, and nothing runs there whatever its leases.
-func (r *Runner) leasesExpired() bool {
-	return r.silent && (r.left || time.Now().After(r.leasesExpireAt))
-}
-
-// declareLeasesExpired returns leasesExpired for a message to the owner. Since the owner starts the
-// tasks elsewhere then, the last grant is void: a worker that answers again gets no lease, with which
-// it would carry out a late start, before the next session has earned one.
-func (r *Runner) declareLeasesExpired() bool {
-	expired := r.leasesExpired()
-	if expired {
-		r.grantDeadline = time.Time{}
-	}
-	return expired
-}
-
 // reconcile updates the known runs from the result of a poll that was sent at the time sent. If the list
 // of ends is cut off, nothing is known of a run that is not listed: its end may come next.
 func (r *Runner) reconcile(result PollResult, sent time.Time) {
--- a/internal/runner/probe.go
+++ b/internal/runner/probe.go
@@ -18,7 +18,7 @@
 // last is used.
 func (r *Runner) registerOther(registration dispatch.Registration, sequence int64) {
 	switch {
-	case r.fence > 0:
+	case r.sessionFence > 0:
 		r.probe(registration, sequence)
 	case registration.Incarnation.StartedAt > r.registration.Incarnation.StartedAt:
 		r.startIncarnation(registration)
@@ -34,7 +34,7 @@
 	}
 	r.probing = true
 	known := r.registration.Incarnation
-	call := PollCall{Incarnation: registration.Incarnation, Fence: r.fence}
+	call := PollCall{Incarnation: registration.Incarnation, Fence: r.sessionFence}
 	r.loop.Go(func() {
 		callCtx, cancel := context.WithTimeout(r.loop.Context(), probeTimeout)
 		defer cancel()
--- a/internal/runner/probe_test.go
+++ b/internal/runner/probe_test.go
@@ -16,7 +16,7 @@
 		if call.Incarnation.ID != incarnation.ID {
 			return PollResult{Answer: Answer{Status: WrongIncarnation}}, nil
 		}
-		return PollResult{Clock: 200, StartedAt: incarnation.StartedAt}, nil
+		return PollResult{Clock: 200, Answer: Answer{StartedAt: incarnation.StartedAt}}, nil
 	}}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -30,13 +30,6 @@
 	// incarnationTrustPeriod is the time after its last answer in which a worker is assumed to
 	// be the same incarnation.
 	incarnationTrustPeriod = 450 * time.Millisecond
-	// A lease may last longer than granted by 1/clockDriftDivisor of its duration, one part in
-	// 40 or 2.5 %, since the worker's clock may be 2 % slow, and by leaseExpiryMargin.
-	clockDriftDivisor = 40
-	leaseExpiryMargin = 100 * time.Millisecond
-	// initialLeaseBound bounds the remaining time of a lease that an earlier agent process
-	// gave to the worker.
-	initialLeaseBound = 4 * time.Second
 )
 
 // Settings configure a Runner.
@@ -59,7 +52,8 @@
 	registrationVersion int                    // increases with each change of registration
 	sequence            int64                  // of the worker's last registration
 	probing             bool                   // a poll is to show whether another incarnation has replaced the known one
-	fence               uint64                 // highest epoch of an owner that this agent has attached to
+	epoch               uint64                 // highest epoch of an owner that this agent has attached to
+	sessionFence        uint64                 // fencing token of the last session, 0 before the first one
 	runs                runsByTask
 	// unanswered holds the last start of each task that got no answer. The worker may still
 	// carry it out.
@@ -68,8 +62,7 @@
 	lastListedEnd int64          // highest sequence number of an end in a poll result
 	committedEnd  int64          // ends up to this sequence number are in the table
 
-	grantDeadline        time.Time // until when the owner has granted the lease
-	leasesExpireAt       time.Time // when all leases given to the worker have certainly expired
+	leases               leases    // of the worker
 	workerClock          int64     // last reading of the worker's clock, in ms
 	clockReadAt          time.Time // when the answer with that reading arrived
 	lastAnswerAt         time.Time // when the worker last answered
@@ -95,7 +88,7 @@
 func New(settings Settings, worker Worker, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Runner {
 	r := &Runner{
 		settings: settings, worker: worker, loop: l, log: log, registry: registry, ignored: logs.NewFailureLogger(log, "registration-ignored"),
-		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, leasesExpireAt: time.Now().Add(initialLeaseBound),
+		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, leases: newLeases(),
 		lastAnswerAt: time.Now(), pollWake: make(chan struct{}, 1), pacer: newPacer(),
 	}
 	r.noteServed()
@@ -155,8 +148,12 @@
 	r.recordCrash()
 	unsettled := r.unsettled(registration)
 	r.forgetOtherDomain(registration)
-	if r.registration != nil && r.registration.Incarnation.ID == registration.Incarnation.ID {
-		r.leasesExpireAt = latest(r.leasesExpireAt, time.Now().Add(link.MaxStaleLease))
+	switch {
+	case r.registration == nil:
+	case r.registration.Incarnation.ID == registration.Incarnation.ID:
+		r.leases.restarted()
+	default:
+		r.leases.replaced()
 	}
 	r.coldUntil = takeCold(&registration)
 	r.registration = &registration
@@ -182,7 +179,7 @@
 		}
 	}
 	for name, order := range r.unanswered {
-		if time.Since(order.at) < maxOrderDelay && (remaining[name] == nil || remaining[name].number < order.run) {
+		if time.Since(order.at) < link.MaxCallDelay && (remaining[name] == nil || remaining[name].number < order.run) {
 			remaining[name] = &run{number: order.run}
 		}
 	}
@@ -241,24 +238,6 @@
 	r.wakePoll()
 }
 
-// extendGrant records a lease of duration ttl that the owner granted for a report that was sent
-// at the time sent.
-func (r *Runner) extendGrant(sent time.Time, ttl time.Duration) {
-	if ttl <= 0 {
-		return
-	}
-	if deadline := sent.Add(ttl); deadline.After(r.grantDeadline) {
-		r.grantDeadline = deadline
-	}
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // requestReport makes the session send a report at once.
 func (r *Runner) requestReport() {
 	if r.session != nil {
@@ -280,7 +259,7 @@
 // takeReport returns the next report to the owner and marks what it contains as reported. If it
 // is not delivered, the session must end.
 func (r *Runner) takeReport(s *session) link.Report {
-	report := link.Report{Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s), Silent: r.silent, LeasesExpired: r.declareLeasesExpired(), Measurements: slices.Clone(r.pacer.measurements), Evacuation: r.knownEvacuation()}
+	report := link.Report{Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s), Silent: r.silent, LeasesExpired: r.declareLeasesExpired(), StaleLease: r.leases.staleFor().Milliseconds(), Measurements: slices.Clone(r.pacer.measurements), Evacuation: r.knownEvacuation()}
 	for _, end := range r.ends {
 		if end.Sequence > s.lastReportedEnd {
 			report.Ends = append(report.Ends, end)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -26,10 +26,11 @@
 		r := New(Settings{Name: "a", AgentIncarnation: "p"}, worker, l, zap.NewNop(), metrics.New())
 		r.Register(dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "w", StartedAt: 5}, Service: "s"}, 1)
 		onLoop(t, r, func() {
-			r.fence = 1
+			r.epoch, r.sessionFence = 1, 1
+			r.leases.replaced() // as if no earlier incarnation had its ID
 			r.session = &session{number: 1, epoch: 1, began: time.Now(), wakeup: make(chan struct{}, 1)}
 			r.workerClock, r.clockReadAt = 100, time.Now()
-			r.extendGrant(time.Now(), 3*time.Second)
+			r.leases.extendGrant(time.Now(), 3*time.Second)
 		})
 		test(t, r)
 		cancel()
@@ -45,7 +46,7 @@
 }
 
 func pollResultOf(workerClock int64, running ...dispatch.TaskName) PollResult {
-	result := PollResult{Clock: workerClock, StartedAt: 5}
+	result := PollResult{Clock: workerClock, Answer: Answer{StartedAt: 5}}
 	for _, name := range running {
 		result.Running = append(result.Running, RunStatus{RunStatus: dispatch.RunStatus{Task: name, Run: 1}})
 	}
@@ -97,7 +98,7 @@
 		time.Sleep(time.Second)
 		onLoop(t, r, func() {
 			r.handlePollFailure(PollResult{}, errors.New("no answer"))
-			r.extendGrant(time.Now(), 3*time.Second)
+			r.leases.extendGrant(time.Now(), 3*time.Second)
 			if call, _ := r.nextPoll(0); call.LeaseDeadline != 0 {
 				t.Errorf("lease deadline %d for a silent worker, want 0", call.LeaseDeadline)
 			}
@@ -205,20 +206,23 @@
 const slowestClock = 0.98
 
 // A lease that the agent has given to the worker counts as expired only when it has expired on the
-// slowest clock that a worker may have.
+// slowest clock that a worker may have. The clock may have been read some time before the lease is given.
 func TestALeaseLastsOnASlowClock(t *testing.T) {
-	withRunner(t, Worker{}, func(t *testing.T, r *Runner) {
-		onLoop(t, r, func() {
-			r.leasesExpireAt = time.Time{} // the leases of an earlier agent have expired
-			now := time.Now()
-			deadline := r.grantLease()
-			onWorker := time.Duration(deadline-r.workerClock) * time.Millisecond
-			expiry := now.Add(time.Duration(float64(onWorker) / slowestClock))
-			if r.leasesExpireAt.Before(expiry) {
-				t.Errorf("counts as expired after %v, lasts %v", r.leasesExpireAt.Sub(now), expiry.Sub(now))
-			}
+	for _, age := range []time.Duration{0, time.Second, 10 * time.Second} {
+		withRunner(t, Worker{}, func(t *testing.T, r *Runner) {
+			time.Sleep(age)
+			onLoop(t, r, func() {
+				r.leases.grantedUntil = time.Time{} // the leases of an earlier agent have expired
+				r.leases.extendGrant(time.Now(), 3*time.Second)
+				deadline := r.grantLease()
+				onWorker := time.Duration(deadline-r.workerClock) * time.Millisecond
+				expiry := r.clockReadAt.Add(time.Duration(float64(onWorker) / slowestClock))
+				if r.leases.grantedUntil.Before(expiry) {
+					t.Errorf("clock read %v ago: counts as expired %v too early", age, expiry.Sub(r.leases.grantedUntil))
+				}
+			})
 		})
-	})
+	}
 }
 
 // No orders end the agent, whatever they hold.
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -18,9 +18,6 @@
 	// maxStopDuration is the longest time that a worker takes to stop a run. Until then its
 	// poll results may show the run neither as running nor as ended.
 	maxStopDuration = 450 * time.Millisecond
-	// maxOrderDelay is the longest time after an order was sent in which the worker may still
-	// carry it out.
-	maxOrderDelay = 15 * time.Second
 	// maxStartTries is the number of times that a start is sent without an answer before the
 	// run is stopped instead.
 	maxStartTries = 3
@@ -129,7 +126,7 @@
 func (r *Runner) tryStart(known *run, try int) {
 	order := known.order
 	call := StartCall{
-		Incarnation: r.registration.Incarnation, Fence: r.fence, LeaseDeadline: r.grantLease(),
+		Incarnation: r.registration.Incarnation, Fence: r.sessionFence, LeaseDeadline: r.grantLease(),
 		Task: order.Task, Run: order.Run, Payload: order.Payload, Checkpoint: order.Checkpoint,
 	}
 	sent := time.Now()
@@ -153,6 +150,9 @@
 	if err != nil {
 		r.noteUnanswered(call)
 	}
+	if r.answeredByOther(call.Incarnation, answer, err) {
+		return
+	}
 	r.recordStartAnswer(known, call, sent, answer, err)
 	if !r.isCurrent(call.Incarnation, known, call.Task) {
 		return
@@ -182,6 +182,23 @@
 	}
 }
 
+// answeredByOther reports whether another incarnation of the worker answered an order than the one that
+// it was meant for. Such an answer settles nothing: the order is stopped as one that is in flight, by
+// startIncarnation.
+func (r *Runner) answeredByOther(meant dispatch.Incarnation, answer Answer, err error) bool {
+	if err != nil || answer.StartedAt == 0 || answer.StartedAt == meant.StartedAt {
+		return false
+	}
+	r.log.Warn("answered-by-other-life", zap.String("instance", meant.ID), zap.Int64("born", meant.StartedAt), zap.Int64("answered", answer.StartedAt), zap.Stringer("answer", answer.Status))
+	r.registry.Add("answered-by-other-life", 1)
+	if r.registration != nil && r.registration.Incarnation == meant && answer.StartedAt > meant.StartedAt {
+		registration := *r.registration
+		registration.Incarnation.StartedAt = answer.StartedAt
+		r.startIncarnation(registration)
+	}
+	return true
+}
+
 // unansweredStart is a start that got no answer.
 type unansweredStart struct {
 	run int64
@@ -191,7 +208,7 @@
 func (r *Runner) noteUnanswered(call StartCall) {
 	now := time.Now()
 	for name, order := range r.unanswered {
-		if now.Sub(order.at) > maxOrderDelay {
+		if now.Sub(order.at) > link.MaxCallDelay {
 			delete(r.unanswered, name)
 		}
 	}
@@ -242,7 +259,7 @@
 }
 
 func (r *Runner) tryStop(known *run, name dispatch.TaskName) {
-	call := StopCall{Incarnation: r.registration.Incarnation, Fence: r.fence, Task: name, Run: known.number}
+	call := StopCall{Incarnation: r.registration.Incarnation, Fence: r.sessionFence, Task: name, Run: known.number}
 	r.loop.Go(func() {
 		callCtx, cancel := context.WithTimeout(r.loop.Context(), orderTimeout)
 		defer cancel()
@@ -252,7 +269,7 @@
 }
 
 func (r *Runner) stopAnswered(known *run, call StopCall, answer Answer, err error) {
-	if !r.isCurrent(call.Incarnation, known, call.Task) {
+	if r.answeredByOther(call.Incarnation, answer, err) || !r.isCurrent(call.Incarnation, known, call.Task) {
 		return
 	}
 	if err == nil && answer.Status == Applied {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -91,7 +91,7 @@
 
 // vacant reports whether no worker has registered with this process, and all leases that an earlier
 // process of the agent gave have expired.
-func (r *Runner) vacant() bool { return r.registration == nil && time.Now().After(r.leasesExpireAt) }
+func (r *Runner) vacant() bool { return r.registration == nil && r.leases.expired() }
 
 // newAttach returns the message that starts the next session with the owner of the given epoch, or tells
 // it that all leases have expired.
@@ -103,6 +103,7 @@
 		return attach
 	}
 	attach.Registration, attach.LeasesExpired, attach.Crash = r.withCold(), r.declareLeasesExpired(), r.lastCrash.report()
+	attach.StaleLease = r.leases.staleFor().Milliseconds()
 	return attach
 }
 
@@ -164,8 +165,8 @@
 	s := &session{number: request.Session, epoch: attached.Epoch, incremental: attached.Incremental, reported: version, conn: conn, began: time.Now(), wakeup: make(chan struct{}, 1)}
 	loopErr := r.loop.Do(func() {
 		switch {
-		case attached.Epoch < r.fence:
-			err = errors.Newf("owner has epoch %d, older than epoch %d already seen", attached.Epoch, r.fence)
+		case attached.Epoch < r.epoch:
+			err = errors.Newf("owner has epoch %d, older than epoch %d already seen", attached.Epoch, r.epoch)
 		case request.Vacant:
 			r.lossReportedTo, s = epoch, nil
 		case r.registration.Incarnation != request.Registration.Incarnation:
@@ -173,7 +174,10 @@
 		case request.LeasesExpired:
 			r.lossReportedTo, s = epoch, nil
 		default:
-			r.fence, r.session = attached.Epoch, s
+			r.epoch, r.sessionFence, r.session = attached.Epoch, link.Fence(attached.Epoch, attached.Attach), s
+			if attached.Restarted {
+				r.leases.learnRestarted()
+			}
 			r.lossReportedTo = 0 // a later loss is to be reported to the same owner again
 			r.noteEvacuation(attached.Evacuation)
 			r.wakePoll()
@@ -247,7 +251,7 @@
 		s.full = s.full || report.Full
 		s.lastReportedEnd = s.reportingEnd
 		if !report.LeasesExpired {
-			r.extendGrant(sent, time.Duration(reply.Grant)*time.Millisecond)
+			r.leases.extendGrant(sent, time.Duration(reply.Grant)*time.Millisecond)
 		}
 		r.forget(reply.Committed)
 		r.noteEvacuation(reply.Evacuation)
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -36,8 +36,9 @@
 
 // Answer is a worker's answer to an order.
 type Answer struct {
-	Status Status
-	Reason string // why the worker rejected the order
+	Status    Status
+	Reason    string // why the worker rejected the order
+	StartedAt int64  // start of the incarnation that answered, Unix ms; 0 if not given
 }
 
 // RunStatus is the status of one running run in a poll result.
@@ -55,10 +56,9 @@
 // PollResult is a worker's answer to a poll.
 type PollResult struct {
 	Answer
-	Clock     int64 // reading of the worker's own clock, in ms
-	StartedAt int64 // start of the worker's incarnation, Unix ms; 0 if not given
-	Running   []RunStatus
-	Ended     []dispatch.End
+	Clock   int64 // reading of the worker's own clock, in ms
+	Running []RunStatus
+	Ended   []dispatch.End
 	// EndsCutOff says that the worker may have ends that it has not listed, since it lists a limited
 	// number at a time, the oldest first. A run that is not listed may then have ended.
 	EndsCutOff bool
@@ -106,7 +106,8 @@
 // ends when ctx is done. None sends an order more than once. They may be called concurrently.
 //
 // The runner relies on checks that the worker makes, as the worker of package testcluster
-// does. The worker answers WrongIncarnation to a call for another worker ID. It rejects a
+// does. The worker answers WrongIncarnation to a call for another worker ID, but carries out one for
+// an earlier incarnation with its ID. It rejects a
 // call whose Fence is lower than one that it has seen, a start after its LeaseDeadline, a
 // start of a run number that is not above the last ended one of the task, and a start of
 // another run number while a run of the task is running. A start of the number that is
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -80,16 +80,20 @@
 	return c, nil
 }
 
-// register registers a worker with its agent periodically, while both are up.
+// register registers a worker with its agent when it starts and periodically, while both are up.
 func (c *JobCluster) register(i int) {
 	for sequence := int64(1); c.ctx.Err() == nil; sequence++ {
 		incarnation, up := c.Workers[i].Incarnation()
-		if r := c.agents[i].runner.Load(); up && r != nil {
+		if r := c.agents[i].runner.Load(); up && r != nil && !c.Workers[i].isCut() {
 			r.Register(dispatch.Registration{
 				Incarnation: incarnation, Service: "s", Domain: c.DomainOf(i), Rack: "r", Labels: []string{"a", "r"}, Capacity: c.Checker.capacity,
 			}, sequence)
 		}
-		_ = sleepOrDone(c.ctx, registrationInterval) // its only error is the end of ctx
+		select {
+		case <-c.ctx.Done():
+		case <-c.Workers[i].restarted:
+		case <-time.After(registrationInterval):
+		}
 	}
 }
 
@@ -186,10 +190,19 @@
 	c.mu.Unlock()
 	a.runner.Store(nil)
 	stop()
-	c.Workers[i].AgentDied()
 	return proc.Wait()
 }
 
+// SetMachineCut sets whether the machine of worker i, with its agent, is cut off from the store and all
+// entries. Both run on.
+func (c *JobCluster) SetMachineCut(i int, cut bool) {
+	agent := c.agents[i].name
+	for _, e := range c.Entries {
+		c.Net.SetPartition(agent, e.name, cut)
+	}
+	c.Store.SetUnreachable(agent, cut)
+}
+
 // Leave makes worker i deregister and end, as after a drain.
 func (c *JobCluster) Leave(i int) {
 	incarnation, _ := c.Workers[i].Incarnation()
--- a/internal/testcluster/store.go
+++ b/internal/testcluster/store.go
@@ -43,6 +43,7 @@
 	writeSemaphore chan struct{} // capacity 1: held by the InTurn write in progress
 	pendingWrites  int           // InTurn writes, waiting and in progress
 	fault          atomic.Pointer[func(process string, write bool) StoreFault]
+	unreachable    sync.Map // names of the processes that are cut off from the store
 }
 
 // NewStore returns an empty store.
@@ -79,7 +80,19 @@
 // whether the call writes. A nil function injects no faults.
 func (s *Store) SetFault(fault func(process string, write bool) StoreFault) { s.fault.Store(&fault) }
 
+// SetUnreachable sets whether a process is cut off from the store, whatever the other faults.
+func (s *Store) SetUnreachable(process string, unreachable bool) {
+	if unreachable {
+		s.unreachable.Store(process, true)
+		return
+	}
+	s.unreachable.Delete(process)
+}
+
 func (s *Store) currentFault(process string, write bool) StoreFault {
+	if _, unreachable := s.unreachable.Load(process); unreachable {
+		return StoreFault{Silent: true}
+	}
 	if fault := s.fault.Load(); fault != nil && *fault != nil {
 		return (*fault)(process, write)
 	}
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -17,10 +17,10 @@
 	workerReplyDelay = time.Millisecond
 	// workerStopDelay is how long the worker takes to stop a run.
 	workerStopDelay = 200 * time.Millisecond
-	// restartUndetected is how long after its start a new incarnation of a worker may be
-	// unknown to all other processes. They cannot prevent that it executes a late call that
-	// was sent to the previous incarnation, so the stand-in discards such calls.
-	restartUndetected = 700 * time.Millisecond
+	// maxLease is the longest lease that the worker accepts, on its own clock, which is slow by
+	// one part in clockSlowness. The clock of a new incarnation starts anew.
+	maxLease      = 10 * time.Second
+	clockSlowness = 50
 	// workerPollInterval is how often the worker checks its runs.
 	workerPollInterval = 20 * time.Millisecond
 	// maxListedEnds is the number of ends that a worker lists at a time.
@@ -47,7 +47,8 @@
 	incarnation   dispatch.Incarnation
 	startedAt     time.Time
 	down          bool
-	agentFailures int
+	dark          bool // while it is down, calls wait instead of failing
+	cut           bool // no call of the agent arrives, and no answer
 	fence         uint64
 	leaseDeadline int64
 	runs          map[dispatch.TaskName]*workerRun
@@ -55,6 +56,7 @@
 	ended         []dispatch.End
 	sequence      int64
 	changed       chan struct{}
+	restarted     chan struct{} // receives a value after each restart
 	fault         atomic.Pointer[func() OrderFault]
 }
 
@@ -66,7 +68,7 @@
 
 // NewWorker returns a worker that reports to checker, which also holds its capacity.
 func NewWorker(name string, checker *Checker) *Worker {
-	w := &Worker{name: name, checker: checker, changed: make(chan struct{})}
+	w := &Worker{name: name, checker: checker, changed: make(chan struct{}), restarted: make(chan struct{}, 1)}
 	w.reset()
 	return w
 }
@@ -79,10 +81,16 @@
 
 // Crash ends all runs and takes the worker down. Restart starts a new incarnation with the
 // same ID.
-func (w *Worker) Crash() {
+func (w *Worker) Crash() { w.crash(false) }
+
+// CrashDark is like Crash, but calls that are sent to the worker while it is down wait. The next
+// incarnation carries them out if the caller still waits then.
+func (w *Worker) CrashDark() { w.crash(true) }
+
+func (w *Worker) crash(dark bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.down = true
+	w.down, w.dark = true, dark
 	for name := range w.runs {
 		w.checker.taskLost(w.name, name)
 	}
@@ -98,6 +106,17 @@
 	}
 	w.down = false
 	w.reset()
+	select {
+	case w.restarted <- struct{}{}:
+	default:
+	}
+}
+
+// SetCut sets whether the worker is cut off from its agent. It runs on.
+func (w *Worker) SetCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
 }
 
 // Incarnation returns the worker's current incarnation and whether it is up.
@@ -131,15 +150,15 @@
 		Poll: w.poll,
 		Start: func(ctx context.Context, call runner.StartCall) (runner.Answer, error) {
 			sent := time.Now()
-			return w.execute(ctx, call.Incarnation, call.Fence, false, func() runner.Answer {
+			return w.execute(ctx, call.Incarnation, call.Fence, func() runner.Answer {
 				return w.start(call, time.Since(sent) > workerReplyDelay)
 			})
 		},
 		Stop: func(ctx context.Context, call runner.StopCall) (runner.Answer, error) {
-			return w.execute(ctx, call.Incarnation, call.Fence, false, func() runner.Answer { return w.stop(call) })
+			return w.execute(ctx, call.Incarnation, call.Fence, func() runner.Answer { return w.stop(call) })
 		},
 		SetPace: func(ctx context.Context, call runner.PaceCall) (runner.Answer, error) {
-			return w.execute(ctx, call.Incarnation, call.Fence, false, func() runner.Answer { return runner.Answer{} })
+			return w.execute(ctx, call.Incarnation, call.Fence, func() runner.Answer { return runner.Answer{} })
 		},
 	}
 }
@@ -154,7 +173,15 @@
 	}
 }
 
-func (w *Worker) clock() int64 { return time.Since(w.startedAt).Milliseconds() }
+func (w *Worker) clock() int64 {
+	elapsed := time.Since(w.startedAt)
+	return (elapsed - elapsed/clockSlowness).Milliseconds()
+}
+
+// extendLease extends the lease to the deadline, on the worker's clock, but not beyond maxLease from now.
+func (w *Worker) extendLease(deadline int64) {
+	w.leaseDeadline = max(w.leaseDeadline, min(deadline, w.clock()+maxLease.Milliseconds()))
+}
 
 // advance ends the runs whose lease has expired, whose requested stop takes effect, or whose
 // duration is over. The caller holds the lock.
@@ -182,29 +209,11 @@
 	w.changed = make(chan struct{})
 }
 
-// AgentDied records that the agent beside the worker has failed. If the worker restarts too,
-// it discards calls of that agent that are still in flight: no process remembers them, and
-// the protocol cannot distinguish them from new ones.
-func (w *Worker) AgentDied() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.agentFailures++
-}
-
-// current returns the worker's incarnation and how many agents beside it have failed.
-func (w *Worker) current() (dispatch.Incarnation, int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.incarnation, w.agentFailures
-}
-
 var errWorkerDown = errors.New("worker is down")
 
-// execute runs do unless the call is for another worker ID or has an outdated fence. With
-// sameIncarnation, a late call is discarded if a later incarnation with the same ID runs: a
-// poll would make that one forget ends that no agent has seen, which the protocol does not
-// prevent.
-func (w *Worker) execute(ctx context.Context, incarnation dispatch.Incarnation, fence uint64, sameIncarnation bool, do func() runner.Answer) (runner.Answer, error) {
+// execute runs do unless the call is for another worker ID or has an outdated fence. The next
+// incarnation with the same ID carries out a call that was sent to the previous one.
+func (w *Worker) execute(ctx context.Context, incarnation dispatch.Incarnation, fence uint64, do func() runner.Answer) (runner.Answer, error) {
 	fault := w.currentFault()
 	apply := func() (runner.Answer, error) {
 		w.mu.Lock()
@@ -220,26 +229,48 @@
 		}
 		w.fence = fence
 		w.advance()
-		return do(), nil
+		answer := do()
+		answer.StartedAt = w.incarnation.StartedAt
+		return answer, nil
 	}
 	if fault.DropReply {
-		sent, agentFailures := w.current()
 		time.AfterFunc(workerReplyDelay+fault.Late, func() {
-			incarnation, failuresNow := w.current()
-			undetected := time.Since(time.UnixMilli(incarnation.StartedAt)) < restartUndetected
-			if incarnation != sent && (failuresNow != agentFailures || sameIncarnation || undetected) {
-				return
-			}
 			// The caller no longer waits for the answer.
 			_, _ = apply()
 		})
 		<-ctx.Done()
 		return runner.Answer{}, ctx.Err()
 	}
-	if err := sleepOrDone(ctx, workerReplyDelay); err != nil {
+	if err := w.awaitDelivery(ctx); err != nil {
 		return runner.Answer{}, err
 	}
-	return apply()
+	answer, err := apply()
+	if err == nil && w.isCut() {
+		<-ctx.Done()
+		err = ctx.Err()
+	}
+	return answer, err
+}
+
+// awaitDelivery waits until a call reaches the worker.
+func (w *Worker) awaitDelivery(ctx context.Context) error {
+	for {
+		if err := sleepOrDone(ctx, workerReplyDelay); err != nil {
+			return err
+		}
+		w.mu.Lock()
+		delivered := !w.cut && !(w.down && w.dark)
+		w.mu.Unlock()
+		if delivered {
+			return nil
+		}
+	}
+}
+
+func (w *Worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
 }
 
 // start carries out a start, late or in time.
@@ -247,7 +278,7 @@
 	if call.LeaseDeadline <= w.clock() {
 		return runner.Answer{Status: runner.Rejected, Reason: "late"}
 	}
-	w.leaseDeadline = max(w.leaseDeadline, call.LeaseDeadline)
+	w.extendLease(call.LeaseDeadline)
 	if run := w.runs[call.Task]; run != nil && run.number == call.Run {
 		return runner.Answer{}
 	}
@@ -274,7 +305,7 @@
 	deadline := time.After(time.Duration(call.Wait) * time.Millisecond)
 	for {
 		var result runner.PollResult
-		answer, err := w.execute(ctx, call.Incarnation, call.Fence, true, func() runner.Answer {
+		answer, err := w.execute(ctx, call.Incarnation, call.Fence, func() runner.Answer {
 			result = w.result(call)
 			return runner.Answer{}
 		})
@@ -302,7 +333,7 @@
 }
 
 func (w *Worker) result(call runner.PollCall) runner.PollResult {
-	w.leaseDeadline = max(w.leaseDeadline, call.LeaseDeadline)
+	w.extendLease(call.LeaseDeadline)
 	unacked := w.ended[:0:0]
 	for _, end := range w.ended {
 		if end.Sequence > call.Acked {
@@ -314,7 +345,7 @@
 	w.ended = unacked
 	listed := unacked[:min(len(unacked), maxListedEnds)]
 	result := runner.PollResult{
-		Clock: w.clock(), StartedAt: w.incarnation.StartedAt, Ended: slices.Clone(listed), EndsCutOff: len(listed) == maxListedEnds,
+		Clock: w.clock(), Ended: slices.Clone(listed), EndsCutOff: len(listed) == maxListedEnds,
 	}
 	for name, run := range w.runs {
 		if run.stopAt.IsZero() {
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -80,9 +80,6 @@
 		}
 		p.command = nil
 		p.mu.Unlock()
-		if p.standinWorker != nil {
-			p.standinWorker.AgentDied()
-		}
 		close(done)
 	}()
 }
