The bounds of stale leases follow from the longest lease of a deployment's workers

What callers saw: nothing yet. After the fix of stale leases a takeover waits 10.3 s for an instance that does not attach, also where a worker cuts each lease to 6 s, so that tasks waited 2.05 s longer for nothing. Cause: the longest lease of a worker was a constant of 10 s. Change: the setting "lease" of platform entry and platform agent, from the bounds that the platform states; link.MaxStaleLease and link.MaxUnfencedLease compute the bounds from it. At 10 s they are 10.3 and 25.3 s as before, at 6 s the wait after a takeover is again 8.25 s, which the leases that were granted need. Besides: the soak's list of stand-in workers, which nothing reads any more, is gone.

--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -28,21 +28,31 @@
 	MethodEvacuated = "evacuated" // entry to owner, with an evacuation.State
 )
 
-// A worker that has restarted under its ID carries out calls that were sent to its previous
-// incarnation. The lease of such a call ends on the clock of that incarnation, which is far ahead, so
-// the new one cuts it to the longest lease: a stale lease, which no owner has granted.
+// MaxCallDelay is the longest time after a call was sent in which a worker may still carry it
+// out, unless it has seen a higher fencing token since.
+const MaxCallDelay = 15 * time.Second
+
 const (
-	// MaxStaleLease bounds the time from when such a call is carried out until its lease has expired:
-	// the longest lease is 10 s, on a clock that may be 2 % slow.
-	MaxStaleLease = 10*time.Second + 300*time.Millisecond
-	// MaxCallDelay is the longest time after a call was sent in which a worker may still carry it
-	// out, unless it has seen a higher fencing token since.
-	MaxCallDelay = 15 * time.Second
-	// UnfencedStaleLease bounds the time from the end of the calls to the previous incarnation until
-	// each stale lease has expired, as long as the new one may have seen no higher fencing token.
-	UnfencedStaleLease = MaxCallDelay + MaxStaleLease
+	// clockDriftDivisor allows for a worker's clock that is 2 % slow, with one part in 40, or 2.5 %.
+	clockDriftDivisor = 40
+	// staleLeaseMargin is added to the bound of a stale lease.
+	staleLeaseMargin = 50 * time.Millisecond
 )
 
+// MaxStaleLease bounds the time for which a stale lease lasts, from when its call is carried out. A worker
+// that has restarted under its ID carries out calls that were sent to its previous incarnation. The lease of
+// such a call ends on the clock of that incarnation, which is far ahead, so the new one cuts it to its
+// longest lease, maxLease on its own clock, which no owner has granted.
+func MaxStaleLease(maxLease time.Duration) time.Duration {
+	return maxLease + maxLease/clockDriftDivisor + staleLeaseMargin
+}
+
+// MaxUnfencedLease bounds the time from the end of the calls to the previous incarnation until each stale lease
+// has expired, as long as the new one may have seen no higher fencing token.
+func MaxUnfencedLease(maxLease time.Duration) time.Duration {
+	return MaxCallDelay + MaxStaleLease(maxLease)
+}
+
 // fencesPerEpoch is the size of the range of fencing tokens that each owner epoch has to itself.
 const fencesPerEpoch = 1_000_000
 
--- a/internal/owner/elector.go
+++ b/internal/owner/elector.go
@@ -52,6 +52,7 @@
 	Name      string        // of this process, unique among the running processes
 	Address   string        // of this process's link, host:port
 	Retention time.Duration // how long the rows of a finished job stay in the table
+	MaxLease  time.Duration // longest lease that a worker accepts, on its own clock
 	// Outranked reports whether another process is clearly better suited to be the owner.
 	// nil means that none is.
 	Outranked func() bool
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -72,7 +72,7 @@
 		}
 		t.revisions[row.RowKey] = row.Revision
 		t.scheduler.RestoreInstance(registration)
-		t.leaseExpiry[registration.Incarnation.ID] = t.claimed.Add(takeoverWait)
+		t.leaseExpiry[registration.Incarnation.ID] = t.claimed.Add(t.takeoverWait())
 	}
 	t.restoreCosts(persisted.costs)
 	t.applyRows(persisted.jobs)
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -23,7 +23,7 @@
 // A new owner may find jobs that were stored under an earlier owner, which may have started
 // their tasks. A task of such a job that no instance has reported waits until every instance
 // in the table has sent its full report or is lost. An instance that does not attach is lost
-// takeoverWait after the claim at the earliest, because its worker may hold a lease that an
+// term.takeoverWait after the claim at the earliest, because its worker may hold a lease that an
 // earlier owner granted; it is lost before that if its agent attaches with a later incarnation
 // of the worker under another ID, or says that all leases have expired. A job stored under the
 // new owner does not wait for this: no earlier owner can have started it.
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -69,7 +69,7 @@
 	t.scheduler.Register(time.Now(), a.Registration)
 	t.extendStaleLease(id, time.Duration(a.StaleLease)*time.Millisecond)
 	if newProcess && t.scheduler.Restarted(id) {
-		t.extendStaleLease(id, link.UnfencedStaleLease) // the agent does not know of it before the reply
+		t.extendStaleLease(id, link.MaxUnfencedLease(t.elector.settings.MaxLease)) // the agent does not know of it before the reply
 	}
 	t.scheduler.SetReachable(id, false) // until the agent has sent its full run list
 	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, agent: a.Registration.Agent, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}, domain: a.Registration.Domain}
--- a/internal/owner/sessions_test.go
+++ b/internal/owner/sessions_test.go
@@ -52,7 +52,7 @@
 	current := newTestTerm(nil)
 	before := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "a", StartedAt: 1}, Agent: "p", Service: "s"}
 	current.scheduler.RestoreInstance(before)
-	current.leaseExpiry = map[string]time.Time{"a": time.Now().Add(takeoverWait)}
+	current.leaseExpiry = map[string]time.Time{"a": time.Now().Add(current.takeoverWait())}
 	after := before
 	after.Incarnation = dispatch.Incarnation{ID: "b", StartedAt: 2}
 	current.scheduler.Register(time.Now(), after)
--- a/internal/owner/stale_lease_test.go
+++ b/internal/owner/stale_lease_test.go
@@ -40,8 +40,16 @@
 			}
 		})
 	}
-	if takeoverWait < link.MaxStaleLease {
-		t.Errorf("a new owner waits for %v, and a stale lease lasts %v", takeoverWait, link.MaxStaleLease)
+}
+
+// A new owner waits until leases that were granted, and stale ones of the longest duration, are over.
+func TestTakeoverWait(t *testing.T) {
+	for _, maxLease := range []time.Duration{time.Second, 6 * time.Second, 10 * time.Second, 20 * time.Second} {
+		current := newTestTerm(nil)
+		current.elector.settings.MaxLease = maxLease
+		if wait := current.takeoverWait(); wait < grantedLeaseWait || wait < maxLease*100/98 {
+			t.Errorf("a new owner waits for %v with a longest lease of %v", wait, maxLease)
+		}
 	}
 }
 
@@ -50,7 +58,7 @@
 	before := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "a", StartedAt: 1}, Agent: "p", AgentIncarnation: "p1", Service: "s"}
 	for _, restarted := range []bool{false, true} {
 		current := newTestTerm(nil)
-		current.leaseExpiry = map[string]time.Time{"a": time.Now().Add(takeoverWait)}
+		current.leaseExpiry = map[string]time.Time{"a": time.Now().Add(current.takeoverWait())}
 		row := before
 		row.Restarted = restarted
 		current.scheduler.RestoreInstance(row)
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -30,10 +30,9 @@
 	// is open: a link may turn silent without a close. An agent that reports has by then given
 	// the session up itself, since it waits for at most one second for a reply.
 	sessionTimeout = 2500 * time.Millisecond
-	// takeoverWait is the time from a claim until every lease that an earlier owner granted, and
-	// every stale lease that a worker got before the claim, has expired. A fortieth of
-	// epochConfirmationTTL is added for the clocks' rates too.
-	takeoverWait = max(epochConfirmationTTL+epochConfirmationTTL/40+leaseExpiryWait, link.MaxStaleLease)
+	// grantedLeaseWait is the time from a claim until every lease that an earlier owner granted
+	// has expired. A fortieth of epochConfirmationTTL is added for the clocks' rates too.
+	grantedLeaseWait = epochConfirmationTTL + epochConfirmationTTL/40 + leaseExpiryWait
 	// tickPeriod is the time between two calls of term.tick.
 	tickPeriod = 50 * time.Millisecond
 	// planIdleFactor times the duration of a plan is the pause before a plan that
@@ -123,6 +122,12 @@
 	}
 }
 
+// takeoverWait returns the time from a claim until every lease that an earlier owner granted, and every stale
+// lease that a worker got before the claim, has expired.
+func (t *term) takeoverWait() time.Duration {
+	return max(grantedLeaseWait, link.MaxStaleLease(t.elector.settings.MaxLease))
+}
+
 // post runs f on the loop, unless the term has ended by then.
 func (t *term) post(f func()) {
 	t.elector.loop.Post(func() {
--- a/internal/owner/term_test.go
+++ b/internal/owner/term_test.go
@@ -71,7 +71,7 @@
 		wait, need time.Duration
 	}{
 		{"lease of a silent instance", leaseExpiryWait, slow(leaseTTL)},
-		{"leases of an earlier owner", takeoverWait, slow(epochConfirmationTTL) + slow(leaseTTL)},
+		{"leases of an earlier owner", grantedLeaseWait, slow(epochConfirmationTTL) + slow(leaseTTL)},
 	}
 	for _, c := range cases {
 		if c.wait < c.need {
--- a/internal/process/job_agent.go
+++ b/internal/process/job_agent.go
@@ -45,6 +45,7 @@
 	Name                        string
 	Registration, Metrics, Link string        // listen addresses, host:port; empty: not served
 	Retention                   time.Duration // how long a finished job's state stays readable, while this agent is the owner
+	MaxLease                    time.Duration // longest lease that the worker accepts, on its own clock
 	Budget                      budget.Settings
 }
 
@@ -82,7 +83,7 @@
 		a.loop.Stop()
 		return nil, err
 	}
-	a.runner = runner.New(runner.Settings{Name: settings.Name, AgentIncarnation: newIncarnation()}, deps.Worker, a.loop, log, a.metrics)
+	a.runner = runner.New(runner.Settings{Name: settings.Name, AgentIncarnation: newIncarnation(), MaxLease: settings.MaxLease}, deps.Worker, a.loop, log, a.metrics)
 	if err := a.listen(network); err != nil {
 		a.loop.Stop()
 		return nil, err
@@ -115,7 +116,7 @@
 	var health *table.Health
 	a.deps.Store, health = table.WithHealth(a.deps.Store)
 	a.elector = owner.New(owner.Settings{
-		Name: a.settings.Name, Address: a.settings.Link, Retention: a.settings.Retention, Suspended: suspended,
+		Name: a.settings.Name, Address: a.settings.Link, Retention: a.settings.Retention, MaxLease: a.settings.MaxLease, Suspended: suspended,
 		Standby: true, Served: a.served,
 		Evacuations: owner.Evacuations{Known: evacuation.New(a.log, a.metrics), Requests: a.deps.Evacuations, Follow: true},
 	}, a.deps.Store, health, a.loop, a.log, a.metrics, monotonicUnix(), func(holder owner.Holder) { a.setHolder(holder) })
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -40,6 +40,7 @@
 	Name, Domain              string
 	API, Ready, Link, Metrics string        // listen addresses, host:port; empty: not served, except Link
 	Retention                 time.Duration // how long a finished job's state stays readable
+	MaxLease                  time.Duration // longest lease that a worker accepts, on its own clock
 	Cores                     float64       // cores that the process may use; may be a fraction; 0: unknown
 	Budget                    budget.Settings
 }
@@ -104,7 +105,7 @@
 		return nil, err
 	}
 	e.elector = owner.New(owner.Settings{
-		Name: settings.Name, Address: settings.Link, Retention: settings.Retention, Outranked: e.peers.Outranked, Suspended: suspended,
+		Name: settings.Name, Address: settings.Link, Retention: settings.Retention, MaxLease: settings.MaxLease, Outranked: e.peers.Outranked, Suspended: suspended,
 		Evacuations: owner.Evacuations{Known: e.evacuations, Requests: deps.Evacuations},
 	}, deps.Store, e.health, e.loop, log, e.metrics, monotonicUnix(), e.ownerClient.SetHolder)
 	e.service = submission.New(deps.Store, e.health, e.ownerClient, e.peers, e.metrics)
--- a/internal/runner/leases.go
+++ b/internal/runner/leases.go
@@ -22,6 +22,7 @@
 
 // leases bounds what the worker may run, and until when. All times are on the clock of this process.
 type leases struct {
+	longest time.Duration // that the worker accepts, on its own clock
 	// grantDeadline is until when the owner has granted the lease, and grantedUntil when each lease that
 	// was given to the worker under a grant has certainly expired.
 	grantDeadline time.Time
@@ -35,14 +36,14 @@
 }
 
 // newLeases returns the bounds for a worker that an earlier agent process may have called.
-func newLeases() leases {
-	return leases{grantedUntil: time.Now().Add(initialLeaseBound)}
+func newLeases(longest time.Duration) leases {
+	return leases{longest: longest, grantedUntil: time.Now().Add(initialLeaseBound)}
 }
 
 // restarted records that another incarnation of the worker runs under an ID to which calls were sent
 // until now. Calls that it may still carry out give it stale leases.
 func (l *leases) restarted() {
-	l.staleUntil, l.fenced = time.Now().Add(link.UnfencedStaleLease), false
+	l.staleUntil, l.fenced = time.Now().Add(link.MaxUnfencedLease(l.longest)), false
 }
 
 // learnRestarted records that the owner knows of an earlier incarnation, which this process has not met:
@@ -62,7 +63,7 @@
 		return
 	}
 	l.fenced = true
-	if until := got.Add(link.MaxStaleLease); until.Before(l.staleUntil) {
+	if until := got.Add(link.MaxStaleLease(l.longest)); until.Before(l.staleUntil) {
 		l.staleUntil = until
 	}
 }
--- a/internal/runner/leases_test.go
+++ b/internal/runner/leases_test.go
@@ -62,17 +62,17 @@
 		do   func(r *Runner)
 		want time.Duration
 	}{
-		{"no call has been answered", restart, link.UnfencedStaleLease},
-		{"a call of an earlier session has been answered", func(r *Runner) { restart(r); answer(r, 1) }, link.UnfencedStaleLease},
-		{"a call of the session has been answered", func(r *Runner) { restart(r); answer(r, r.sessionFence) }, link.MaxStaleLease},
+		{"no call has been answered", restart, link.MaxUnfencedLease(maxLease)},
+		{"a call of an earlier session has been answered", func(r *Runner) { restart(r); answer(r, 1) }, link.MaxUnfencedLease(maxLease)},
+		{"a call of the session has been answered", func(r *Runner) { restart(r); answer(r, r.sessionFence) }, link.MaxStaleLease(maxLease)},
 		{"another ID", func(r *Runner) {
 			r.session = nil
 			r.startIncarnation(dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "v", StartedAt: 9}, Service: "s"})
 		}, 0},
 		{"the owner knows of an earlier incarnation", func(r *Runner) {
-			r.leases = newLeases()
+			r.leases = newLeases(maxLease)
 			r.leases.learnRestarted()
-		}, link.UnfencedStaleLease},
+		}, link.MaxUnfencedLease(maxLease)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -36,6 +36,8 @@
 type Settings struct {
 	Name             string // name of the agent
 	AgentIncarnation string // incarnation of the agent process
+	// MaxLease is the longest lease that the worker accepts, on its own clock.
+	MaxLease time.Duration
 }
 
 // Runner drives one worker for the owner of the shard. Its fields belong to the loop; its
@@ -88,7 +90,7 @@
 func New(settings Settings, worker Worker, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Runner {
 	r := &Runner{
 		settings: settings, worker: worker, loop: l, log: log, registry: registry, ignored: logs.NewFailureLogger(log, "registration-ignored"),
-		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, leases: newLeases(),
+		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, leases: newLeases(settings.MaxLease),
 		lastAnswerAt: time.Now(), pollWake: make(chan struct{}, 1), pacer: newPacer(),
 	}
 	r.noteServed()
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -16,6 +16,9 @@
 
 var task = dispatch.TaskName{Job: "j", Step: 0, Index: 1}
 
+// maxLease is the longest lease of the worker.
+const maxLease = 10 * time.Second
+
 // withRunner runs a test on a runner with a registered worker and a session with an owner of
 // epoch 1. The test must access the runner's state through onLoop.
 func withRunner(t *testing.T, worker Worker, test func(t *testing.T, r *Runner)) {
@@ -23,7 +26,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		l := loop.New(ctx)
-		r := New(Settings{Name: "a", AgentIncarnation: "p"}, worker, l, zap.NewNop(), metrics.New())
+		r := New(Settings{Name: "a", AgentIncarnation: "p", MaxLease: maxLease}, worker, l, zap.NewNop(), metrics.New())
 		r.Register(dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "w", StartedAt: 5}, Service: "s"}, 1)
 		onLoop(t, r, func() {
 			r.epoch, r.sessionFence = 1, 1
--- a/internal/verb/platform.go
+++ b/internal/verb/platform.go
@@ -31,12 +31,16 @@
 // maxRetention bounds how long the state of a finished job is kept.
 const maxRetention = 24 * time.Hour
 
+// maxLongestLease bounds the longest lease of a worker.
+const maxLongestLease = 5 * time.Minute
+
 // platformFlags holds the flags that the verbs platform entry and platform agent share.
 type platformFlags struct {
 	flags          *flag.FlagSet
 	name, level    *string
 	store, metrics *addressFlag
 	retention      *time.Duration
+	maxLease       *time.Duration
 	budget         budgetFlags
 }
 
@@ -50,6 +54,7 @@
 
 		budget:    newBudgetFlags(flags, "memory"),
 		retention: durationVar(flags, "keep", 150*time.Second, time.Second, maxRetention, "`time` for which a finished job's state is kept"),
+		maxLease:  durationVar(flags, "lease", 10*time.Second, time.Second, maxLongestLease, "longest `time` that a worker runs tasks under one lease, on its own clock"),
 	}
 }
 
@@ -92,7 +97,7 @@
 	defer closeLog()
 	running, err := platform.NewEntry(ctx, c.store.String(), process.JobEntrySettings{
 		Name: *c.name, Domain: *c.domain, API: c.api.String(), Ready: c.ready.String(),
-		Link: c.link.String(), Metrics: c.metrics.String(), Retention: *c.retention,
+		Link: c.link.String(), Metrics: c.metrics.String(), Retention: *c.retention, MaxLease: *c.maxLease,
 		Cores: *c.processors, Budget: c.budget.apply(),
 	}, process.NewNetwork(), log)
 	if err != nil {
@@ -143,7 +148,7 @@
 	defer closeLog()
 	running, err := platform.NewAgent(ctx, c.store.String(), c.worker.String(), process.JobAgentSettings{
 		Name: *c.name, Registration: c.control.String(), Metrics: c.metrics.String(),
-		Link: c.link.String(), Retention: *c.retention, Budget: c.budget.apply(),
+		Link: c.link.String(), Retention: *c.retention, MaxLease: *c.maxLease, Budget: c.budget.apply(),
 	}, process.NewNetwork(), log)
 	if err != nil {
 		return err
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -35,13 +35,12 @@
 
 // process is one process of the system under test. The soak starts, signals and restarts it.
 type process struct {
-	name          string
-	binary        string
-	arguments     []string
-	log           *os.File
-	storeProxy    *proxy              // between the process and the stand-in store
-	workerProxy   *proxy              // between an agent and its stand-in worker; nil for entries
-	standinWorker *testcluster.Worker // the worker of an agent, notified when the agent exits; nil for entries
+	name        string
+	binary      string
+	arguments   []string
+	log         *os.File
+	storeProxy  *proxy // between the process and the stand-in store
+	workerProxy *proxy // between an agent and its stand-in worker; nil for entries
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -257,7 +256,7 @@
 	if err != nil {
 		return err
 	}
-	p.workerProxy, p.standinWorker = workerProxy, worker
+	p.workerProxy = workerProxy
 	c.workers = append(c.workers, worker)
 	c.checker.SetDomain(name, domain)
 	go worker.Run(ctx)
