Soak: calls to a worker that is down wait for its next incarnation

Cause: the workers of the soak failed at once while they were down, so no call of before reached the next incarnation under the same ID but late orders, and those were dropped while nobody knew of it. Change: workers with an even number go dark when they crash.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -109,10 +109,14 @@
 	return fault{"store " + kind.name, func() { c.store.SetFault(faultFor) }, func() { c.store.SetFault(nil) }}
 }
 
-// workerCrashFault crashes a random worker and restarts it under its ID when the fault ends.
+// workerCrashFault crashes a random worker and restarts it under its ID when the fault ends. Calls to a
+// worker with an even number wait meanwhile, and the next incarnation carries them out.
 func (c *cluster) workerCrashFault(random *rand.Rand) fault {
 	i := random.IntN(len(c.workers))
 	w := c.workers[i]
+	if i%2 == 0 {
+		return fault{fmt.Sprintf("dark crash of worker %d", i), w.CrashDark, w.Restart}
+	}
 	return fault{fmt.Sprintf("crash of worker %d", i), w.Crash, w.Restart}
 }
 
