What the owner knows of leases has a file of its own

Change: leases.go has the grant, the waits and the messages that say that leases are over; handleExpired handles the one that handleAttach returned early for. No behaviour changes.

--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -50,14 +50,6 @@
 // handleAttach starts a session of an agent and closes the link of its previous session.
 func (t *term) handleAttach(conn *Conn, a link.Attach) link.AttachReply {
 	id := a.Registration.Incarnation.ID
-	if a.LeasesExpired {
-		// The message may arrive late. Once the instance has attached in this term, its worker
-		// may have been given leases since, and the owner waits for those instead.
-		if a.Epoch == t.epoch && !t.attached[id] && !t.awaitsStaleLease(id, a.Registration.AgentIncarnation) {
-			t.lose(id, a.Registration.Incarnation, "worker silent, its leases are over")
-		}
-		return link.AttachReply{Epoch: t.epoch, Incremental: true}
-	}
 	t.attached[id] = true
 	if old := t.sessions[id]; old != nil && old.conn != conn {
 		old.conn.link.Close()
@@ -65,12 +57,7 @@
 	t.log.Info("attach", zap.String("instance", id), zap.Int64("born", a.Registration.Incarnation.StartedAt), zap.String("agent", a.Registration.Agent), zap.Uint64("session", a.Session))
 	t.attaches[id]++
 	t.recordCrash(a)
-	newProcess := !t.scheduler.DrivenBy(id, a.Registration.AgentIncarnation)
-	t.scheduler.Register(time.Now(), a.Registration)
-	t.extendStaleLease(id, time.Duration(a.StaleLease)*time.Millisecond)
-	if newProcess && t.scheduler.Restarted(id) {
-		t.extendStaleLease(id, link.MaxUnfencedLease(t.elector.settings.MaxLease)) // the agent does not know of it before the reply
-	}
+	t.register(a)
 	t.scheduler.SetReachable(id, false) // until the agent has sent its full run list
 	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, agent: a.Registration.Agent, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}, domain: a.Registration.Domain}
 	t.sessions[id] = s
@@ -132,13 +119,6 @@
 	}
 }
 
-// extendStaleLease records that the worker of an instance may hold a stale lease for that long.
-func (t *term) extendStaleLease(id string, remaining time.Duration) {
-	if until := time.Now().Add(remaining); until.After(t.staleLeaseUntil[id]) {
-		t.staleLeaseUntil[id] = until
-	}
-}
-
 // handleReport passes an agent's report to the scheduler and returns the new lease.
 func (t *term) handleReport(conn *Conn, r link.Report) (link.ReportReply, error) {
 	if r.Registration != nil {
@@ -180,35 +160,6 @@
 	return link.ReportReply{Grant: t.grant(s, now).Milliseconds(), Committed: s.lastCommittedEnd, Costs: s.changedCosts(t.scheduler.Costs(id)), Evacuation: t.evacuationNotice(s)}, nil
 }
 
-// handleVacant handles the message of an agent process without a worker. The instances in the table that
-// earlier processes of the agent registered are lost, unless they have attached in this term or their
-// worker may hold a stale lease.
-func (t *term) handleVacant(a link.Attach) link.AttachReply {
-	process := a.Registration.AgentIncarnation
-	for _, registration := range t.scheduler.RegisteredBy(a.Registration.Agent) {
-		id := registration.Incarnation.ID
-		if a.Epoch == t.epoch && !t.attached[id] && registration.AgentIncarnation != process && !t.awaitsStaleLease(id, process) {
-			t.lose(id, registration.Incarnation, "its agent has restarted and has no worker")
-		}
-	}
-	return link.AttachReply{Epoch: t.epoch, Incremental: true}
-}
-
-// awaitsStaleLease reports whether the worker of an instance without a session may hold a stale lease of
-// which the given agent process does not know, since an earlier process drove the worker.
-func (t *term) awaitsStaleLease(id, agentIncarnation string) bool {
-	return t.scheduler.Restarted(id) && !t.scheduler.DrivenBy(id, agentIncarnation) && time.Now().Before(t.leaseExpiry[id])
-}
-
-// lose ends the session of an instance if its agent has reported that all leases given to the worker
-// have expired: nothing runs there any more.
-func (t *term) lose(id string, incarnation dispatch.Incarnation, reason string) {
-	t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", reason))
-	t.scheduler.Lost(time.Now(), incarnation)
-	delete(t.sessions, id)
-	t.schedulePlan()
-}
-
 // changesPlan reports whether a report may change the next plan at once: it frees resources, or
 // changes what the instance can be used for. Measurements wait for the next tick.
 func changesPlan(s *session, r link.Report) bool {
@@ -264,17 +215,6 @@
 	t.scheduler.Ended(now, s.incarnation, ends)
 }
 
-// grant returns the duration of the lease that the owner grants for a report received at
-// now. It is 0 if the table has not confirmed the owner's epoch for epochConfirmationTTL,
-// since another process may be the owner by then; the time of a suspension counts.
-func (t *term) grant(s *session, now time.Time) time.Duration {
-	if t.elector.now().since(t.epochConfirmed) > epochConfirmationTTL {
-		return 0
-	}
-	s.leaseCountedFrom = now
-	return leaseTTL
-}
-
 func (t *term) ownerPrecondition() table.Precondition {
 	return table.Precondition{RowKey: ownerRowKey(), Revision: t.ownerRevision}
 }
--- a/internal/owner/sessions_test.go
+++ b/internal/owner/sessions_test.go
@@ -130,7 +130,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			onTerm(t, func(current *term, conn *Conn) { // the instance has attached
+			onTerm(t, func(current *term, _ *Conn) { // the instance has attached
 				job := dispatch.Job{ID: "j", Policy: dispatch.Policy{Service: "s"}, Steps: []dispatch.Step{{Count: 1}}}
 				current.scheduler.Accept(time.Now(), &job, nil)
 				if starts := current.scheduler.Plan(time.Now()); len(starts) != 1 {
@@ -139,7 +139,7 @@
 				if !c.connected {
 					current.disconnected("w", current.sessions["w"])
 				}
-				current.handleAttach(conn, link.Attach{Registration: registration, LeasesExpired: true, Epoch: current.epoch})
+				current.handleExpired(link.Attach{Registration: registration, LeasesExpired: true, Epoch: current.epoch})
 				if len(current.scheduler.Runs("w")) != 1 {
 					t.Error("the instance was lost")
 				}
@@ -147,10 +147,10 @@
 		})
 	}
 	for _, epoch := range []uint64{1, 2} {
-		onTerm(t, func(current *term, conn *Conn) {
+		onTerm(t, func(current *term, _ *Conn) {
 			restored := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "r", StartedAt: 1}, Service: "s"}
 			current.scheduler.RestoreInstance(restored)
-			current.handleAttach(conn, link.Attach{Registration: restored, LeasesExpired: true, Epoch: epoch})
+			current.handleExpired(link.Attach{Registration: restored, LeasesExpired: true, Epoch: epoch})
 			if waits := len(current.scheduler.Unconfirmed()) > 0; waits != (epoch < current.epoch) {
 				t.Errorf("meant for epoch %d, heard in epoch %d: the owner waits for the instance: %v", epoch, current.epoch, waits)
 			}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -122,12 +122,6 @@
 	}
 }
 
-// takeoverWait returns the time from a claim until every lease that an earlier owner granted, and every stale
-// lease that a worker got before the claim, has expired.
-func (t *term) takeoverWait() time.Duration {
-	return max(grantedLeaseWait, link.MaxStaleLease(t.elector.settings.MaxLease))
-}
-
 // post runs f on the loop, unless the term has ended by then.
 func (t *term) post(f func()) {
 	t.elector.loop.Post(func() {
@@ -205,6 +199,9 @@
 		if err := attach.Registration.Validate(time.Now()); err != nil {
 			return nil, errors.Wrap(err, "attach")
 		}
+		if attach.LeasesExpired {
+			return t.handleExpired(attach), nil
+		}
 		return t.handleAttach(conn, attach), nil
 	case link.MethodReport:
 		report, err := link.Decode[link.Report](params)
