Entry and agent share how they record why they stop; tests of lost workers share their body

Cause: the first cause of a failure was kept twice in the same words, and a job of long-running tasks was submitted by the same lines in five tests, two of which were the same but for what fails. Change: process.failure; submitLasting and testTasksRestart in the tests. Each test checks what it did before.

--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -89,7 +89,7 @@
 	servers         []*http.Server
 	budget          *budget.Budget
 	drainRequested  atomic.Bool
-	cause           atomic.Pointer[error]
+	failure         failure
 }
 
 // NewAgent starts an agent. The agent stops at once when ctx is done, or gracefully
@@ -160,7 +160,7 @@
 
 // fail stops the process; Wait returns the first cause that was given.
 func (a *Agent) fail(cause error) {
-	a.cause.CompareAndSwap(nil, &cause)
+	a.failure.set(cause)
 	a.loop.Stop()
 }
 
@@ -354,8 +354,5 @@
 	a.loop.Wait()
 	a.upstream.Close()
 	a.http.CloseIdleConnections()
-	if cause := a.cause.Load(); cause != nil {
-		return *cause
-	}
-	return nil
+	return a.failure.get()
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -91,7 +91,7 @@
 	draining       atomic.Bool
 	sequence       atomic.Uint64
 	storeSemaphore chan struct{} // capacity 1: windows are stored one at a time
-	cause          atomic.Pointer[error]
+	failure        failure
 	listeners      listeners
 	failureLoggers failureLoggers
 	servers        []*http.Server
@@ -259,7 +259,7 @@
 }
 
 func (e *Entry) fail(cause error) {
-	e.cause.CompareAndSwap(nil, &cause)
+	e.failure.set(cause)
 	e.loop.Stop()
 }
 
@@ -339,8 +339,5 @@
 	e.loop.Wait()
 	e.gates.Close()
 	e.platform.CloseIdleConnections()
-	if cause := e.cause.Load(); cause != nil {
-		return *cause
-	}
-	return nil
+	return e.failure.get()
 }
--- a/internal/process/restarted_worker_test.go
+++ b/internal/process/restarted_worker_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/apricotwind/apricotwind/internal/submission"
 	"github.com/apricotwind/apricotwind/internal/testcluster"
 )
 
@@ -77,11 +76,7 @@
 
 // play plays the schedule while long-running tasks run and short ones start.
 func (c restartAndCut) play(t *testing.T, system *testcluster.JobCluster) {
-	lasting := newJob("lasting", lastingTasks, 1_000_000)
-	lasting.Steps[0].LongRunning = true
-	if outcome := submit(t, system, 0, lasting); outcome != submission.Accepted {
-		t.Fatalf("submission: %v", outcome)
-	}
+	submitLasting(t, system, lastingTasks)
 	time.Sleep(clockAhead)
 	worker := system.Workers[0]
 	if c.late > 0 {
--- a/internal/process/shard_faults_test.go
+++ b/internal/process/shard_faults_test.go
@@ -69,6 +69,16 @@
 	return outcome
 }
 
+// submitLasting submits a job of long-running tasks.
+func submitLasting(t *testing.T, system *testcluster.JobCluster, tasks int) {
+	t.Helper()
+	job := newJob("lasting", tasks, 1_000_000)
+	job.Steps[0].LongRunning = true
+	if outcome := submit(t, system, 0, job); outcome != submission.Accepted {
+		t.Fatalf("submission: %v", outcome)
+	}
+}
+
 func stateAt(t *testing.T, system *testcluster.JobCluster, entry int, id string) dispatch.State {
 	t.Helper()
 	state, outcome, err := system.Service(entry).State(t.Context(), id)
@@ -219,44 +229,31 @@
 // If a worker fails for good while its agent keeps running, its tasks start on another worker after
 // their leases have expired.
 func TestTasksOfAFailedWorkerRestart(t *testing.T) {
-	withJobCluster(t, 2, 2, func(t *testing.T, system *testcluster.JobCluster) {
-		longRunning := newJob("lasting", 4, 1_000_000)
-		longRunning.Steps[0].LongRunning = true
-		if outcome := submit(t, system, 0, longRunning); outcome != submission.Accepted {
-			t.Fatal(outcome)
-		}
-		time.Sleep(time.Second)
-		starts := system.Checker.Starts()
-		lost := system.Workers[0].Running()
-		if lost == 0 {
-			t.Fatal("no task runs on the worker")
-		}
-		system.Workers[0].Crash()
-		time.Sleep(6 * time.Second)
-		if got := system.Checker.Starts() - starts; got != lost {
-			t.Errorf("%d of %d tasks have restarted after 6 s", got, lost)
-		}
-	})
+	testTasksRestart(t, func(system *testcluster.JobCluster) { system.Workers[0].Crash() })
 }
 
 // An agent whose link turns silent without a close, and which cannot connect again, is given up:
 // its tasks start on another worker once its leases have expired.
 func TestTasksBehindASilentLinkRestart(t *testing.T) {
-	withJobCluster(t, 2, 2, func(t *testing.T, system *testcluster.JobCluster) {
-		longRunning := newJob("lasting", 4, 1_000_000)
-		longRunning.Steps[0].LongRunning = true
-		if outcome := submit(t, system, 0, longRunning); outcome != submission.Accepted {
-			t.Fatal(outcome)
+	testTasksRestart(t, func(system *testcluster.JobCluster) {
+		for i := range system.Entries {
+			system.Net.SetPartition("a0", system.EntryName(i), true)
 		}
+	})
+}
+
+// testTasksRestart checks that the tasks of worker 0 start elsewhere within 6 s after lose has made it
+// unusable.
+func testTasksRestart(t *testing.T, lose func(system *testcluster.JobCluster)) {
+	withJobCluster(t, 2, 2, func(t *testing.T, system *testcluster.JobCluster) {
+		submitLasting(t, system, 4)
 		time.Sleep(time.Second)
 		starts := system.Checker.Starts()
 		lost := system.Workers[0].Running()
 		if lost == 0 {
 			t.Fatal("no task runs on the worker")
 		}
-		for i := range system.Entries {
-			system.Net.SetPartition("a0", system.EntryName(i), true)
-		}
+		lose(system)
 		time.Sleep(6 * time.Second)
 		if got := system.Checker.Starts() - starts; got != lost {
 			t.Errorf("%d of %d tasks have restarted after 6 s", got, lost)
@@ -267,11 +264,7 @@
 // After all processes were killed and restarted, all tasks run again within 4 s.
 func TestRecoveryOfAll(t *testing.T) {
 	withJobCluster(t, 3, 3, func(t *testing.T, system *testcluster.JobCluster) {
-		longRunning := newJob("lasting", 6, 1_000_000)
-		longRunning.Steps[0].LongRunning = true
-		if outcome := submit(t, system, 0, longRunning); outcome != submission.Accepted {
-			t.Fatal(outcome)
-		}
+		submitLasting(t, system, 6)
 		time.Sleep(time.Second)
 		restartAll(t, system)
 		starts := system.Checker.Starts()
--- a/internal/process/standby_test.go
+++ b/internal/process/standby_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/apricotwind/apricotwind/internal/submission"
 	"github.com/apricotwind/apricotwind/internal/testcluster"
 )
 
@@ -17,11 +16,7 @@
 func submitLongRunning(t *testing.T, system *testcluster.JobCluster) (tasks int) {
 	t.Helper()
 	tasks = 6
-	job := newJob("lasting", tasks, 1_000_000)
-	job.Steps[0].LongRunning = true
-	if outcome := submit(t, system, 0, job); outcome != submission.Accepted {
-		t.Fatalf("submission: %v", outcome)
-	}
+	submitLasting(t, system, tasks)
 	time.Sleep(time.Second)
 	return tasks
 }
