One constant for the drift of clocks

Change: link.ClockDriftDivisor. All bounds keep their values. Measured: the tests of internal/owner, internal/runner and internal/link pass, lint is clean.

--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -32,19 +32,19 @@
 // out, unless it has seen a higher fencing token since.
 const MaxCallDelay = 15 * time.Second
 
-const (
-	// clockDriftDivisor allows for a worker's clock that is 2 % slow, with one part in 40, or 2.5 %.
-	clockDriftDivisor = 40
-	// staleLeaseMargin is added to the bound of a stale lease.
-	staleLeaseMargin = 50 * time.Millisecond
-)
+// ClockDriftDivisor bounds how much longer a duration lasts on another process's clock than on one's own:
+// one part in 40, or 2.5 %, since a worker's clock may be 2 % slow.
+const ClockDriftDivisor = 40
+
+// staleLeaseMargin is added to the bound of a stale lease.
+const staleLeaseMargin = 50 * time.Millisecond
 
 // MaxStaleLease bounds the time for which a stale lease lasts, from when its call is carried out. A worker
 // that has restarted under its ID carries out calls that were sent to its previous incarnation. The lease of
 // such a call ends on the clock of that incarnation, which is far ahead, so the new one cuts it to its
 // longest lease, maxLease on its own clock, which no owner has granted.
 func MaxStaleLease(maxLease time.Duration) time.Duration {
-	return maxLease + maxLease/clockDriftDivisor + staleLeaseMargin
+	return maxLease + maxLease/ClockDriftDivisor + staleLeaseMargin
 }
 
 // MaxUnfencedLease bounds the time from the end of the calls to the previous incarnation until each stale lease
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -20,9 +20,8 @@
 	// agent reports that the leases have expired or a later incarnation replaces it.
 	leaseTTL = 3500 * time.Millisecond
 	// leaseExpiryWait is the time on the owner's clock after which a lease has certainly
-	// expired: the clocks may run at rates that differ by 2 %, so a fortieth (2.5 %) of
-	// leaseTTL is added, and 50 ms.
-	leaseExpiryWait = leaseTTL + leaseTTL/40 + 50*time.Millisecond
+	// expired: the drift of the clocks is added, and 50 ms.
+	leaseExpiryWait = leaseTTL + leaseTTL/link.ClockDriftDivisor + 50*time.Millisecond
 	// epochConfirmationTTL is how long the owner grants leases after the table last
 	// confirmed its epoch. Tasks therefore continue during a short outage of the table.
 	epochConfirmationTTL = 4500 * time.Millisecond
@@ -31,8 +30,8 @@
 	// the session up itself, since it waits for at most one second for a reply.
 	sessionTimeout = 2500 * time.Millisecond
 	// grantedLeaseWait is the time from a claim until every lease that an earlier owner granted
-	// has expired. A fortieth of epochConfirmationTTL is added for the clocks' rates too.
-	grantedLeaseWait = epochConfirmationTTL + epochConfirmationTTL/40 + leaseExpiryWait
+	// has expired.
+	grantedLeaseWait = epochConfirmationTTL + epochConfirmationTTL/link.ClockDriftDivisor + leaseExpiryWait
 	// tickPeriod is the time between two calls of term.tick.
 	tickPeriod = 50 * time.Millisecond
 	// planIdleFactor times the duration of a plan is the pause before a plan that
--- a/internal/runner/leases.go
+++ b/internal/runner/leases.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// A lease may last longer than granted by 1/clockDriftDivisor of its duration, one part in
-	// 40 or 2.5 %, since the worker's clock may be 2 % slow, and by leaseExpiryMargin.
-	clockDriftDivisor = 40
+	// leaseExpiryMargin is the time by which a lease may last longer than granted, beside the drift of
+	// the worker's clock.
 	leaseExpiryMargin = 100 * time.Millisecond
 	// initialLeaseBound bounds the remaining time of a lease that an earlier agent process
 	// granted to the worker.
@@ -97,7 +96,7 @@
 		return 0
 	}
 	counted := r.leases.grantDeadline.Sub(r.clockReadAt)
-	r.leases.grantedUntil = latest(r.leases.grantedUntil, r.leases.grantDeadline.Add(counted/clockDriftDivisor+leaseExpiryMargin))
+	r.leases.grantedUntil = latest(r.leases.grantedUntil, r.leases.grantDeadline.Add(counted/link.ClockDriftDivisor+leaseExpiryMargin))
 	return r.workerClock + counted.Milliseconds()
 }
 
