A test of starts that are under way as their worker restarts, which fails

Change: in the schedules the cut no longer waits for the restart, and TestAStartUnderWayAtARestartRunsOnce plays six of them: nobody replaced, the agent, the owner, or both.

--- a/internal/process/restarted_worker_test.go
+++ b/internal/process/restarted_worker_test.go
@@ -24,7 +24,12 @@
 	machine, fromAgent bool
 }
 
-var cutKinds = []cutKind{{"machine", true, false}, {"machine and worker", true, true}, {"worker", false, true}}
+var (
+	machineCut          = cutKind{"machine", true, false}
+	machineAndWorkerCut = cutKind{"machine and worker", true, true}
+	workerCut           = cutKind{"worker", false, true}
+	cutKinds            = []cutKind{machineCut, machineAndWorkerCut, workerCut}
+)
 
 // replacedProcess is which process is killed and starts again.
 type replacedProcess struct {
@@ -32,7 +37,13 @@
 	owner, agent bool
 }
 
-var replacedProcesses = []replacedProcess{{name: "nobody"}, {"owner", true, false}, {"agent", false, true}, {"owner and agent", true, true}}
+var (
+	nobodyReplaced    = replacedProcess{name: "nobody"}
+	ownerReplaced     = replacedProcess{"owner", true, false}
+	agentReplaced     = replacedProcess{"agent", false, true}
+	bothReplaced      = replacedProcess{"owner and agent", true, true}
+	replacedProcesses = []replacedProcess{nobodyReplaced, ownerReplaced, agentReplaced, bothReplaced}
+)
 
 const (
 	// workerDownFor is how long the worker is down. It registers when it starts.
@@ -85,12 +96,14 @@
 	submitToAny(t, system, "before")
 	worker.CrashDark()
 	time.AfterFunc(c.at, func() { c.replaced.replace(t, system) })
+	time.AfterFunc(c.cutAt, func() {
+		system.SetMachineCut(0, c.cut.machine)
+		worker.SetCut(c.cut.fromAgent)
+	})
 	time.Sleep(workerDownFor)
 	worker.SetFault(nil)
 	worker.Restart()
-	time.Sleep(c.cutAt - workerDownFor)
-	system.SetMachineCut(0, c.cut.machine)
-	worker.SetCut(c.cut.fromAgent)
+	time.Sleep(c.cutAt - workerDownFor) // returns at once if the cut came first
 	submitToAny(t, system, "after")
 	time.Sleep(workerCutFor)
 	system.SetMachineCut(0, false)
@@ -140,3 +153,22 @@
 		})
 	}
 }
+
+// Guards against a second run of a task whose start was under way as its worker restarted: the new
+// incarnation carries it out late, cut off from everybody who could tell.
+func TestAStartUnderWayAtARestartRunsOnce(t *testing.T) {
+	cases := []restartAndCut{
+		{550 * time.Millisecond, machineAndWorkerCut, 950 * time.Millisecond, nobodyReplaced, 0},
+		{300 * time.Millisecond, machineAndWorkerCut, 4 * time.Second, agentReplaced, 600 * time.Millisecond},
+		{800 * time.Millisecond, machineCut, 4 * time.Second, agentReplaced, 600 * time.Millisecond},
+		{300 * time.Millisecond, workerCut, 4 * time.Second, ownerReplaced, 600 * time.Millisecond},
+		{550 * time.Millisecond, machineAndWorkerCut, 4 * time.Second, ownerReplaced, 100 * time.Millisecond},
+		{1300 * time.Millisecond, workerCut, 4 * time.Second, bothReplaced, 600 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.String(), func(t *testing.T) {
+			t.Parallel()
+			withJobCluster(t, 2, 4, c.play)
+		})
+	}
+}
