Agents keep account of the starts that may still be carried out, and log them

Change: startCalls has each call of a start from when it is sent until it is answered, until the worker lists the run that only this call can have started, or until link.MaxCallDelay is over. It replaces the list of unanswered starts, which began at the end of a call and held one call a task. The event start-under-way names them as the worker restarts or falls silent, and start-unanswered counts calls without an answer. A call that found no connection was never sent.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -148,6 +148,7 @@
 	if !r.silent && now.Sub(r.lastAnswerAt) > silenceTimeout {
 		r.silent = true
 		r.log.Warn("worker-silent", zap.String("instance", r.registration.Incarnation.ID), zap.Stringer("answer", result.Status), logs.Error(err))
+		r.logStartCalls()
 		r.requestReport()
 	}
 }
@@ -164,6 +165,7 @@
 		r.ends = append(r.ends, end)
 		changed = true
 		if known := r.runs[end.Task]; known != nil && known.number == end.Run {
+			r.startCalls.noteListed(end.Task, known)
 			delete(r.runs, end.Task)
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,12 +57,10 @@
 	epoch               uint64                 // highest epoch of an owner that this agent has attached to
 	sessionFence        uint64                 // fencing token of the last session, 0 before the first one
 	runs                runsByTask
-	// unanswered holds the last start of each task that got no answer. The worker may still
-	// carry it out.
-	unanswered    map[dispatch.TaskName]unansweredStart
-	ends          []dispatch.End // from the worker's poll results and not yet in the table
-	lastListedEnd int64          // highest sequence number of an end in a poll result
-	committedEnd  int64          // ends up to this sequence number are in the table
+	startCalls          startCalls
+	ends                []dispatch.End // from the worker's poll results and not yet in the table
+	lastListedEnd       int64          // highest sequence number of an end in a poll result
+	committedEnd        int64          // ends up to this sequence number are in the table
 
 	leases               leases    // of the worker
 	workerClock          int64     // last reading of the worker's clock, in ms
@@ -90,7 +88,7 @@
 func New(settings Settings, worker Worker, l *loop.Loop, log *zap.Logger, registry *metrics.Registry) *Runner {
 	r := &Runner{
 		settings: settings, worker: worker, loop: l, log: log, registry: registry, ignored: logs.NewFailureLogger(log, "registration-ignored"),
-		runs: runsByTask{}, unanswered: map[dispatch.TaskName]unansweredStart{}, leases: newLeases(settings.MaxLease),
+		runs: runsByTask{}, startCalls: startCalls{}, leases: newLeases(settings.MaxLease),
 		lastAnswerAt: time.Now(), pollWake: make(chan struct{}, 1), pacer: newPacer(),
 	}
 	r.noteServed()
@@ -147,6 +145,7 @@
 // previous incarnation exists any more.
 func (r *Runner) startIncarnation(registration dispatch.Registration) {
 	r.log.Info("worker-life", zap.String("instance", registration.Incarnation.ID), zap.Int64("born", registration.Incarnation.StartedAt), zap.Int("lost", len(r.runs)))
+	r.logStartCalls()
 	r.recordCrash()
 	unsettled := r.unsettled(registration)
 	r.forgetOtherDomain(registration)
@@ -177,12 +176,12 @@
 	}
 	for name, known := range r.runs {
 		if known.settledAt.IsZero() {
-			remaining[name] = &run{number: known.number, order: known.order}
+			remaining[name] = &run{number: known.number, startTries: known.startTries, order: known.order}
 		}
 	}
-	for name, order := range r.unanswered {
-		if time.Since(order.at) < link.MaxCallDelay && (remaining[name] == nil || remaining[name].number < order.run) {
-			remaining[name] = &run{number: order.run}
+	for name, call := range r.startCalls.list() {
+		if remaining[name] == nil || remaining[name].number < call.run {
+			remaining[name] = &run{number: call.run}
 		}
 	}
 	for name, known := range remaining {
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -26,6 +26,7 @@
 // run is a run that exists on the worker, or that an order may still start there.
 type run struct {
 	number            int64
+	startTries        int // calls of this process that start it
 	order             link.StartOrder
 	checkpoint        string
 	checkpointChanged bool
@@ -64,6 +65,7 @@
 	if known.number != l.Run {
 		return false
 	}
+	r.startCalls.noteListed(l.Task, known)
 	known.settleStart()
 	if known.checkpoint != l.Checkpoint {
 		known.checkpoint, known.checkpointChanged = l.Checkpoint, true
@@ -135,21 +137,25 @@
 		r.startRejected(known, call, try)
 		return
 	}
+	known.startTries++
+	sending := r.startCalls.add(order.Task, order.Run)
 	r.loop.Go(func() {
 		callCtx, cancel := context.WithTimeout(r.loop.Context(), orderTimeout)
 		defer cancel()
 		answer, err := r.worker.Start(callCtx, call)
 		r.loop.Post(func() {
 			r.registry.Observe("start-order", time.Since(sent))
+			if err == nil || neverSent(err) {
+				r.startCalls.remove(order.Task, sending)
+			} else {
+				r.registry.Add("start-unanswered", 1)
+			}
 			r.startAnswered(known, call, try, sent, answer, err)
 		})
 	})
 }
 
 func (r *Runner) startAnswered(known *run, call StartCall, try int, sent time.Time, answer Answer, err error) {
-	if err != nil {
-		r.noteUnanswered(call)
-	}
 	if r.answeredByOther(call.Incarnation, answer, err) {
 		return
 	}
@@ -199,22 +205,6 @@
 	return true
 }
 
-// unansweredStart is a start that got no answer.
-type unansweredStart struct {
-	run int64
-	at  time.Time
-}
-
-func (r *Runner) noteUnanswered(call StartCall) {
-	now := time.Now()
-	for name, order := range r.unanswered {
-		if now.Sub(order.at) > link.MaxCallDelay {
-			delete(r.unanswered, name)
-		}
-	}
-	r.unanswered[call.Task] = unansweredStart{call.Run, now}
-}
-
 // startRejected handles a start that the worker rejected, or that was not sent for lack of a
 // lease. An earlier try that got no answer may still be carried out, so after any try but the
 // first the run is stopped instead of being settled at once.
--- /dev/null
+++ b/internal/runner/startcalls.go
@@ -0,0 +1,96 @@
+package runner
+
+import (
+	"net"
+	"time"
+
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// startCalls holds, by task, the calls of starts that may still be carried out: by the worker or, since it
+// may start again under its ID, by its next incarnation. A call leaves it once it was answered, once the
+// worker has listed the run that only this call can have started, or when it is too old.
+type startCalls map[dispatch.TaskName][]startCall
+
+// startCall is one call that starts a run.
+type startCall struct {
+	run  int64
+	sent time.Time // when it was sent at the latest
+}
+
+// expiresAt returns when the call is not carried out any more.
+func (c startCall) expiresAt() time.Time { return c.sent.Add(link.MaxCallDelay) }
+
+// add records that a call is sent now. It may wait for its connection until its timeout is over.
+func (s startCalls) add(name dispatch.TaskName, run int64) startCall {
+	call := startCall{run, time.Now().Add(orderTimeout)}
+	s[name] = append(s.pending(name), call)
+	return call
+}
+
+// remove drops a call that is not carried out any more, or has been.
+func (s startCalls) remove(name dispatch.TaskName, call startCall) {
+	s.keep(name, func(other startCall) bool { return other != call })
+}
+
+// removeRun drops the calls of a run.
+func (s startCalls) removeRun(name dispatch.TaskName, run int64) {
+	s.keep(name, func(other startCall) bool { return other.run != run })
+}
+
+// pending returns the calls that may still start a run of the task, in the order in which they were sent.
+func (s startCalls) pending(name dispatch.TaskName) []startCall {
+	now := time.Now()
+	s.keep(name, func(call startCall) bool { return now.Before(call.expiresAt()) })
+	return s[name]
+}
+
+// keep drops the calls of a task for which wanted is false.
+func (s startCalls) keep(name dispatch.TaskName, wanted func(startCall) bool) {
+	var kept []startCall
+	for _, call := range s[name] {
+		if wanted(call) {
+			kept = append(kept, call)
+		}
+	}
+	if len(kept) == 0 {
+		delete(s, name)
+		return
+	}
+	s[name] = kept
+}
+
+// list returns, for each task with pending calls, the last of them.
+func (s startCalls) list() map[dispatch.TaskName]startCall {
+	last := map[dispatch.TaskName]startCall{}
+	for name := range s {
+		if calls := s.pending(name); len(calls) > 0 {
+			last[name] = calls[len(calls)-1]
+		}
+	}
+	return last
+}
+
+// noteListed records that a list of the worker shows the run, running or ended: a call that starts it was
+// carried out.
+func (s startCalls) noteListed(name dispatch.TaskName, known *run) {
+	if known.startTries == 1 {
+		s.removeRun(name, known.number)
+	}
+}
+
+// logStartCalls logs the starts that the next incarnation of the worker may carry out.
+func (r *Runner) logStartCalls() {
+	for name, call := range r.startCalls.list() {
+		r.log.Info("start-under-way", zap.String("instance", r.registration.Incarnation.ID), zap.Stringer("task", name), zap.Int64("run", call.run), zap.Duration("expires", time.Until(call.expiresAt())))
+	}
+}
+
+// neverSent reports whether a call failed before anything of it was sent, since no connection was opened.
+func neverSent(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
