A start under way holds its task when its instance is lost

Cause: a start without an answer may be carried out up to 15 s later, by the next incarnation too, which then holds the longest lease. The owner waited for granted leases only (3.6 s after the last grant), a new agent process for 4 s, and an agent whose worker fell silent said that its leases were over, whatever it had sent. Fix: a start is settled once no call can carry it out any more. The agent, which knows its calls, reports settled starts with its runs, within 100 ms, and, with the news that all leases are over, the starts under way and for how long. If an instance is lost, the owner holds the tasks whose starts are not settled, and no others, until the run that such a call starts has ended: MaxUnfencedLease after the last grant, or what is left of the call and MaxStaleLease if the agent knows. They are free before that if the instance is back, since its worker has then seen a higher fence and listed its runs, or if its agent drives a worker with another ID. A settled run is over with its incarnation or with its lease, as before.

--- a/internal/decision/dispatch/explain.go
+++ b/internal/decision/dispatch/explain.go
@@ -15,7 +15,7 @@
 type Obstacle int
 
 // The obstacles, in the order in which they are looked for. ObstacleRun: an earlier run of the task may
-// still be there. ObstacleProcessors and ObstacleInterference: a best-effort task would be too slow, for
+// still be there, or on an instance that is lost (LateStart). ObstacleProcessors and ObstacleInterference: a best-effort task would be too slow, for
 // want of processors, or since it would be paced for latency-critical tasks. ObstacleCold:
 // the instance is slow after its start and has as many recent starts as it may have.
 const (
@@ -255,6 +255,7 @@
 		need.Processors = 0
 	}
 	_, placed := in.reservations[t.name]
+	placed = placed || len(p.scheduler.lateStarts[t.name]) > 0
 	switch {
 	case in.registration.Service != j.spec.Policy.Service:
 		return ObstacleService
--- a/internal/decision/dispatch/gangs_test.go
+++ b/internal/decision/dispatch/gangs_test.go
@@ -27,14 +27,14 @@
 		want   string
 	}{
 		{"none", func(*Scheduler) {}, ""},
-		{"of one member", func(s *Scheduler) { s.Checkpointed(at(1), a, []RunStatus{{second, 1, "c1"}}) }, "c1"},
+		{"of one member", func(s *Scheduler) { s.Checkpointed(at(1), a, []RunStatus{{Task: second, Run: 1, Checkpoint: "c1"}}) }, "c1"},
 		{"of two members", func(s *Scheduler) {
-			s.Checkpointed(at(1), a, []RunStatus{{first, 1, "c1"}, {second, 1, "c1"}})
-			s.Checkpointed(at(2), a, []RunStatus{{first, 1, "c2"}})
-			s.Checkpointed(at(3), a, []RunStatus{{second, 1, "c1"}})
+			s.Checkpointed(at(1), a, []RunStatus{{Task: first, Run: 1, Checkpoint: "c1"}, {Task: second, Run: 1, Checkpoint: "c1"}})
+			s.Checkpointed(at(2), a, []RunStatus{{Task: first, Run: 1, Checkpoint: "c2"}})
+			s.Checkpointed(at(3), a, []RunStatus{{Task: second, Run: 1, Checkpoint: "c1"}})
 		}, "c2"},
 		{"of an end", func(s *Scheduler) {
-			s.Checkpointed(at(1), a, []RunStatus{{first, 1, "c1"}, {second, 1, "c1"}})
+			s.Checkpointed(at(1), a, []RunStatus{{Task: first, Run: 1, Checkpoint: "c1"}, {Task: second, Run: 1, Checkpoint: "c1"}})
 			s.Ended(at(2), a, []End{{Sequence: 1, Task: second, Run: 1, Reason: EndGangBroken, Checkpoint: "c2"}})
 		}, "c2"},
 	}
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -37,6 +37,8 @@
 	Task       TaskName `json:"task"`
 	Run        int64    `json:"run"`
 	Checkpoint string   `json:"saved,omitempty"` // saved data that the next run resumes from, opaque; "" if none
+	// Settled says that no call is under way any more that starts the run.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // Measurement is the measurement of one run over the last half second: the tail latency in ms
@@ -85,7 +87,9 @@
 	bestEffort       bool
 	latencyCritical  bool
 	startedAt        time.Time     // when the start was ordered, or the run first reported
-	agentIncarnation string        // incarnation of the agent that received the start order
+	agentIncarnation string        // incarnation of the agent that received the start order, or has reported the run
+	orderedThrough   string        // incarnation of the agent that received the start order; "" if not known
+	settled          bool          // see RunStatus.Settled
 	stopping         bool          // a stop was ordered
 	fromStart        bool          // this owner has ordered the start, without a checkpoint
 	saved            time.Duration // work that the checkpoint holds from which it began, see task
--- a/internal/decision/dispatch/instances.go
+++ b/internal/decision/dispatch/instances.go
@@ -114,9 +114,19 @@
 	return known && in.registration.AgentIncarnation == agentIncarnation
 }
 
+// ProcessOf returns the agent process that last registered a known instance.
+func (s *Scheduler) ProcessOf(id string) string {
+	in, known := s.instances[id]
+	if !known {
+		return ""
+	}
+	return in.registration.AgentIncarnation
+}
+
 // dropPredecessors removes the earlier incarnations registered by the same agent under other
 // IDs: a later one shows that they have ended.
 func (s *Scheduler) dropPredecessors(now time.Time, registration Registration) {
+	s.releaseReplaced(registration)
 	for _, other := range s.instances {
 		incarnation := other.registration.Incarnation
 		if other.registration.Agent == registration.Agent && incarnation.ID != registration.Incarnation.ID && incarnation.StartedAt < registration.Incarnation.StartedAt {
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -43,6 +43,7 @@
 	s.drain(now)
 	s.reviewSpeeds(now)
 	s.clearProbed(now)
+	s.lateStarts.dropExpired(now)
 	p := newPlanner(s, now)
 	p.collectInstances()
 	if len(p.usable)+len(p.quarantined) == 0 {
@@ -215,7 +216,7 @@
 
 // startable reports whether a task waits and may start now.
 func (p *planner) startable(t *task) bool {
-	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore) && !p.awaitsIsolation(t)
+	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore) && len(p.scheduler.lateStarts[t.name]) == 0 && !p.awaitsIsolation(t)
 }
 
 // bestInstance returns the suitable usable instance with the lowest penalty for a task, or nil.
@@ -330,7 +331,7 @@
 // place starts a run of a task on an instance and reserves its resources.
 func (p *planner) place(j *jobState, t *task, in *instance, run int64) {
 	t.instance, t.run, t.lastRun, t.startedAt = in.registration.Incarnation.ID, run, run, p.now
-	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation, fromStart: t.checkpoint == "", saved: t.saved}
+	placed := &reservation{name: t.name, run: run, startedAt: p.now, agentIncarnation: in.registration.AgentIncarnation, orderedThrough: in.registration.AgentIncarnation, fromStart: t.checkpoint == "", saved: t.saved}
 	placed.setStep(t.step)
 	p.backfilled(j, t, in)
 	in.add(placed)
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -11,6 +11,7 @@
 	if !ok || in.registration.Incarnation != incarnation {
 		return
 	}
+	s.releaseLateStarts(incarnation.ID)
 	listed := map[TaskName]bool{}
 	for _, status := range running {
 		listed[status.Task] = true
@@ -36,6 +37,7 @@
 
 // reconcileRun processes one run that an instance reports.
 func (s *Scheduler) reconcileRun(now time.Time, in *instance, status RunStatus) {
+	in.settled(status)
 	if p, ok := in.reservations[status.Task]; ok && p.run == status.Run {
 		p.agentIncarnation = in.registration.AgentIncarnation
 		if p.stopping { // the stop order may have been lost with the previous session
@@ -48,7 +50,7 @@
 		}
 		return
 	}
-	p := &reservation{name: status.Task, run: status.Run, startedAt: now, agentIncarnation: in.registration.AgentIncarnation}
+	p := &reservation{name: status.Task, run: status.Run, startedAt: now, agentIncarnation: in.registration.AgentIncarnation, settled: status.Settled}
 	p.setStep(s.findStep(status.Task))
 	s.replaceOrderedRun(now, in, p)
 	in.add(p)
@@ -113,9 +115,12 @@
 	return &job.Steps[name.Step]
 }
 
-// Checkpointed records new checkpoints of runs.
+// Checkpointed records new checkpoints of runs, and which of their starts are settled.
 func (s *Scheduler) Checkpointed(now time.Time, incarnation Incarnation, runs []RunStatus) {
 	for _, status := range runs {
+		if in, ok := s.instances[incarnation.ID]; ok && in.registration.Incarnation == incarnation {
+			in.settled(status)
+		}
 		t := s.findTask(status.Task)
 		if t == nil || t.instance != incarnation.ID || t.run != status.Run {
 			continue
--- a/internal/decision/dispatch/samples_test.go
+++ b/internal/decision/dispatch/samples_test.go
@@ -154,7 +154,7 @@
 		s := schedulerWith(registrationOf("a", 8))
 		s.Accept(startTime, jobOf("j", step), nil)
 		s.Plan(at(0))
-		s.Checkpointed(at(6), Incarnation{"a", 1}, []RunStatus{{TaskName{Job: "j"}, 1, c.checkpoint}})
+		s.Checkpointed(at(6), Incarnation{"a", 1}, []RunStatus{{Task: TaskName{Job: "j"}, Run: 1, Checkpoint: c.checkpoint}})
 		s.Ended(at(7), Incarnation{"a", 1}, []End{{Sequence: 1, Task: TaskName{Job: "j"}, Run: 1, Reason: EndStopped, Checkpoint: c.checkpoint}})
 		s.Plan(at(8))
 		draining := registrationOf("a", 8)
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -43,6 +43,7 @@
 	instances          map[string]*instance // by the ID of their incarnation
 	byID               []*instance          // the same, sorted by that ID
 	unconfirmed        map[string]bool      // instances of earlier owners that have not reported yet
+	lateStarts         lateStarts
 	suspects           map[TaskName]*task   // tasks that a crash of a worker is held against
 	lostAt             map[string]time.Time // by agent: when its worker last fell silent or crashed
 	stops              []Stop
@@ -73,7 +74,7 @@
 	return &Scheduler{
 		ownerRevision: ownerRevision, runBase: int64(epoch-1) * runNumbersPerEpoch,
 		jobs: map[string]*jobState{}, finished: map[string]finishedJob{},
-		instances: map[string]*instance{}, unconfirmed: map[string]bool{}, suspects: map[TaskName]*task{}, lostAt: map[string]time.Time{},
+		instances: map[string]*instance{}, unconfirmed: map[string]bool{}, lateStarts: lateStarts{}, suspects: map[TaskName]*task{}, lostAt: map[string]time.Time{},
 		costModel: interference.NewModel(), durations: durations.New(), speeds: speeds.New(),
 	}
 }
--- a/internal/decision/dispatch/waits.go
+++ b/internal/decision/dispatch/waits.go
@@ -7,6 +7,7 @@
 type Waits struct {
 	Unconfirmed      int // tasks that an instance of an earlier owner may run, see MissingInstances
 	Delayed          int // tasks that wait for their restart delay
+	LateStarts       int // tasks that a lost instance may still start, see LateStart
 	Unplaced         int // tasks that may start: no instance suits them, or the next plan places them
 	Instances        int // known instances
 	UsableInstances  int // instances on which a task may be placed now
@@ -16,7 +17,7 @@
 }
 
 // Tasks returns the number of waiting tasks.
-func (w Waits) Tasks() int { return w.Unconfirmed + w.Delayed + w.Unplaced }
+func (w Waits) Tasks() int { return w.Unconfirmed + w.Delayed + w.LateStarts + w.Unplaced }
 
 // LongRunningWaits counts the tasks of long-running steps that wait.
 func (s *Scheduler) LongRunningWaits(now time.Time) Waits {
@@ -33,14 +34,14 @@
 	}
 	for _, j := range s.jobs {
 		if !j.state.Final() && j.spec.LongRunning() {
-			j.countWaits(now, &waits)
+			s.countWaits(now, j, &waits)
 		}
 	}
 	return waits
 }
 
-// countWaits adds the waiting tasks of the job's long-running steps to waits.
-func (j *jobState) countWaits(now time.Time, waits *Waits) {
+// countWaits adds the waiting tasks of a job's long-running steps to waits.
+func (s *Scheduler) countWaits(now time.Time, j *jobState, waits *Waits) {
 	for _, o := range j.occurrences {
 		for _, tasks := range o.steps {
 			for _, t := range tasks {
@@ -50,6 +51,8 @@
 					waits.Unconfirmed++
 				case now.Before(t.notBefore):
 					waits.Delayed++
+				case len(s.lateStarts[t.name]) > 0:
+					waits.LateStarts++
 				default:
 					waits.Unplaced++
 				}
--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -78,6 +78,9 @@
 	Vacant bool `json:"vacant,omitempty"`
 	// StaleLease is how long the worker may still hold a stale lease, in ms.
 	StaleLease int64 `json:"stale,omitempty"`
+	// UnderWay lists, with LeasesExpired, all starts of this agent process that the worker may still
+	// carry out.
+	UnderWay []dispatch.StartUnderWay `json:"underway,omitempty"`
 	// Crash is the last crash of the worker, if it was lately. Each attach repeats it, since the
 	// owner may have changed.
 	Crash *Crash `json:"crash,omitempty"`
@@ -110,7 +113,8 @@
 
 // Report is a report of an agent to the owner. Running in a full report lists every run
 // that may be running on the instance, including runs that a pending order may still
-// start. In other reports Running holds only new checkpoints.
+// start. In other reports Running holds only new checkpoints, and the runs whose starts are settled since the
+// last report.
 //
 // Registration is nil if it has not changed since the last one that the owner has received in
 // this session.
@@ -124,6 +128,8 @@
 	Silent        bool                   `json:"silent,omitempty"` // the worker does not respond to its agent
 	LeasesExpired bool                   `json:"lapsed,omitempty"` // Silent, and all leases of the worker have expired
 	StaleLease    int64                  `json:"stale,omitempty"`  // as in Attach
+	// UnderWay is as in Attach.
+	UnderWay []dispatch.StartUnderWay `json:"underway,omitempty"`
 	// Evacuation is what the agent knows, nil unless its domain is evacuated.
 	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
--- a/internal/owner/costs_test.go
+++ b/internal/owner/costs_test.go
@@ -7,13 +7,14 @@
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/decision/interference"
 	"github.com/apricotwind/apricotwind/internal/logs"
+	"github.com/apricotwind/apricotwind/internal/metrics"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 )
 
 func newTestTerm(estimates []interference.Estimate) *term {
-	t := &term{elector: &Elector{}, scheduler: dispatch.New(1, 1), log: zap.NewNop(), progressFailures: logs.NewFailureLogger(zap.NewNop(), "progress-not-stored")}
+	t := &term{elector: &Elector{registry: metrics.New()}, grantsEnd: map[string]time.Time{}, scheduler: dispatch.New(1, 1), log: zap.NewNop(), progressFailures: logs.NewFailureLogger(zap.NewNop(), "progress-not-stored")}
 	t.scheduler.RestoreCosts(estimates)
 	return t
 }
--- a/internal/owner/leases.go
+++ b/internal/owner/leases.go
@@ -50,6 +50,7 @@
 func (t *term) handleExpired(a link.Attach) link.AttachReply {
 	incarnation, process := a.Registration.Incarnation, a.Registration.AgentIncarnation
 	if a.Epoch == t.epoch && !t.attached[incarnation.ID] && !t.awaitsStaleLease(incarnation.ID, process) {
+		t.holdUnderWay(incarnation.ID, a.Registration.Agent, process, a.UnderWay)
 		t.lose(incarnation.ID, incarnation, "worker silent, its leases are over")
 	}
 	return link.AttachReply{Epoch: t.epoch, Incremental: true}
@@ -63,6 +64,7 @@
 	for _, registration := range t.scheduler.RegisteredBy(a.Registration.Agent) {
 		id := registration.Incarnation.ID
 		if a.Epoch == t.epoch && !t.attached[id] && registration.AgentIncarnation != process && !t.awaitsStaleLease(id, process) {
+			t.holdUnderWay(id, a.Registration.Agent, process, nil)
 			t.lose(id, registration.Incarnation, "its agent has restarted and has no worker")
 		}
 	}
--- a/internal/owner/removals.go
+++ b/internal/owner/removals.go
@@ -58,6 +58,7 @@
 	}
 	delete(t.leaseExpiry, id)
 	t.log.Warn("instance-lost", zap.String("instance", id), zap.String("reason", "silent until its grants were over"))
+	t.holdUnsettled(id)
 	t.scheduler.LostByID(time.Now(), id)
 	t.schedulePlan()
 }
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -73,6 +73,7 @@
 		t.revisions[row.RowKey] = row.Revision
 		t.scheduler.RestoreInstance(registration)
 		t.leaseExpiry[registration.Incarnation.ID] = t.claimed.Add(t.takeoverWait())
+		t.grantsEnd[registration.Incarnation.ID] = t.claimed.Add(grantedLeaseWait)
 	}
 	t.restoreCosts(persisted.costs)
 	t.applyRows(persisted.jobs)
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -114,6 +114,7 @@
 	delete(t.sessions, id)
 	t.scheduler.SetReachable(id, false)
 	t.leaseExpiry[id] = s.leaseCountedFrom.Add(leaseExpiryWait)
+	t.grantsEnd[id] = t.leaseExpiry[id]
 	if until := t.staleLeaseUntil[id]; until.After(t.leaseExpiry[id]) {
 		t.leaseExpiry[id] = until
 	}
@@ -151,6 +152,7 @@
 		t.scheduler.Silent(now.Add(-link.SilenceTimeout), s.agent)
 	}
 	if r.LeasesExpired {
+		t.holdUnderWay(id, s.agent, t.scheduler.ProcessOf(id), r.UnderWay)
 		t.lose(id, s.incarnation, "worker silent, its leases are over")
 	}
 	if changesPlan(s, r) {
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -65,6 +65,7 @@
 	attached      map[string]bool     // instances that have had a session in this term
 
 	leaseExpiry      map[string]time.Time      // of instances without a session: when their last lease expires
+	grantsEnd        map[string]time.Time      // of the same: when the last lease that an owner granted expires; no start is sent after that
 	revisions        map[table.RowKey]uint64   // last known revision per row
 	changes          []dispatch.InstanceChange // instance rows to be committed
 	attaches         map[string]uint64         // by instance ID: how often its agent has attached in this term
@@ -115,7 +116,7 @@
 		progressFailures: logs.NewFailureLogger(log, "progress-not-stored"),
 		epoch:            holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
 		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{}, attached: map[string]bool{},
-		leaseExpiry: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, attaches: map[string]uint64{}, staleLeaseUntil: map[string]time.Time{},
+		leaseExpiry: map[string]time.Time{}, grantsEnd: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, attaches: map[string]uint64{}, staleLeaseUntil: map[string]time.Time{},
 		inForce: map[string]bool{},
 		ctx:     ctx, stop: stop,
 	}
--- a/internal/owner/waits.go
+++ b/internal/owner/waits.go
@@ -20,7 +20,7 @@
 		return
 	}
 	t.log.Info(
-		"tasks-wait", zap.Int("unconfirmed", waits.Unconfirmed), zap.Int("delayed", waits.Delayed), zap.Int("unplaced", waits.Unplaced),
+		"tasks-wait", zap.Int("unconfirmed", waits.Unconfirmed), zap.Int("delayed", waits.Delayed), zap.Int("late-starts", waits.LateStarts), zap.Int("unplaced", waits.Unplaced),
 		zap.Int("instances", waits.Instances), zap.Int("usable", waits.UsableInstances), zap.Int("quarantined", waits.Quarantined), zap.Int("evacuated", waits.Evacuated), zap.Int("missing", waits.MissingInstances),
 	)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -71,6 +71,8 @@
 	lastStartAnswerAt    time.Time // when the worker last answered a start
 	incarnationUncertain bool      // the last poll failed
 	lastCrash            crash     // of the worker
+	createdAt            time.Time
+	settledReportDue     bool // see reportSettledSoon
 	pollWake             chan struct{}
 
 	session     *session
@@ -89,7 +91,7 @@
 	r := &Runner{
 		settings: settings, worker: worker, loop: l, log: log, registry: registry, ignored: logs.NewFailureLogger(log, "registration-ignored"),
 		runs: runsByTask{}, startCalls: startCalls{}, leases: newLeases(settings.MaxLease),
-		lastAnswerAt: time.Now(), pollWake: make(chan struct{}, 1), pacer: newPacer(),
+		lastAnswerAt: time.Now(), createdAt: time.Now(), pollWake: make(chan struct{}, 1), pacer: newPacer(),
 	}
 	r.noteServed()
 	return r
@@ -269,13 +271,24 @@
 	}
 	report.Ends = append(report.Ends, s.notStarted...)
 	s.notStarted = nil
-	full := s.listed && !s.full
-	report.Full = full
+	report.Full = s.listed && !s.full
+	report.Running = r.takeRunning(report.Full)
+	if report.LeasesExpired {
+		report.UnderWay = r.startCalls.underWay()
+	}
+	return report
+}
+
+// takeRunning returns the runs for the next report, all of them if it is full, and marks what they say as
+// reported.
+func (r *Runner) takeRunning(full bool) []dispatch.RunStatus {
+	var running []dispatch.RunStatus
 	for name, known := range r.runs {
-		if full || known.checkpointChanged {
-			known.checkpointChanged = false
-			report.Running = append(report.Running, dispatch.RunStatus{Task: name, Run: known.number, Checkpoint: known.checkpoint})
+		settled := r.settled(name, known)
+		if full || known.checkpointChanged || settled && !known.settledReported {
+			known.checkpointChanged, known.settledReported = false, settled
+			running = append(running, dispatch.RunStatus{Task: name, Run: known.number, Checkpoint: known.checkpoint, Settled: settled})
 		}
 	}
-	return report
+	return running
 }
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -30,6 +30,7 @@
 	order             link.StartOrder
 	checkpoint        string
 	checkpointChanged bool
+	settledReported   bool // the owner has received that its start is settled
 	stopping          bool
 	found             bool // an earlier agent or owner started it, or a late order
 	// settledAt is the time from which on no order in flight can start the run any more. If the
@@ -67,6 +68,9 @@
 	}
 	r.startCalls.noteListed(l.Task, known)
 	known.settleStart()
+	if !known.settledReported {
+		r.reportSettledSoon()
+	}
 	if known.checkpoint != l.Checkpoint {
 		known.checkpoint, known.checkpointChanged = l.Checkpoint, true
 	}
@@ -167,6 +171,7 @@
 	case err == nil && answer.Status == Applied:
 		r.noteStarted(call)
 		known.settleStart()
+		r.reportSettledSoon()
 		if known.order.BestEffort {
 			r.pacer.set(r, known, call.Task)
 		}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -104,6 +104,9 @@
 	}
 	attach.Registration, attach.LeasesExpired, attach.Crash = r.withCold(), r.declareLeasesExpired(), r.lastCrash.report()
 	attach.StaleLease = r.leases.staleFor().Milliseconds()
+	if attach.LeasesExpired {
+		attach.UnderWay = r.startCalls.underWay()
+	}
 	return attach
 }
 
--- a/internal/runner/startcalls.go
+++ b/internal/runner/startcalls.go
@@ -10,6 +10,10 @@
 	"go.uber.org/zap"
 )
 
+// settledReportDelay is the longest time after which an agent reports that a start is settled. Until then the
+// owner must count with a late start if the instance is lost.
+const settledReportDelay = 100 * time.Millisecond
+
 // startCalls holds, by task, the calls of starts that may still be carried out: by the worker or, since it
 // may start again under its ID, by its next incarnation. A call leaves it once it was answered, once the
 // worker has listed the run that only this call can have started, or when it is too old.
@@ -82,6 +86,38 @@
 	}
 }
 
+// underWay returns what the owner learns of the starts that may still be carried out.
+func (s startCalls) underWay() []dispatch.StartUnderWay {
+	var starts []dispatch.StartUnderWay
+	for name, call := range s.list() {
+		// A started millisecond counts whole.
+		starts = append(starts, dispatch.StartUnderWay{Task: name, Run: call.run, Remaining: time.Until(call.expiresAt()).Milliseconds() + 1})
+	}
+	return starts
+}
+
+// settled reports whether the run is on the worker, or was, and no call is under way any more that starts it.
+// Another process of the agent may have sent calls of a run that was found.
+func (r *Runner) settled(name dispatch.TaskName, known *run) bool {
+	if known.settledAt.IsZero() || known.found && time.Since(r.createdAt) < orderTimeout+link.MaxCallDelay {
+		return false
+	}
+	return len(r.startCalls.pending(name)) == 0
+}
+
+// reportSettledSoon makes the session report the runs that are settled now, with those of the next
+// settledReportDelay.
+func (r *Runner) reportSettledSoon() {
+	if r.settledReportDue {
+		return
+	}
+	r.settledReportDue = true
+	r.postAfter(settledReportDelay, func() {
+		r.settledReportDue = false
+		r.requestReport()
+	})
+}
+
 // logStartCalls logs the starts that the next incarnation of the worker may carry out.
 func (r *Runner) logStartCalls() {
 	for name, call := range r.startCalls.list() {
--- a/internal/runner/startcalls_test.go
+++ b/internal/runner/startcalls_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 )
 
 var errRefused = errors.Wrap(&net.OpError{Op: "dial", Err: errors.New("refused")}, "call the worker")
@@ -77,3 +79,69 @@
 		})
 	})
 }
+
+// Guards against a start that the owner never learns to be settled, and against one that it takes for settled
+// too early: of a call under way, or of a run that another process of the agent has started.
+func TestSettledStartsAreReportedOnce(t *testing.T) {
+	settled := func(r *Runner) (names []dispatch.TaskName) {
+		for _, status := range r.takeRunning(false) {
+			if status.Settled {
+				names = append(names, status.Task)
+			}
+		}
+		return names
+	}
+	found := dispatch.TaskName{Job: "found"}
+	start := func(ctx context.Context, _ StartCall) (Answer, error) {
+		time.Sleep(10 * time.Millisecond)
+		return Answer{}, ctx.Err()
+	}
+	withRunner(t, Worker{Poll: unansweredPoll, Start: start}, func(t *testing.T, r *Runner) {
+		onLoop(t, r, func() {
+			r.runs.recordRunning(r, RunStatus{RunStatus: dispatch.RunStatus{Task: found, Run: 1}})
+			r.start(link.StartOrder{Task: task, Run: 1})
+			if got := settled(r); len(got) != 0 {
+				t.Errorf("settled %v before the answer", got)
+			}
+		})
+		time.Sleep(20*time.Millisecond + settledReportDelay)
+		onLoop(t, r, func() {
+			if len(r.session.wakeup) == 0 {
+				t.Error("no report is due")
+			}
+			if diff := cmp.Diff([]dispatch.TaskName{task}, settled(r)); diff != "" {
+				t.Errorf("settled (-want +got):\n%s", diff)
+			}
+			if got := settled(r); len(got) != 0 {
+				t.Errorf("settled %v once more", got)
+			}
+		})
+		time.Sleep(link.MaxCallDelay + orderTimeout)
+		onLoop(t, r, func() {
+			if diff := cmp.Diff([]dispatch.TaskName{found}, settled(r)); diff != "" {
+				t.Errorf("settled (-want +got):\n%s", diff)
+			}
+		})
+	})
+}
+
+// With the news that all leases are over, the agent says which of its starts are under way.
+func TestAnAgentReportsStartsUnderWay(t *testing.T) {
+	withRunner(t, Worker{}, func(t *testing.T, r *Runner) {
+		onLoop(t, r, func() { r.startCalls.add(task, 3) })
+		time.Sleep(5 * time.Second)
+		onLoop(t, r, func() {
+			if report := r.takeReport(r.session); report.UnderWay != nil {
+				t.Errorf("%v without the news", report.UnderWay)
+			}
+			r.silent = true
+			want := []dispatch.StartUnderWay{{Task: task, Run: 3, Remaining: (orderTimeout + link.MaxCallDelay - 5*time.Second).Milliseconds() + 1}}
+			if diff := cmp.Diff(want, r.takeReport(r.session).UnderWay); diff != "" {
+				t.Errorf("report (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(want, r.newAttach(1).UnderWay); diff != "" {
+				t.Errorf("attach (-want +got):\n%s", diff)
+			}
+		})
+	})
+}
