Starts under way are stored for the next owner

Cause: the next owner waits 10.3 s for an instance that does not attach. A start that was sent just before its claim may be carried out up to 15 s later by a new incarnation, whose lease then lasts 10.3 s. Only the owner that ordered the start knew of it, and no agent that the next owner reaches. The next owner holds the tasks of the starts whose instances do not attach, or whose agents cannot speak for them, until the runs have certainly ended, and no others: tasks that are settled or were never ordered start after 10.3 s as before. It keeps the starts in the row meanwhile. A start does not wait for the table.

--- a/internal/decision/dispatch/instances.go
+++ b/internal/decision/dispatch/instances.go
@@ -167,6 +167,7 @@
 			s.runEnded(now, in, End{Task: p.name, Run: p.run, Reason: reason})
 		}
 	}
+	delete(s.formerStarts, in.registration.Incarnation.ID)
 	s.dropInstance(in)
 	s.confirm(in.registration.Incarnation.ID)
 }
--- a/internal/decision/dispatch/latestarts.go
+++ b/internal/decision/dispatch/latestarts.go
@@ -64,7 +64,7 @@
 	if !known {
 		return nil
 	}
-	var held []LateStart
+	held := s.holdFormer(id, process, until)
 	for _, p := range in.reservations {
 		for ; p != nil; p = p.orderedRun {
 			if !p.settled && (process == "" || p.orderedThrough != process) {
@@ -100,6 +100,7 @@
 // releaseLateStarts drops the late starts on an ID: its worker has seen a higher fencing token and listed
 // all of its runs.
 func (s *Scheduler) releaseLateStarts(id string) {
+	delete(s.formerStarts, id)
 	s.lateStarts.drop(func(late LateStart) bool { return late.Instance == id })
 }
 
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -335,6 +335,7 @@
 	placed.setStep(t.step)
 	p.backfilled(j, t, in)
 	in.add(placed)
+	p.scheduler.unsettled[placed] = in
 	p.updateCaches(in, t.step, true)
 	in.lastStartAt = p.now
 	if t.isolated(p.now) {
--- a/internal/decision/dispatch/progress.go
+++ b/internal/decision/dispatch/progress.go
@@ -8,7 +8,7 @@
 
 // Progress is what is stored of a job in addition to the accepted job itself: its state, and
 // the tasks that are done, have failed, are suspected of a crash or have a checkpoint. Starts are
-// not stored: instances report what they run.
+// not part of it: instances report what they run, and StoredStarts lists what is under way.
 type Progress struct {
 	State       State         `json:"state,omitempty"` // final state, or Queued while the job is unfinished
 	Occurrences []*Occurrence `json:"occ,omitempty"`   // by occurrence number, from Completed on; nil where nothing is stored
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -54,6 +54,7 @@
 	p.setStep(s.findStep(status.Task))
 	s.replaceOrderedRun(now, in, p)
 	in.add(p)
+	s.unsettled[p] = in
 	t := s.findReported(now, status.Task)
 	if t == nil {
 		s.stop(in, p, StopJobEnded)
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -44,8 +44,10 @@
 	byID               []*instance          // the same, sorted by that ID
 	unconfirmed        map[string]bool      // instances of earlier owners that have not reported yet
 	lateStarts         lateStarts
-	suspects           map[TaskName]*task   // tasks that a crash of a worker is held against
-	lostAt             map[string]time.Time // by agent: when its worker last fell silent or crashed
+	unsettled          unsettled
+	formerStarts       map[string][]StoredStart // by instance that has not reported: what earlier owners have stored
+	suspects           map[TaskName]*task       // tasks that a crash of a worker is held against
+	lostAt             map[string]time.Time     // by agent: when its worker last fell silent or crashed
 	stops              []Stop
 	postponements      []Postponement
 	stepDurations      []StepDuration
@@ -74,7 +76,7 @@
 	return &Scheduler{
 		ownerRevision: ownerRevision, runBase: int64(epoch-1) * runNumbersPerEpoch,
 		jobs: map[string]*jobState{}, finished: map[string]finishedJob{},
-		instances: map[string]*instance{}, unconfirmed: map[string]bool{}, lateStarts: lateStarts{}, suspects: map[TaskName]*task{}, lostAt: map[string]time.Time{},
+		instances: map[string]*instance{}, unconfirmed: map[string]bool{}, lateStarts: lateStarts{}, unsettled: unsettled{}, formerStarts: map[string][]StoredStart{}, suspects: map[TaskName]*task{}, lostAt: map[string]time.Time{},
 		costModel: interference.NewModel(), durations: durations.New(), speeds: speeds.New(),
 	}
 }
--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -24,11 +24,16 @@
 
 // renewAliveRow writes the alive row unless a commit is in flight or the epoch was confirmed
 // less than alivePeriod ago: every commit writes the alive row too. A successful write confirms
-// the epoch, since the owner's row is its precondition.
+// the epoch, since the owner's row is its precondition. If the starts under way have changed, a
+// commit writes both rows.
 func (t *term) renewAliveRow() {
 	if t.committing || t.elector.now().since(t.epochConfirmed) < alivePeriod {
 		return
 	}
+	if t.startsChanged() {
+		t.commit()
+		return
+	}
 	b := &batch{txn: table.Txn{Preconditions: []table.Precondition{t.ownerPrecondition()}}}
 	t.putAliveRow(b)
 	t.putCosts(b)
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -17,10 +17,10 @@
 const (
 	// maxCommitOperations is the number of preconditions and writes that the table accepts in
 	// one transaction. fixedCommitOperations of them are reserved in each commit: the
-	// precondition on the owner's row and the writes of the alive row, the costs row and the
-	// durations row.
+	// precondition on the owner's row, the writes of the alive row, the costs row and the durations
+	// row, and the write of the starts row with its precondition.
 	maxCommitOperations   = 100
-	fixedCommitOperations = 4
+	fixedCommitOperations = 6
 	// maxRowBytes bounds the value of a row, and maxCommitBytes the values of one commit, in bytes, but
 	// for the costs row and the durations row. The table accepts calls of 1 MB, in which values take a
 	// third more, and keys and revisions the rest.
@@ -61,7 +61,7 @@
 		t.commit()
 		return
 	}
-	if dirty && !t.commitScheduled {
+	if (dirty || t.startsOrdered) && !t.commitScheduled {
 		t.commitScheduled = true
 		time.AfterFunc(commitDelay, func() {
 			t.post(func() {
@@ -135,6 +135,7 @@
 	for _, change := range b.instances {
 		t.putInstance(b, change)
 	}
+	t.putStarts(b)
 	t.putSubmissions(b)
 	t.putProgress(b, (maxCommitOperations-fixedCommitOperations)/operationsPerRow-len(b.instances)-len(b.pendingJobs))
 	t.putAliveRow(b)
@@ -276,6 +277,8 @@
 	switch {
 	case put.RowKey == durationsRowKey():
 		t.durations = put.Value
+	case put.RowKey == startsRowKey():
+		t.starts, t.revisions[put.RowKey] = put.Value, revision
 	case put.RowKey == aliveRowKey() || put.RowKey == costsRowKey() || strings.HasSuffix(put.Key, suffixJob):
 	default:
 		t.revisions[put.RowKey] = revision
--- a/internal/owner/fuzz_test.go
+++ b/internal/owner/fuzz_test.go
@@ -74,6 +74,7 @@
 	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s"},"ends":[{"task":"j.-1.7.99","run":-3}],"figures":[{}]}`))
 	f.Add(0, []byte(`{"offer":{"life":{"id":"x","born":-1},"capacity":{"cpu":-9}},"session":7}`))
 	f.Add(0, []byte(`{"offer":{"life":{"id":"x","born":9223372036854775807},"service":"s","capacity":{"cpu":9223372036854775807}},"session":7}`))
+	f.Add(1, []byte(`{"life":{"id":"w","born":1},"lapsed":true,"silent":true,"underway":[{"task":"j.0.0.1","run":3,"remaining":9223372036854775807}]}`))
 	f.Add(1, []byte(`{"life":{"id":"w","born":1},"evacuation":{"evacuated":true,"revision":18446744073709551615}}`))
 	f.Add(1, []byte(`{"offer":{"life":{"id":"w","born":1},"service":"s","remaining":9223372036854775807,"leaving":true},"figures":[{"task":"j.0.0.1","v":1e308}]}`))
 	f.Fuzz(func(t *testing.T, method int, params []byte) {
@@ -91,13 +92,14 @@
 	}
 	f.Add("j"+suffixJob, []byte(`{"id":"j","under":18446744073709551615,"policy":{"service":"s"},"steps":[{"count":1}]}`), "j"+suffixProgress, []byte(`null`))
 	f.Add("w", []byte(`{"life":{"id":"x","born":9223372036854775807},"capacity":{"cpu":9223372036854775807}}`), "j"+suffixJob, []byte(`{"id":"k"}`))
+	f.Add("0", []byte(`[{"task":"j.-1.7.99","run":-3,"instance":"w","remaining":9223372036854775807}]`), "j"+suffixJob, []byte(badJobs[0]))
 	f.Fuzz(func(t *testing.T, firstKey string, first []byte, secondKey string, second []byte) {
 		onTerm(t, func(current *term, _ *Conn) {
 			row := func(name, key string, value []byte) table.Record {
 				return table.Record{RowKey: table.RowKey{Table: name, Partition: shardPartition, Key: key}, Value: value, Revision: 50}
 			}
 			current.restore(persistedRows{
-				instances: []table.Record{row(tableInstances, firstKey, first)}, costs: []table.Record{row(tableCosts, firstKey, first)},
+				instances: []table.Record{row(tableInstances, firstKey, first)}, starts: []table.Record{row(tableStarts, firstKey, first)}, costs: []table.Record{row(tableCosts, firstKey, first)},
 				jobs: []table.Record{row(tableJobs, firstKey, first), row(tableJobs, secondKey, second)},
 			})
 		})
--- a/internal/owner/latestarts.go
+++ b/internal/owner/latestarts.go
@@ -8,6 +8,10 @@
 	"go.uber.org/zap"
 )
 
+// maxCallRemaining bounds what an agent says of how long a start may be carried out, in ms: it counts its own
+// timeout of the call, too.
+const maxCallRemaining = link.MaxCallDelay + time.Second
+
 // holdUnsettled keeps the tasks of an instance that is lost, and whose agent has said nothing, from starting
 // elsewhere as long as a start under way may be carried out and lease the run. Its agent has sent no start
 // after the last grant was over.
@@ -21,6 +25,9 @@
 // which of its own starts are under way.
 func (t *term) holdUnderWay(id, agent, process string, starts []dispatch.StartUnderWay) {
 	now, maxLease := time.Now(), t.elector.settings.MaxLease
+	for i := range starts {
+		starts[i].Remaining = min(max(starts[i].Remaining, 0), maxCallRemaining.Milliseconds())
+	}
 	t.logHeld(t.scheduler.HoldUnderWay(now, id, agent, starts, link.MaxStaleLease(maxLease)))
 	t.logHeld(t.scheduler.HoldUnsettled(id, process, now.Add(link.MaxUnfencedLease(maxLease))))
 }
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -42,9 +42,9 @@
 }
 
 // dispatch makes a plan, sends the resulting orders to the agents and schedules a commit of
-// the scheduler's changes. Starts are not stored, neither before they are sent nor by that
-// commit: a later owner learns which runs exist on an instance from its full report, and from
-// the instance rows for which instances it must wait.
+// the scheduler's changes. Starts are not stored before they are sent: a later owner learns which
+// runs exist on an instance from its full report, and from the instance rows for which instances it
+// must wait. The commit stores the starts that are under way.
 func (t *term) dispatch() {
 	orders := map[string]*link.Orders{}
 	ordersFor := func(id string) *link.Orders {
@@ -62,6 +62,7 @@
 		t.log.Info("start", zap.Stringer("task", start.Task), zap.Int64("run", start.Run), zap.String("instance", start.Instance))
 		ordersFor(start.Instance).Starts = append(ordersFor(start.Instance).Starts, startOrder(start))
 	}
+	t.startsOrdered = t.startsOrdered || len(starts) > 0
 	t.logSpeeds()
 	for _, stop := range t.scheduler.TakeStops() {
 		t.log.Info("stop", zap.Stringer("task", stop.Task), zap.Int64("run", stop.Run), zap.String("instance", stop.Instance), zap.Stringer("reason", stop.Reason))
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -28,8 +28,8 @@
 
 // persistedRows are the rows that earlier owners left in the table.
 type persistedRows struct {
-	instances, costs, jobs []table.Record
-	jobsRevision           uint64 // revision at which the jobs were read
+	instances, starts, costs, jobs []table.Record
+	jobsRevision                   uint64 // revision at which the jobs were read
 }
 
 func (t *term) read() (persisted persistedRows, err error) {
@@ -42,6 +42,7 @@
 		return rows, revision
 	}
 	persisted.instances, _ = read(tableInstances)
+	persisted.starts, _ = read(tableStarts)
 	persisted.costs, _ = read(tableCosts)
 	persisted.jobs, persisted.jobsRevision = read(tableJobs)
 	if err == nil {
@@ -75,6 +76,7 @@
 		t.leaseExpiry[registration.Incarnation.ID] = t.claimed.Add(t.takeoverWait())
 		t.grantsEnd[registration.Incarnation.ID] = t.claimed.Add(grantedLeaseWait)
 	}
+	t.restoreStarts(persisted.starts)
 	t.restoreCosts(persisted.costs)
 	t.applyRows(persisted.jobs)
 	t.jobsRevision, t.loaded = persisted.jobsRevision, true
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -5,9 +5,10 @@
 // the execution of orders to the agents.
 //
 // Only the owner starts tasks of jobs with steps (dispatch.Job), once it has loaded its state
-// from the table. Starts are not stored: the table holds the jobs, their progress and the
-// registered instances. An owner learns which runs exist on an instance from the full report
-// of the instance's agent, and sends no start to an instance before that report.
+// from the table. The table holds the jobs, their progress and the registered instances. An owner
+// learns which runs exist on an instance from the full report of the instance's agent, and sends no
+// start to an instance before that report. No start waits for the table. The row of starts under
+// way follows, for the case that the next owner never hears of the instance; see putStarts.
 //
 // Four checks prevent a second start of a task that runs already:
 //   - The scheduler places only tasks that are neither done nor placed, and each new run of a
@@ -26,7 +27,8 @@
 // term.takeoverWait after the claim at the earliest, because its worker may hold a lease that an
 // earlier owner granted; it is lost before that if its agent attaches with a later incarnation
 // of the worker under another ID, or says that all leases have expired. A job stored under the
-// new owner does not wait for this: no earlier owner can have started it.
+// new owner does not wait for this: no earlier owner can have started it. A task whose start may be under
+// way on an instance that is lost waits longer, see holdUnsettled.
 package owner
 
 import (
@@ -47,6 +49,7 @@
 	tableAlive     = "alive"     // key 0: the owner's heartbeat, written every alivePeriod
 	tableJobs      = "jobs"      // ID/job, ID/progress, ID/cancel
 	tableInstances = "instances" // ID of a worker's incarnation: its registration
+	tableStarts    = "starts"    // key 0: the starts that may be under way
 	tableCosts     = "costs"     // key 0: estimated interference costs of image pairs; durations: of tasks
 	singleRowKey   = "0"
 	durationsKey   = "durations"
@@ -85,6 +88,10 @@
 	return table.RowKey{Table: tableAlive, Partition: shardPartition, Key: singleRowKey}
 }
 
+func startsRowKey() table.RowKey {
+	return table.RowKey{Table: tableStarts, Partition: shardPartition, Key: singleRowKey}
+}
+
 func durationsRowKey() table.RowKey {
 	return table.RowKey{Table: tableCosts, Partition: shardPartition, Key: durationsKey}
 }
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -89,6 +89,8 @@
 	progressFailures    *logs.FailureLogger
 	costs               []interference.Estimate // as last written to the costs row
 	costsComparedAt     time.Time               // when costs was last compared with the scheduler's estimates
+	starts              []byte                  // the starts row, as last committed
+	startsOrdered       bool                    // starts were ordered since the last write of the starts row
 	durations           []byte                  // the durations row, as last committed
 	durationsComparedAt time.Time               // the same for durations
 	jobsRevision        uint64
--- a/internal/process/restarted_worker_test.go
+++ b/internal/process/restarted_worker_test.go
@@ -68,8 +68,8 @@
 	var all []restartAndCut
 	for _, replaced := range replacedProcesses {
 		for _, cut := range cutKinds {
-			for _, cutAt := range []time.Duration{800 * time.Millisecond, 1300 * time.Millisecond, 2300 * time.Millisecond, 3800 * time.Millisecond} {
-				for _, late := range []time.Duration{0, 950 * time.Millisecond} {
+			for _, cutAt := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 550 * time.Millisecond, 800 * time.Millisecond, 1300 * time.Millisecond, 2300 * time.Millisecond, 3800 * time.Millisecond} {
+				for _, late := range []time.Duration{0, 950 * time.Millisecond, 4 * time.Second, 9 * time.Second, 14 * time.Second} {
 					c := restartAndCut{cutAt: cutAt, cut: cut, late: late, replaced: replaced}
 					if replaced.name == "nobody" {
 						all = append(all, c)
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -4,7 +4,7 @@
 // owner, the protocol to the worker to the functions in Worker.
 //
 // The runner starts a run only on an order of the owner in the current session. The owner
-// stores no starts, so a full report lists every run that may exist on the worker, including
+// stores only the starts under way, so a full report lists every run that may exist on the worker, including
 // those that an order in flight may still start. It is sent after the worker has answered a
 // poll that was sent in the session with the owner's epoch.
 //
