Golden sessions run between the ticks of the cluster

Seen: go test work on failed in TestCases/session/evacuation of internal/verb: "elsewhere 0 0 0 by otieno at 2000-01-01T00:00:05Z", wanted 06Z; the rest was equal. Cause: the case, not the product. The processes of the cluster start at 0 s of the fake clock and the entries read the evacuated domains each full second; the first command of a session ran at 5 s, the same instant. If the target and the first evacuation were stored before the read of e1 at 5 s, e1 had the evacuation in force then, not at 6 s, and the evacuation of elsewhere ran at 5.1 s, not 6 s. Only the order of goroutines at one instant decides this. Change: the first command of a session runs 25 ms after a tick. The periods at which the cluster's processes read, write and plan are multiples of 50 ms, and so are the waits of the sessions and the polls of the commands, so that no later command runs at a tick either. A wait that is not a multiple of 50 ms fails the case. No line of cmd, expout or experr changes: the cases check all that they checked before.

--- a/internal/verb/cases_test.go
+++ b/internal/verb/cases_test.go
@@ -18,6 +18,16 @@
 
 var update = flag.Bool("update", false, "write what the cases print as what is expected")
 
+const (
+	// tick divides the periods at which the processes of the cluster read, write and plan. They
+	// start at 0 s of the fake clock.
+	tick = 50 * time.Millisecond
+	// sessionStart is when the first command of a session runs: between two ticks. At a tick, it
+	// would depend on the order of goroutines whether a process reads a change of a command at that
+	// tick or only a period later, and so would the time at which the next command runs.
+	sessionStart = 5*time.Second + tick/2
+)
+
 // TestCases runs each golden session in test/cases/AREA/NAME: the commands in cmd must print
 // what expout and experr hold. A line such as `wait 5s` sleeps. Sessions of the area "session"
 // run against a cluster of two entries and three agents.
@@ -41,7 +51,7 @@
 			}
 			synctest.Test(t, func(t *testing.T) {
 				cluster := testcluster.New(t, 3)
-				time.Sleep(5 * time.Second)
+				time.Sleep(sessionStart)
 				runCase(t, verb.Env{HTTP: cluster.Client.Transport})
 			})
 		})
@@ -64,6 +74,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if d%tick != 0 {
+				t.Fatalf("a wait of %v is not a multiple of %v, so later commands may run at a tick", d, tick)
+			}
 			time.Sleep(d)
 			continue
 		}
