A slow answer to a start tells that the call is not under way any more

Callers would see: tasks of a lost instance that wait 25 s longer than the others, where processes starve and a worker takes longer than 0.4 s to answer a start. Cause: the agent gave a call up as it tried again, so the first call counted as under way for 15 s although its answer came a moment later. Change: the call goes on until it is not carried out any more. Its answer is then only an account of that call, or shows that the run has begun or that the worker has restarted; the agent tries again after 0.4 s as before.

--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -143,22 +143,25 @@
 	}
 	known.startTries++
 	sending := r.startCalls.add(order.Task, order.Run)
-	r.loop.Go(func() {
-		callCtx, cancel := context.WithTimeout(r.loop.Context(), orderTimeout)
-		defer cancel()
-		answer, err := r.worker.Start(callCtx, call)
-		r.loop.Post(func() {
-			r.registry.Observe("start-order", time.Since(sent))
-			if err == nil || neverSent(err) {
-				r.startCalls.remove(order.Task, sending)
-			} else {
-				r.registry.Add("start-unanswered", 1)
-			}
-			r.startAnswered(known, call, try, sent, answer, err)
-		})
+	r.callStart(call, func(answer Answer, err error) {
+		r.registry.Observe("start-order", time.Since(sent))
+		r.startCallEnded(call, sending, err)
+		r.startAnswered(known, call, try, sent, answer, err)
+	}, func(answer Answer, err error) {
+		r.startCallEnded(call, sending, err)
+		r.startAnsweredLate(known, call, answer, err)
 	})
 }
 
+// startCallEnded records that a call was answered or failed.
+func (r *Runner) startCallEnded(call StartCall, sending startCall, err error) {
+	if err == nil || neverSent(err) {
+		r.startCalls.remove(call.Task, sending)
+		return
+	}
+	r.registry.Add("start-unanswered", 1)
+}
+
 func (r *Runner) startAnswered(known *run, call StartCall, try int, sent time.Time, answer Answer, err error) {
 	if r.answeredByOther(call.Incarnation, answer, err) {
 		return
@@ -169,12 +172,7 @@
 	}
 	switch {
 	case err == nil && answer.Status == Applied:
-		r.noteStarted(call)
-		known.settleStart()
-		r.reportSettledSoon()
-		if known.order.BestEffort {
-			r.pacer.set(r, known, call.Task)
-		}
+		r.startApplied(known, call)
 	case err == nil:
 		r.log.Warn("start-denied", zap.Stringer("task", call.Task), zap.Int64("run", call.Run), zap.Stringer("answer", answer.Status), zap.String("reason", answer.Reason), zap.Int("try", try))
 		r.registry.Add("start-denied", 1)
@@ -193,6 +191,29 @@
 	}
 }
 
+// startApplied records that the worker has carried out a start.
+func (r *Runner) startApplied(known *run, call StartCall) {
+	r.noteStarted(call)
+	known.settleStart()
+	r.reportSettledSoon()
+	if known.order.BestEffort {
+		r.pacer.set(r, known, call.Task)
+	}
+}
+
+// startAnsweredLate handles the answer to a start after orderTimeout, when the run may have been started by
+// another try, or stopped.
+func (r *Runner) startAnsweredLate(known *run, call StartCall, answer Answer, err error) {
+	if r.answeredByOther(call.Incarnation, answer, err) || !r.isCurrent(call.Incarnation, known, call.Task) {
+		return
+	}
+	if err == nil && answer.Status == Applied && !known.stopping && known.settledAt.IsZero() {
+		r.startApplied(known, call)
+		return
+	}
+	r.reportSettledSoon()
+}
+
 // answeredByOther reports whether another incarnation of the worker answered an order than the one that
 // it was meant for. Such an answer settles nothing: the order is stopped as one that is in flight, by
 // startIncarnation.
--- a/internal/runner/startcalls.go
+++ b/internal/runner/startcalls.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -118,6 +119,38 @@
 	})
 }
 
+// errStartUnanswered is the error of a start that has no answer after orderTimeout.
+var errStartUnanswered = errors.New("no answer yet")
+
+// callStart sends a start. It calls answered on the loop with the answer, or with an error once orderTimeout is
+// over. An answer after that goes to late: it tells that the call is not under way any more. The call is given
+// up when it is not carried out any more.
+func (r *Runner) callStart(call StartCall, answered, late func(Answer, error)) {
+	ctx, cancel := context.WithTimeout(r.loop.Context(), link.MaxCallDelay)
+	answeredBefore := false // belongs to the loop
+	timer := time.AfterFunc(orderTimeout, func() {
+		r.loop.Post(func() {
+			if !answeredBefore {
+				answeredBefore = true
+				answered(Answer{}, errStartUnanswered)
+			}
+		})
+	})
+	r.loop.Go(func() {
+		defer cancel()
+		answer, err := r.worker.Start(ctx, call)
+		timer.Stop()
+		r.loop.Post(func() {
+			if answeredBefore {
+				late(answer, err)
+				return
+			}
+			answeredBefore = true
+			answered(answer, err)
+		})
+	})
+}
+
 // logStartCalls logs the starts that the next incarnation of the worker may carry out.
 func (r *Runner) logStartCalls() {
 	for name, call := range r.startCalls.list() {
--- a/internal/runner/startcalls_test.go
+++ b/internal/runner/startcalls_test.go
@@ -21,6 +21,14 @@
 		<-ctx.Done()
 		return Answer{}, ctx.Err()
 	}
+	slow := func(ctx context.Context, _ StartCall) (Answer, error) {
+		select {
+		case <-ctx.Done():
+			return Answer{}, ctx.Err()
+		case <-time.After(700 * time.Millisecond):
+			return Answer{}, nil
+		}
+	}
 	lists := func(r *Runner) {
 		call, _ := r.nextPoll(0)
 		r.handlePoll(call, pollResultOf(200, task), nil, time.Now(), time.Now())
@@ -38,6 +46,8 @@
 		{"no answer yet", unanswered, time.Millisecond, nil, true},
 		{"no answer, but the run is listed", unanswered, time.Millisecond, lists, false},
 		{"no answer to two calls, and the run is listed", unanswered, 500 * time.Millisecond, lists, true},
+		{"a slow answer is not there yet", slow, 600 * time.Millisecond, nil, true},
+		{"two slow answers", slow, 1300 * time.Millisecond, nil, false},
 		{"no answer until the calls are too old", unanswered, link.MaxCallDelay + 3*time.Second, nil, false},
 	}
 	for _, c := range cases {
@@ -145,3 +155,38 @@
 		})
 	})
 }
+
+// Guards against a start that is tried or stopped although its slow answer says that it was carried out, and
+// against a restart that only a slow answer tells of.
+func TestASlowAnswerCounts(t *testing.T) {
+	for _, startedAt := range []int64{5, 9} {
+		calls := 0
+		worker := Worker{
+			Poll: unansweredPoll,
+			Start: func(context.Context, StartCall) (Answer, error) {
+				calls++
+				time.Sleep(600 * time.Millisecond)
+				return Answer{StartedAt: startedAt}, nil
+			},
+			Stop: func(context.Context, StopCall) (Answer, error) { return Answer{StartedAt: startedAt}, nil },
+		}
+		withRunner(t, worker, func(t *testing.T, r *Runner) {
+			onLoop(t, r, func() { r.start(link.StartOrder{Task: task, Run: 1}) })
+			time.Sleep(500 * time.Millisecond)
+			onLoop(t, r, func() { r.session = nil }) // it has no link that could be closed
+			time.Sleep(1500 * time.Millisecond)
+			onLoop(t, r, func() {
+				if r.registration.Incarnation.StartedAt != startedAt {
+					t.Errorf("the worker counts as incarnation %d, want %d", r.registration.Incarnation.StartedAt, startedAt)
+				}
+				known := r.runs[task]
+				if known == nil || known.stopping != (startedAt == 9) || known.settledAt.IsZero() {
+					t.Errorf("incarnation %d: the run is %+v", startedAt, known)
+				}
+			})
+		})
+		if calls != 2 {
+			t.Errorf("%d calls, want 2: the second is sent before the first is answered", calls)
+		}
+	}
+}
