Checker: starts, ends and losses of tasks can be logged

Cause: a violation names one start. To find how it came about, the starts and ends of the same task on all workers are needed, and the processes' logs do not show what a worker carries out late.

Change: Checker.Observe passes each start, end, loss and acknowledged end, and each violation, to a function. The checks are as before.

--- a/internal/testcluster/checker.go
+++ b/internal/testcluster/checker.go
@@ -23,6 +23,7 @@
 	starts        map[string]int               // by job
 	violations    []string
 
+	observe         func(event string)   // see Observe; nil: nobody observes
 	domainOf        map[string]string    // failure domain of each worker
 	evacuatedAt     map[string]time.Time // of the evacuated domains
 	startsIn        map[string]int       // by domain
@@ -47,6 +48,21 @@
 	c.jobs[job.ID] = job
 }
 
+// Observe makes the checker call observe with each start, end and loss of a task, for a log. It is called
+// with the checker's lock held and must not call the checker.
+func (c *Checker) Observe(observe func(event string)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observe = observe
+}
+
+// note passes an event to the observer. The caller holds the lock.
+func (c *Checker) note(format string, arguments ...any) {
+	if c.observe != nil {
+		c.observe(fmt.Sprintf(format, arguments...))
+	}
+}
+
 // Violations returns the violations recorded so far, each with its time.
 func (c *Checker) Violations() []string {
 	c.mu.Lock()
@@ -99,13 +115,16 @@
 
 // addViolation records a violation. The caller holds the lock.
 func (c *Checker) addViolation(format string, arguments ...any) {
-	c.violations = append(c.violations, fmt.Sprintf("%s %s", time.Now().Format("05.000"), fmt.Sprintf(format, arguments...)))
+	text := fmt.Sprintf(format, arguments...)
+	c.note("WRONG %s", text)
+	c.violations = append(c.violations, fmt.Sprintf("%s %s", time.Now().Format("05.000"), text))
 }
 
 // checkStart checks a start for violations, which the worker may have carried out late, and returns how long the task takes.
 func (c *Checker) checkStart(worker string, call runner.StartCall, late bool) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.note("%s starts %v run %d, fence %d, lease until %d, late: %v", worker, call.Task, call.Run, call.Fence, call.LeaseDeadline, late)
 	c.recordStartIn(worker, late)
 	c.starts[call.Task.Job]++
 	job := c.jobs[call.Task.Job]
@@ -169,21 +188,24 @@
 func (c *Checker) taskLost(worker string, name dispatch.TaskName) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.note("%s loses %v in a crash", worker, name)
 	c.release(worker, name)
 }
 
-func (c *Checker) taskEnded(worker string, name dispatch.TaskName, _ int64, endReason dispatch.EndReason) {
+func (c *Checker) taskEnded(worker string, name dispatch.TaskName, run int64, endReason dispatch.EndReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.note("%s ends %v run %d: %v", worker, name, run, endReason)
 	c.release(worker, name)
 	if endReason == dispatch.EndDone {
 		c.endedDone[name] = true
 	}
 }
 
-func (c *Checker) endAcked(_ string, end dispatch.End) {
+func (c *Checker) endAcked(worker string, end dispatch.End) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.note("%s forgets %v run %d: %v", worker, end.Task, end.Run, end.Reason)
 	switch end.Reason {
 	case dispatch.EndDone:
 		c.ackedDone[end.Task] = true
