Soak: a mode in which workers come back under their IDs and are cut off

The soak draws crashes and cuts independently of each other, so that a worker that is back under its ID, carries out calls meant for its former incarnation and is then cut off is rare.

Each process has a proxy in front of each owner, so that an agent's machine can be cut off.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SETTINGS := mkutano lechtal
 WEATHERS := calm bad
 
-.PHONY: build check race fmt lint docs generate traces tools demo clean kills soak soak-fresh crowd crowd-short fuzz
+.PHONY: build check race fmt lint docs generate traces tools demo clean kills soak soak-fresh soak-reborn soak-reborn-seeds crowd crowd-short fuzz
 
 build:
 	go build -o bin/apricotwind ./cmd/apricotwind
@@ -61,6 +61,17 @@
 	go build -o bin/soak ./test/soak
 	bin/soak --seed 0 --seeds 10 --length 8s
 
+# Workers come back under their IDs and are cut off: new random seeds, or those that ever failed. By hand.
+soak-reborn: build
+	go build -o bin/soak ./test/soak
+	bin/soak --reborn --seed 0 --seeds 10 --length 40s
+
+soak-reborn-seeds: build
+	go build -o bin/soak ./test/soak
+	@failed=0; for seed in $$(sed -n 's/^reborn \([0-9][0-9]*\) .*/\1/p' test/soak/seeds); do \
+	  bin/soak --reborn --seed $$seed --length 40s || failed=1; \
+	done; exit $$failed
+
 # Sends the requests of clients that nobody controls to real processes, apart from other load: every
 # kind of them by hand, and the cases of CI.
 crowd: build
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -56,17 +56,13 @@
 	return &jobClient{cluster: c, http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 }
 
-// run submits jobs at random intervals until ctx ends, and waits for all submissions.
-func (c *jobClient) run(ctx context.Context, random *rand.Rand) {
+// run submits jobs that newJob returns at random intervals until ctx ends, and waits for all submissions.
+func (c *jobClient) run(ctx context.Context, random *rand.Rand, newJob func(random *rand.Rand) dispatch.Job) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
-		s := &submittedJob{job: randomJob(random)}
+		s := c.add(newJob(random))
 		cancels := random.IntN(12) == 0
-		c.cluster.checker.Submitted(&s.job)
-		c.mu.Lock()
-		c.jobs = append(c.jobs, s)
-		c.mu.Unlock()
 		wg.Go(func() { c.submit(s, cancels) })
 		select {
 		case <-ctx.Done():
@@ -75,6 +71,16 @@
 	}
 }
 
+// add records a job that is about to be submitted.
+func (c *jobClient) add(job dispatch.Job) *submittedJob {
+	s := &submittedJob{job: job}
+	c.cluster.checker.Submitted(&s.job)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs = append(c.jobs, s)
+	return s
+}
+
 // randomJob returns a job of one or two steps.
 func randomJob(random *rand.Rand) dispatch.Job {
 	job := dispatch.Job{ID: fmt.Sprintf("%016x", random.Uint64()), Policy: dispatch.Policy{Attempts: maxTaskAttempts}}
@@ -132,6 +138,7 @@
 	for _, step := range job.Steps {
 		steps = append(steps, map[string]any{
 			"count": step.Count, "cpu": step.Need.Processors, "mem_mb": step.Need.Memory, "estimate_ms": step.Estimate, "after": step.After,
+			"long_running": step.LongRunning,
 		})
 	}
 	content, _ := json.Marshal(map[string]any{"spec": job.Payload, "steps": steps}) // a map of plain values always encodes
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -41,6 +41,8 @@
 	log         *os.File
 	storeProxy  *proxy // between the process and the stand-in store
 	workerProxy *proxy // between an agent and its stand-in worker; nil for entries
+	// registrationProxy is between a stand-in worker and its agent, in mode reborn only.
+	registrationProxy *proxy
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -138,8 +140,10 @@
 	store          *testcluster.Store
 	checker        *testcluster.Checker
 	workers        []*testcluster.Worker
+	calls          []*heldCalls // to each worker
 	processes      []*process
-	entryAddresses []string // HTTP addresses of the entries for clients
+	links          *linkProxies // between the processes; nil but in mode reborn
+	entryAddresses []string     // HTTP addresses of the entries for clients
 	logFiles       []*os.File
 	logDir         string
 	addViolation   func(format string, arguments ...any)
@@ -195,17 +199,20 @@
 	return p, err
 }
 
-// newCluster starts a system of the given numbers of entries and workers, with one agent for
-// each worker. Violations are reported by addViolation, which must be safe for concurrent use.
-func newCluster(ctx context.Context, binary, logDir string, entries, workers int, addViolation func(string, ...any)) (*cluster, error) {
+// newCluster starts the system that o describes, with one agent for each worker. Violations are
+// reported by addViolation, which must be safe for concurrent use.
+func newCluster(ctx context.Context, o options, logDir string, addViolation func(string, ...any)) (*cluster, error) {
 	c := &cluster{store: testcluster.NewStore(), checker: testcluster.NewChecker(workerCapacity), logDir: logDir, addViolation: addViolation}
-	for i := range entries {
-		if err := c.addEntry(ctx, binary, fmt.Sprintf("e%d", i)); err != nil {
+	if o.reborn {
+		c.links = newLinkProxies(ctx)
+	}
+	for i := range o.entries {
+		if err := c.addEntry(ctx, o.binary, fmt.Sprintf("e%d", i)); err != nil {
 			return nil, err
 		}
 	}
-	for i := range workers {
-		if err := c.addWorker(ctx, binary, fmt.Sprintf("w%d", i), domainOf(i)); err != nil {
+	for i := range o.workers {
+		if err := c.addWorker(ctx, o.binary, fmt.Sprintf("w%d", i), domainOf(i)); err != nil {
 			return nil, err
 		}
 	}
@@ -218,7 +225,11 @@
 // addProcess adds a process that reaches the stand-in store through its own proxy. It does not
 // start the process.
 func (c *cluster) addProcess(ctx context.Context, binary, name, role string, flags ...string) (*process, error) {
-	storeProxy, err := serveBehindProxy(ctx, standins.StoreHandler(c.store.View(name)))
+	view := c.store.View(name)
+	if c.links != nil {
+		view = c.links.view(name, view)
+	}
+	storeProxy, err := serveBehindProxy(ctx, standins.StoreHandler(view))
 	if err != nil {
 		return nil, err
 	}
@@ -248,7 +259,8 @@
 func (c *cluster) addWorker(ctx context.Context, binary, name, domain string) error {
 	registrationAddress := assignAddress()
 	worker := testcluster.NewWorker(name, c.checker)
-	workerProxy, err := serveBehindProxy(ctx, standins.WorkerHandler(worker))
+	calls := &heldCalls{worker: standins.WorkerHandler(worker)}
+	workerProxy, err := serveBehindProxy(ctx, calls)
 	if err != nil {
 		return err
 	}
@@ -257,16 +269,24 @@
 		return err
 	}
 	p.workerProxy = workerProxy
-	c.workers = append(c.workers, worker)
+	c.workers, c.calls = append(c.workers, worker), append(c.calls, calls)
 	c.checker.SetDomain(name, domain)
 	go worker.Run(ctx)
-	go keepRegistered(ctx, worker, domain, registrationAddress, workerProxy.address())
+	interval := registrationInterval
+	if c.links != nil {
+		if p.registrationProxy, err = newProxy(registrationAddress); err != nil {
+			return err
+		}
+		context.AfterFunc(ctx, p.registrationProxy.close)
+		interval, registrationAddress = rebornRegistrationInterval, p.registrationProxy.address()
+	}
+	go keepRegistered(ctx, worker, domain, registrationAddress, workerProxy.address(), interval)
 	return nil
 }
 
 // keepRegistered registers a worker, which is reached at address, with its agent once each
-// registrationInterval until ctx ends.
-func keepRegistered(ctx context.Context, worker *testcluster.Worker, domain, registrationAddress, address string) {
+// interval until ctx ends.
+func keepRegistered(ctx context.Context, worker *testcluster.Worker, domain, registrationAddress, address string, interval time.Duration) {
 	client := &http.Client{Timeout: registrationTimeout}
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		if incarnation, up := worker.Incarnation(); up {
@@ -282,7 +302,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(registrationInterval):
+		case <-time.After(interval):
 		}
 	}
 }
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -77,6 +77,7 @@
 	entries, workers int
 	length           time.Duration
 	logRoot          string
+	reborn           bool // strikes of mode reborn instead of independent faults
 	interrupted      <-chan os.Signal
 }
 
@@ -91,17 +92,22 @@
 	if err != nil {
 		return nil, "", err
 	}
+	runs, err := os.Create(filepath.Join(logDir, "runs.log"))
+	if err != nil {
+		return nil, "", err
+	}
 	defer func() {
-		_ = file.Close() // findings are also printed, so an incomplete log loses none
+		_, _ = file.Close(), runs.Close() // findings are also printed, so an incomplete log loses none
 	}()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	events := &eventLog{file: file, startedAt: time.Now()}
-	c, err := newCluster(ctx, o.binary, logDir, o.entries, o.workers, events.addViolation)
+	c, err := newCluster(ctx, o, logDir, events.addViolation)
 	if err != nil {
 		return nil, "", err
 	}
 	defer c.close()
+	c.checker.Observe((&eventLog{file: runs, startedAt: events.startedAt}).logEvent)
 	go func() {
 		select {
 		case <-o.interrupted:
@@ -113,16 +119,12 @@
 	c.writeConfiguration()
 	time.Sleep(warmUp)
 	client := newJobClient(c)
-	submitCtx, stopSubmitting := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	wg.Go(func() { client.run(submitCtx, rand.New(rand.NewPCG(seed, 1))) })
-	evacuateCtx, stopEvacuations := context.WithTimeout(ctx, o.length)
-	defer stopEvacuations()
-	wg.Go(func() { c.evacuate(evacuateCtx, rand.New(rand.NewPCG(seed, 3)), events.logEvent) })
-	faults := c.injectFaults(rand.New(rand.NewPCG(seed, 2)), o.length, events.logEvent)
-	stopSubmitting()
-	wg.Wait()
-	client.awaitCompletion(completionTimeout)
+	faults := 0
+	if o.reborn {
+		faults = runStrikes(ctx, c, client, seed, o.length, events.logEvent)
+	} else {
+		faults = runFaults(ctx, c, client, seed, o.length, events.logEvent)
+	}
 	for _, text := range c.checker.Violations() {
 		events.addViolation("%s", text)
 	}
@@ -136,6 +138,22 @@
 	return events.violations, fmt.Sprintf("%d faults, %d jobs, %d accepted, %d starts", faults, len(client.jobs), accepted, c.checker.Starts()), nil
 }
 
+// runFaults injects the faults of a seed while jobs are submitted, and checks the jobs. It returns the number
+// of faults.
+func runFaults(ctx context.Context, c *cluster, client *jobClient, seed uint64, length time.Duration, logEvent func(string)) int {
+	submitCtx, stopSubmitting := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { client.run(submitCtx, rand.New(rand.NewPCG(seed, 1)), randomJob) })
+	evacuateCtx, stopEvacuations := context.WithTimeout(ctx, length)
+	defer stopEvacuations()
+	wg.Go(func() { c.evacuate(evacuateCtx, rand.New(rand.NewPCG(seed, 3)), logEvent) })
+	faults := c.injectFaults(rand.New(rand.NewPCG(seed, 2)), length, logEvent)
+	stopSubmitting()
+	wg.Wait()
+	client.awaitCompletion(completionTimeout)
+	return faults
+}
+
 func main() {
 	var o options
 	seed := flag.Uint64("seed", 1, "first `seed`; 0 draws one")
@@ -145,6 +163,7 @@
 	flag.IntVar(&o.workers, "workers", 8, "`number` of workers, with an agent each")
 	flag.DurationVar(&o.length, "length", 20*time.Second, "how long faults come")
 	flag.StringVar(&o.logRoot, "keep", filepath.Join(os.TempDir(), "soak"), "`folder` for logs")
+	flag.BoolVar(&o.reborn, "reborn", false, "workers crash, come back under their IDs and are cut off")
 	flag.Parse()
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
