A late start that has begun is the task's run

Callers would see: a task that runs twice for 0.2 s as the instance of a late start comes back, after a change of the owner. Cause: the owner that holds a task for a late start of an earlier owner took the run, once the instance reported it, for a superseded one, since its number is below all of its own. It stopped the run, and as the instance had reported, the task was free in the same plan. In general, a task that waits could start elsewhere while an older run of it was stopped. Fix: a reported run of a waiting task that this owner has not started, or of which it knows a late start on that instance, is adopted. The task of any other run that is stopped waits for its end. Measured: TestALateStartThatHasBegunGoesOn fails before and passes now.

--- a/internal/decision/dispatch/latestarts.go
+++ b/internal/decision/dispatch/latestarts.go
@@ -21,6 +21,8 @@
 	Instance string
 	Agent    string    // name of the instance's agent
 	Until    time.Time // when the run that it starts has certainly ended
+	// superseded says that the run has begun, on an instance that is not lost, and is stopped.
+	superseded bool
 }
 
 // lateStarts holds the late starts by task. A task with one does not start.
@@ -44,6 +46,16 @@
 	}
 }
 
+// on reports whether a task has a late start on an instance.
+func (l lateStarts) on(name TaskName, instance string) bool {
+	return slices.ContainsFunc(l[name], func(late LateStart) bool { return late.Instance == instance && !late.superseded })
+}
+
+// dropRun drops the late start of a run on an instance.
+func (l lateStarts) dropRun(name TaskName, run int64, instance string) {
+	l.drop(func(late LateStart) bool { return late.Task == name && late.Run == run && late.Instance == instance })
+}
+
 // dropExpired drops the late starts that are over by now.
 func (l lateStarts) dropExpired(now time.Time) {
 	l.drop(func(late LateStart) bool { return !now.Before(late.Until) })
@@ -64,11 +76,12 @@
 	if !known {
 		return nil
 	}
+	s.releaseSuperseded(id)
 	held := s.holdFormer(id, process, until)
 	for _, p := range in.reservations {
 		for ; p != nil; p = p.orderedRun {
 			if !p.settled && (process == "" || p.orderedThrough != process) {
-				held = append(held, LateStart{p.name, p.run, id, in.registration.Agent, until})
+				held = append(held, LateStart{Task: p.name, Run: p.run, Instance: id, Agent: in.registration.Agent, Until: until})
 			}
 		}
 	}
@@ -82,7 +95,7 @@
 	var held []LateStart
 	for _, start := range starts {
 		until := now.Add(time.Duration(start.Remaining)*time.Millisecond + lease)
-		held = append(held, LateStart{start.Task, start.Run, id, agent, until})
+		held = append(held, LateStart{Task: start.Task, Run: start.Run, Instance: id, Agent: agent, Until: until})
 	}
 	s.hold(held)
 	return held
@@ -94,14 +107,33 @@
 	}
 }
 
+// supersededStopTimeout bounds how long a task waits for the end of an earlier run that is stopped. The instance
+// is lost, or has reported the end, long before that.
+const supersededStopTimeout = time.Minute
+
+// holdSuperseded keeps the task of a run that an instance reports, and that is to be stopped, from starting
+// elsewhere until the run has ended.
+func (s *Scheduler) holdSuperseded(now time.Time, in *instance, p *reservation) {
+	s.lateStarts.add(LateStart{
+		Task: p.name, Run: p.run, Instance: in.registration.Incarnation.ID, Agent: in.registration.Agent,
+		Until: now.Add(supersededStopTimeout), superseded: true,
+	})
+}
+
+// releaseSuperseded releases what holdSuperseded holds for an instance that is lost.
+func (s *Scheduler) releaseSuperseded(id string) {
+	s.lateStarts.drop(func(late LateStart) bool { return late.superseded && late.Instance == id })
+}
+
 // LateStarts returns the number of tasks that wait for a late start.
 func (s *Scheduler) LateStarts() int { return len(s.lateStarts) }
 
-// releaseLateStarts drops the late starts on an ID: its worker has seen a higher fencing token and listed
-// all of its runs.
-func (s *Scheduler) releaseLateStarts(id string) {
+// releaseLateStarts drops the late starts on an instance whose worker has seen a higher fencing token and listed
+// all of its runs, but for those of which it stops a run.
+func (s *Scheduler) releaseLateStarts(in *instance) {
+	id := in.registration.Incarnation.ID
 	delete(s.formerStarts, id)
-	s.lateStarts.drop(func(late LateStart) bool { return late.Instance == id })
+	s.lateStarts.drop(func(late LateStart) bool { return late.Instance == id && !late.superseded })
 }
 
 // releaseReplaced drops the late starts on the earlier workers of an agent, which drives one with another
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -11,12 +11,12 @@
 	if !ok || in.registration.Incarnation != incarnation {
 		return
 	}
-	s.releaseLateStarts(incarnation.ID)
 	listed := map[TaskName]bool{}
 	for _, status := range running {
 		listed[status.Task] = true
 		s.reconcileRun(now, in, status)
 	}
+	s.releaseLateStarts(in)
 	for name, p := range in.reservations {
 		switch {
 		case listed[name]:
@@ -60,7 +60,10 @@
 		s.stop(in, p, StopJobEnded)
 		return
 	}
-	if t.done || t.instance != "" || status.Run < t.lastRun && !t.unconfirmed {
+	if t.done || t.instance != "" || status.Run < t.lastRun && !s.mayBeCurrent(t, in) {
+		if !t.done {
+			s.holdSuperseded(now, in, p)
+		}
 		s.stop(in, p, StopSuperseded)
 		return
 	}
@@ -73,6 +76,13 @@
 	t.recordCheckpoint(now, status.Checkpoint, 0)
 }
 
+// mayBeCurrent reports whether a run of a waiting task that an instance reports, with a lower number than the
+// last one known, may be the last one all the same: this owner has not started the task, or was told that
+// the instance may start it late.
+func (s *Scheduler) mayBeCurrent(t *task, in *instance) bool {
+	return t.unconfirmed || t.lastRun == s.runBase || s.lateStarts.on(t.name, in.registration.Incarnation.ID)
+}
+
 // replaceOrderedRun handles a status report that lists another run of a task than the one
 // ordered on the instance, for example after a delayed start order. If the current agent
 // received the order, the ordered run has ended: with the previous incarnation, or
--- a/internal/decision/dispatch/storedstarts.go
+++ b/internal/decision/dispatch/storedstarts.go
@@ -59,6 +59,9 @@
 	}
 	for _, ofTask := range s.lateStarts {
 		for _, late := range ofTask {
+			if late.superseded {
+				continue // the instance lists the run to the next owner
+			}
 			remaining := late.Until.Sub(now)/time.Second + 1
 			starts = append(starts, StoredStart{Task: late.Task.String(), Run: late.Run, Instance: late.Instance, Agent: late.Agent, Remaining: int64(remaining)})
 		}
--- a/internal/decision/dispatch/storedstarts_test.go
+++ b/internal/decision/dispatch/storedstarts_test.go
@@ -84,6 +84,35 @@
 	}
 }
 
+// Guards against a second run of a task whose late start has begun: the instance, which an earlier owner has
+// lost, reports a run of that owner's.
+func TestALateStartThatHasBegunGoesOn(t *testing.T) {
+	for _, stored := range []bool{true, false} {
+		s := schedulerWithAStart(t)
+		s.HoldUnsettled("a", "", at(30))
+		s.Lost(at(1), Incarnation{"a", 1})
+		if !stored {
+			s = New(1, 7)
+		}
+		next := successorOf(s, false)
+		if !stored {
+			next.Plan(at(1)) // nobody knows of the start: the task starts on b
+			next.Ended(at(2), Incarnation{"b", 1}, []End{{Sequence: 1, Task: firstTask, Run: 1000001, Reason: EndStopped}})
+		}
+		next.Register(at(3), registrationOf("a", 8))
+		next.RowWritten(Incarnation{"a", 1})
+		next.Reconcile(at(3), Incarnation{"a", 1}, []RunStatus{{Task: firstTask, Run: 1}})
+		expect(t, "while the run goes on", startsOf(next.Plan(at(3))), []string(nil))
+		var stops []Stop
+		if !stored {
+			stops = []Stop{{Instance: "a", Task: firstTask, Run: 1, Reason: StopSuperseded}}
+		}
+		expect(t, "stops", next.TakeStops(), stops)
+		next.Ended(at(4), Incarnation{"a", 1}, []End{{Sequence: 1, Task: firstTask, Run: 1, Reason: EndStopped}})
+		expect(t, "starts after its end", len(next.Plan(at(4))), 1)
+	}
+}
+
 // A start that an earlier owner has ordered is stored by each owner until it is settled, held or over.
 func TestStoredStarts(t *testing.T) {
 	s := schedulerWithAStart(t)
