The clock in an answer tells which incarnation has given it

In the record the runs begin in time and lapse 9.6 s later. Cause: the answer to a start says when its worker started only on our stand-ins. The platform's pages promise that for what a worker says of itself and for its lists. So a start that was meant for the former incarnation, and that the next one carried out in time, counted as settled on the former one, and the owner waited 3.6 s for a lease of 10 s. With a stand-in as the pages have it, whose poll waits from when it arrives and which answers no poll while it is cut off, 31 of 93 schedules of TestAStartThatAnotherIncarnationAnswersRunsOnce fail. Fix: each answer has the worker's clock, which starts anew with an incarnation. An answer with a lower reading than the clock of the known incarnation had reached when the call was sent is of another one: it settles nothing, the call counts as under way, and a poll is sent at once, whose answer says when the worker started. Not covered: a former incarnation that had run for less than the answer takes. Measured: 93 schedules pass.

--- a/internal/process/restarted_worker_test.go
+++ b/internal/process/restarted_worker_test.go
@@ -179,3 +179,34 @@
 		})
 	}
 }
+
+// Guards against a second run of a task whose start another incarnation has answered than the one that it was meant
+// for: that one is cut off before a poll or a registration has told of it.
+func TestAStartThatAnotherIncarnationAnswersRunsOnce(t *testing.T) {
+	for _, cut := range cutKinds {
+		for cutAt := workerDownFor; cutAt <= 2*workerDownFor; cutAt += 20 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s cut at %v", cut.name, cutAt), func(t *testing.T) {
+				t.Parallel()
+				withJobCluster(t, 2, 4, func(t *testing.T, system *testcluster.JobCluster) {
+					submitLasting(t, system, lastingTasks/3)
+					time.Sleep(clockAhead)
+					system.RegistrationDelay = workerDownFor / 2
+					worker := system.Workers[0]
+					worker.CrashDark()
+					time.AfterFunc(cutAt, func() {
+						system.SetMachineCut(0, cut.machine)
+						worker.SetCut(cut.fromAgent)
+					})
+					time.Sleep(workerDownFor - 100*time.Millisecond)
+					submit(t, system, 0, newJob("before", 12, 20_000))
+					time.Sleep(100 * time.Millisecond)
+					worker.Restart()
+					time.Sleep(2 * workerCutFor)
+					system.SetMachineCut(0, false)
+					worker.SetCut(false)
+					time.Sleep(6 * time.Second)
+				})
+			})
+		}
+	}
+}
--- a/internal/runner/leases.go
+++ b/internal/runner/leases.go
@@ -100,6 +100,16 @@
 	return r.workerClock + counted.Milliseconds()
 }
 
+// leastClock returns what the clock of the worker's known incarnation has reached by now at least, in ms; 0 if no
+// reading of it is known.
+func (r *Runner) leastClock() int64 {
+	if r.clockReadAt.IsZero() {
+		return 0
+	}
+	elapsed := time.Since(r.clockReadAt)
+	return r.workerClock + (elapsed - elapsed/link.ClockDriftDivisor).Milliseconds()
+}
+
 // leasesExpired reports whether the worker is silent and all leases given to it have expired. A worker
 // that is silent after it has deregistered has ended, and nothing runs there whatever its leases.
 func (r *Runner) leasesExpired() bool { return r.silent && (r.left || r.leases.expired()) }
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -142,17 +142,34 @@
 		return
 	}
 	known.startTries++
-	sending := r.startCalls.add(order.Task, order.Run)
+	sending, leastClock := r.startCalls.add(order.Task, order.Run), r.leastClock()
 	r.callStart(call, func(answer Answer, err error) {
 		r.registry.Observe("start-order", time.Since(sent))
+		if r.answeredByOther(call.Incarnation, leastClock, answer, err) {
+			r.settleOther(known, call)
+			return
+		}
 		r.startCallEnded(call, sending, err)
 		r.startAnswered(known, call, try, sent, answer, err)
 	}, func(answer Answer, err error) {
+		if r.answeredByOther(call.Incarnation, leastClock, answer, err) {
+			return
+		}
 		r.startCallEnded(call, sending, err)
 		r.startAnsweredLate(known, call, answer, err)
 	})
 }
 
+// settleOther settles a start that another incarnation has answered by a stop, unless that has become known as the
+// worker's by then, which settles all starts. The call counts as under way: it has begun the run there.
+func (r *Runner) settleOther(known *run, call StartCall) {
+	r.postAfter(orderTimeout, func() {
+		if r.isCurrent(call.Incarnation, known, call.Task) {
+			r.settleByStop(known, call.Task)
+		}
+	})
+}
+
 // startCallEnded records that a call was answered or failed.
 func (r *Runner) startCallEnded(call StartCall, sending startCall, err error) {
 	if err == nil || neverSent(err) {
@@ -163,9 +180,6 @@
 }
 
 func (r *Runner) startAnswered(known *run, call StartCall, try int, sent time.Time, answer Answer, err error) {
-	if r.answeredByOther(call.Incarnation, answer, err) {
-		return
-	}
 	r.recordStartAnswer(known, call, sent, answer, err)
 	if !r.isCurrent(call.Incarnation, known, call.Task) {
 		return
@@ -204,7 +218,7 @@
 // startAnsweredLate handles the answer to a start after orderTimeout, when the run may have been started by
 // another try, or stopped.
 func (r *Runner) startAnsweredLate(known *run, call StartCall, answer Answer, err error) {
-	if r.answeredByOther(call.Incarnation, answer, err) || !r.isCurrent(call.Incarnation, known, call.Task) {
+	if !r.isCurrent(call.Incarnation, known, call.Task) {
 		return
 	}
 	if err == nil && answer.Status == Applied && !known.stopping && known.settledAt.IsZero() {
@@ -215,18 +229,22 @@
 }
 
 // answeredByOther reports whether another incarnation of the worker answered an order than the one that
-// it was meant for. Such an answer settles nothing: the order is stopped as one that is in flight, by
-// startIncarnation.
-func (r *Runner) answeredByOther(meant dispatch.Incarnation, answer Answer, err error) bool {
-	if err != nil || answer.StartedAt == 0 || answer.StartedAt == meant.StartedAt {
+// it was meant for, whose clock had reached leastClock. Such an answer settles nothing: the order is stopped as
+// one that is in flight, by startIncarnation, at once or when a poll shows the incarnation.
+func (r *Runner) answeredByOther(meant dispatch.Incarnation, leastClock int64, answer Answer, err error) bool {
+	byStart := answer.StartedAt != 0 && answer.StartedAt != meant.StartedAt
+	byClock := answer.AnsweredAt != 0 && answer.AnsweredAt < leastClock
+	if err != nil || !byStart && !byClock {
 		return false
 	}
-	r.log.Warn("answered-by-other-life", zap.String("instance", meant.ID), zap.Int64("born", meant.StartedAt), zap.Int64("answered", answer.StartedAt), zap.Stringer("answer", answer.Status))
+	r.log.Warn("answered-by-other-life", zap.String("instance", meant.ID), zap.Int64("born", meant.StartedAt), zap.Int64("answered", answer.StartedAt), zap.Int64("clock", answer.AnsweredAt), zap.Int64("least", leastClock), zap.Stringer("answer", answer.Status))
 	r.registry.Add("answered-by-other-life", 1)
 	if r.registration != nil && r.registration.Incarnation == meant && answer.StartedAt > meant.StartedAt {
 		registration := *r.registration
 		registration.Incarnation.StartedAt = answer.StartedAt
 		r.startIncarnation(registration)
+	} else {
+		r.pollNow()
 	}
 	return true
 }
@@ -276,19 +294,21 @@
 
 func (r *Runner) tryStop(known *run, name dispatch.TaskName) {
 	call := StopCall{Incarnation: r.registration.Incarnation, Fence: r.sessionFence, Task: name, Run: known.number}
+	leastClock := r.leastClock()
 	r.loop.Go(func() {
 		callCtx, cancel := context.WithTimeout(r.loop.Context(), orderTimeout)
 		defer cancel()
 		answer, err := r.worker.Stop(callCtx, call)
-		r.loop.Post(func() { r.stopAnswered(known, call, answer, err) })
+		r.loop.Post(func() { r.stopAnswered(known, call, leastClock, answer, err) })
 	})
 }
 
-func (r *Runner) stopAnswered(known *run, call StopCall, answer Answer, err error) {
-	if r.answeredByOther(call.Incarnation, answer, err) || !r.isCurrent(call.Incarnation, known, call.Task) {
+func (r *Runner) stopAnswered(known *run, call StopCall, leastClock int64, answer Answer, err error) {
+	other := r.answeredByOther(call.Incarnation, leastClock, answer, err)
+	if !r.isCurrent(call.Incarnation, known, call.Task) {
 		return
 	}
-	if err == nil && answer.Status == Applied {
+	if err == nil && answer.Status == Applied && !other {
 		known.settledAt = time.Now().Add(maxStopDuration)
 		r.postAfter(maxStopDuration+orderRetryDelay, r.pollNow)
 		return
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -39,6 +39,9 @@
 	Status    Status
 	Reason    string // why the worker rejected the order
 	StartedAt int64  // start of the incarnation that answered, Unix ms; 0 if not given
+	// AnsweredAt is the reading of the worker's own clock, in ms, as it answered; 0 if not given. It is the only
+	// mark of the incarnation in answers that have no StartedAt: the clock of each starts anew.
+	AnsweredAt int64
 }
 
 // RunStatus is the status of one running run in a poll result.
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -33,10 +33,12 @@
 	Checker *Checker
 	Workers []*Worker
 	Entries []*JobClusterEntry
-	agents  []*jobClusterAgent
-	mu      sync.Mutex // guards proc and stop of the entries and agents
-	ctx     context.Context
-	log     *zap.Logger
+	// RegistrationDelay is the time from the restart of a worker to its registration. It is set before that.
+	RegistrationDelay time.Duration
+	agents            []*jobClusterAgent
+	mu                sync.Mutex // guards proc and stop of the entries and agents
+	ctx               context.Context
+	log               *zap.Logger
 }
 
 // JobClusterEntry is one entry, which may be down.
@@ -92,6 +94,7 @@
 		select {
 		case <-c.ctx.Done():
 		case <-c.Workers[i].restarted:
+			time.Sleep(c.RegistrationDelay)
 		case <-time.After(registrationInterval):
 		}
 	}
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -230,7 +230,7 @@
 		w.fence = fence
 		w.advance()
 		answer := do()
-		answer.StartedAt = w.incarnation.StartedAt
+		answer.AnsweredAt = max(w.clock(), 1)
 		return answer, nil
 	}
 	if fault.DropReply {
@@ -302,17 +302,20 @@
 }
 
 func (w *Worker) poll(ctx context.Context, call runner.PollCall) (runner.PollResult, error) {
-	deadline := time.After(time.Duration(call.Wait) * time.Millisecond)
+	var deadline <-chan time.Time
 	for {
 		var result runner.PollResult
 		answer, err := w.execute(ctx, call.Incarnation, call.Fence, func() runner.Answer {
 			result = w.result(call)
-			return runner.Answer{}
+			return runner.Answer{StartedAt: w.incarnation.StartedAt} // no other answer says so
 		})
 		if err != nil {
 			return runner.PollResult{}, err // a late call may still write result
 		}
 		result.Answer = answer
+		if deadline == nil { // the wait counts from when the call has arrived
+			deadline = time.After(time.Duration(call.Wait) * time.Millisecond)
+		}
 		if answer.Status != runner.Applied || len(result.Ended) > 0 || call.Wait == 0 {
 			return result, nil
 		}
@@ -322,6 +325,10 @@
 		select {
 		case <-changed:
 		case <-deadline:
+			if w.isCut() {
+				<-ctx.Done()
+				return runner.PollResult{}, ctx.Err()
+			}
 			if now, up := w.Incarnation(); !up || now.StartedAt != result.StartedAt {
 				return runner.PollResult{}, errWorkerDown
 			}
--- a/test/standins/standins.go
+++ b/test/standins/standins.go
@@ -180,15 +180,15 @@
 	}
 	handle("/api/run-start", func(ctx context.Context, incarnation dispatch.Incarnation, request workerRequest, name dispatch.TaskName) (runner.PollResult, error) {
 		a, err := calls.Start(ctx, runner.StartCall{Incarnation: incarnation, Fence: request.Fence, LeaseDeadline: request.LeaseDeadline, Task: name, Run: request.Run, Payload: request.Payload, Checkpoint: request.Checkpoint})
-		return runner.PollResult{Answer: a}, err
+		return runner.PollResult{Answer: a, Clock: a.AnsweredAt}, err
 	})
 	handle("/api/run-stop", func(ctx context.Context, incarnation dispatch.Incarnation, request workerRequest, name dispatch.TaskName) (runner.PollResult, error) {
 		a, err := calls.Stop(ctx, runner.StopCall{Incarnation: incarnation, Fence: request.Fence, Task: name, Run: request.Run})
-		return runner.PollResult{Answer: a}, err
+		return runner.PollResult{Answer: a, Clock: a.AnsweredAt}, err
 	})
 	handle("/api/pace", func(ctx context.Context, incarnation dispatch.Incarnation, request workerRequest, name dispatch.TaskName) (runner.PollResult, error) {
 		a, err := calls.SetPace(ctx, runner.PaceCall{Incarnation: incarnation, Fence: request.Fence, Task: name, Run: request.Run, Pace: request.Pace})
-		return runner.PollResult{Answer: a}, err
+		return runner.PollResult{Answer: a, Clock: a.AnsweredAt}, err
 	})
 	handle("/api/hold", func(ctx context.Context, incarnation dispatch.Incarnation, request workerRequest, _ dispatch.TaskName) (runner.PollResult, error) {
 		return calls.Poll(ctx, runner.PollCall{Incarnation: incarnation, Fence: request.Fence, LeaseDeadline: request.LeaseDeadline, Acked: request.Acked, Wait: request.Wait})
