A handover stores the starts under way

Callers would see: a task that runs twice if its start was ordered within 40 ms before a handover and its worker restarts and is cut off. Cause: a handover committed unsaved progress only, not the row of starts, and the owner went on ordering starts meanwhile. Fix: the commit before the handover is due for changed starts as well, and from the handover on nothing is ordered.

--- a/internal/owner/alive.go
+++ b/internal/owner/alive.go
@@ -100,13 +100,13 @@
 	t.tryHandOver()
 }
 
-// tryHandOver starts a commit of unsaved progress or, if there is none or no commit is left, the
+// tryHandOver starts a commit of unsaved progress and starts or, if there is none or no commit is left, the
 // transaction that gives up the ownership. It does nothing while a commit is in flight.
 func (t *term) tryHandOver() {
 	if t.committing {
 		return
 	}
-	if dirty, _ := t.scheduler.HasDirty(); dirty && t.commitsLeft > 0 {
+	if dirty, _ := t.scheduler.HasDirty(); (dirty || t.startsChanged()) && t.commitsLeft > 0 {
 		t.commitsLeft--
 		t.commit() // handleCommitted calls tryHandOver again
 		return
--- a/internal/owner/planning.go
+++ b/internal/owner/planning.go
@@ -44,8 +44,11 @@
 // dispatch makes a plan, sends the resulting orders to the agents and schedules a commit of
 // the scheduler's changes. Starts are not stored before they are sent: a later owner learns which
 // runs exist on an instance from its full report, and from the instance rows for which instances it
-// must wait. The commit stores the starts that are under way.
+// must wait. The commit stores the starts that are under way. During a handover it does nothing.
 func (t *term) dispatch() {
+	if t.onEnd != nil {
+		return // a start would not be stored before the handover
+	}
 	orders := map[string]*link.Orders{}
 	ordersFor := func(id string) *link.Orders {
 		if orders[id] == nil {
