A late deregistration does not end the leases of the next incarnation

Callers would see: tasks that run twice when a deregistration that an earlier incarnation has sent arrives late and the worker is cut off before its next registration. Cause: a worker that has deregistered and is silent counts as ended, whatever its leases, and a deregistration names an ID only. Fix: for MaxCallDelay after a restart under the ID a deregistration changes nothing. A worker that leaves then is waited for like a silent one. With a worker of another ID, calls to the earlier one count as over at once.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -68,6 +68,7 @@
 	lastAnswerAt         time.Time // when the worker last answered
 	silent               bool
 	left                 bool      // the worker has deregistered, after which it ends
+	restartedAt          time.Time // when the worker was first known to have restarted under its ID; zero: it has not
 	lastStartAnswerAt    time.Time // when the worker last answered a start
 	incarnationUncertain bool      // the last poll failed
 	lastCrash            crash     // of the worker
@@ -155,8 +156,10 @@
 	case r.registration == nil:
 	case r.registration.Incarnation.ID == registration.Incarnation.ID:
 		r.leases.restarted()
+		r.restartedAt = time.Now()
 	default:
 		r.leases.replaced()
+		r.startCalls, r.restartedAt = startCalls{}, time.Time{}
 	}
 	r.coldUntil = takeCold(&registration)
 	r.registration = &registration
@@ -192,10 +195,16 @@
 	return remaining
 }
 
-// Deregister marks the worker as draining, since it has left.
+// Deregister marks the worker as draining, since it has left. Shortly after a restart under its ID it does
+// nothing: the silence of a worker that has left shows that, and its registrations that of one that leaves.
 func (r *Runner) Deregister(id string) {
 	r.loop.Post(func() {
 		if r.registration != nil && r.registration.Incarnation.ID == id {
+			if time.Since(r.restartedAt) < link.MaxCallDelay {
+				// An earlier incarnation may have sent it.
+				r.log.Info("deregistration-ignored", zap.String("instance", id))
+				return
+			}
 			r.log.Info("worker-left", zap.String("instance", id))
 			r.registration.Draining, r.left = true, true
 			r.registrationVersion++
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -206,6 +206,14 @@
 	c.Store.SetUnreachable(agent, cut)
 }
 
+// DeregisterLate passes the deregistration of an earlier incarnation of worker i to its agent.
+func (c *JobCluster) DeregisterLate(i int) {
+	incarnation, _ := c.Workers[i].Incarnation()
+	if r := c.agents[i].runner.Load(); r != nil {
+		r.Deregister(incarnation.ID)
+	}
+}
+
 // Leave makes worker i deregister and end, as after a drain.
 func (c *JobCluster) Leave(i int) {
 	incarnation, _ := c.Workers[i].Incarnation()
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -58,6 +58,7 @@
 	changed       chan struct{}
 	restarted     chan struct{} // receives a value after each restart
 	fault         atomic.Pointer[func() OrderFault]
+	startFault    atomic.Pointer[func(runner.StartCall) OrderFault]
 }
 
 type workerRun struct {
@@ -130,6 +131,18 @@
 // faults.
 func (w *Worker) SetFault(fault func() OrderFault) { w.fault.Store(&fault) }
 
+// SetStartFault sets the function that returns the fault of each start, in place of that of SetFault. A nil function
+// injects no faults.
+func (w *Worker) SetStartFault(fault func(runner.StartCall) OrderFault) { w.startFault.Store(&fault) }
+
+// faultOf returns the fault of a start.
+func (w *Worker) faultOf(call runner.StartCall) OrderFault {
+	if fault := w.startFault.Load(); fault != nil && *fault != nil {
+		return (*fault)(call)
+	}
+	return w.currentFault()
+}
+
 func (w *Worker) currentFault() OrderFault {
 	if fault := w.fault.Load(); fault != nil && *fault != nil {
 		return (*fault)()
@@ -150,7 +163,7 @@
 		Poll: w.poll,
 		Start: func(ctx context.Context, call runner.StartCall) (runner.Answer, error) {
 			sent := time.Now()
-			return w.execute(ctx, call.Incarnation, call.Fence, func() runner.Answer {
+			return w.executeWith(ctx, w.faultOf(call), call.Incarnation, call.Fence, func() runner.Answer {
 				return w.start(call, time.Since(sent) > workerReplyDelay)
 			})
 		},
@@ -211,10 +224,14 @@
 
 var errWorkerDown = errors.New("worker is down")
 
-// execute runs do unless the call is for another worker ID or has an outdated fence. The next
-// incarnation with the same ID carries out a call that was sent to the previous one.
+// execute is executeWith with the current fault.
 func (w *Worker) execute(ctx context.Context, incarnation dispatch.Incarnation, fence uint64, do func() runner.Answer) (runner.Answer, error) {
-	fault := w.currentFault()
+	return w.executeWith(ctx, w.currentFault(), incarnation, fence, do)
+}
+
+// executeWith runs do unless the call is for another worker ID or has an outdated fence. The next
+// incarnation with the same ID carries out a call that was sent to the previous one.
+func (w *Worker) executeWith(ctx context.Context, fault OrderFault, incarnation dispatch.Incarnation, fence uint64, do func() runner.Answer) (runner.Answer, error) {
 	apply := func() (runner.Answer, error) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
