A call under way pins its task to the instance

Callers would see: a task that runs twice if its worker restarts within 15 s after the task was stopped there, or had failed there, while another call that starts it is still under way. Cause: a confirmed stop, an end and a higher fencing token bind the incarnation that has seen them. The owner took them for the end of the start, and the next incarnation carried the call out. Evidence: found in the review, in tests of stops that an incarnation confirms before it crashes. Fix: the agent says with each end for how long a call that starts the task is still under way. Until then, and 4 s more in which a lost instance shows, the task starts on that instance only: an incarnation that carries the call out late has lost the task's other run. The same holds for the tasks of late starts whose instance is back. If the instance is lost, they wait until the late run has ended. Other tasks of the step are not held up. Not covered: a task that is done on one try while another is under way; its end would have to be held back, and with it all later ends of the worker.

--- a/internal/decision/dispatch/ends.go
+++ b/internal/decision/dispatch/ends.go
@@ -14,7 +14,7 @@
 	}
 	for _, end := range ends {
 		s.runEnded(now, in, end)
-		s.lateStarts.dropRun(end.Task, end.Run, incarnation.ID)
+		s.pinEnded(now, in, end)
 	}
 }
 
--- a/internal/decision/dispatch/explain.go
+++ b/internal/decision/dispatch/explain.go
@@ -255,7 +255,7 @@
 		need.Processors = 0
 	}
 	_, placed := in.reservations[t.name]
-	placed = placed || len(p.scheduler.lateStarts[t.name]) > 0
+	placed = placed || p.pinnedElsewhere(t, in)
 	switch {
 	case in.registration.Service != j.spec.Policy.Service:
 		return ObstacleService
--- a/internal/decision/dispatch/instance.go
+++ b/internal/decision/dispatch/instance.go
@@ -75,6 +75,9 @@
 	Run        int64     `json:"run"`
 	Reason     EndReason `json:"how"`
 	Checkpoint string    `json:"saved,omitempty"`
+	// UnderWay is for how long a call that starts a run of the task there may still be carried out, in ms. This
+	// incarnation rejects it; another one with its ID would not.
+	UnderWay int64 `json:"underway,omitempty"`
 }
 
 // reservation is one run that may be on an instance. It holds its resources until a status
--- a/internal/decision/dispatch/latestarts_test.go
+++ b/internal/decision/dispatch/latestarts_test.go
@@ -46,7 +46,7 @@
 		{"its agent process says that it is not under way", func(s *Scheduler) { lost(s, "p1") }, 2},
 		{"another agent process says so", func(s *Scheduler) { lost(s, "p2") }, 30},
 		{"its agent process says that it is under way", func(s *Scheduler) {
-			s.HoldUnderWay(at(2), "a", "agent-a", []StartUnderWay{{Task: name, Run: 1, Remaining: 4000}}, lease)
+			s.HoldUnderWay(at(2), "a", "agent-a", []StartUnderWay{{Task: name, Run: 1, Remaining: 4000}})
 			lost(s, "p1")
 		}, 16},
 		{"the instance is back without it", func(s *Scheduler) { lost(s, ""); back(s) }, 3},
@@ -56,6 +56,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := schedulerWith(registrationOf("a", 8))
+			s.SetLongestLease(lease)
 			s.Accept(startTime, jobOf("j", stepOf(1, 1)), nil)
 			expect(t, "first start", startsOf(s.Plan(at(0))), []string{"j.0.0.0 1 a"})
 			registerOn(s, registrationOf("b", 16))
@@ -84,3 +85,55 @@
 	s.Reconcile(at(1), successor.Incarnation, []RunStatus{{Task: TaskName{Job: "j"}, Run: 1}})
 	expect(t, "held", len(s.HoldUnsettled("a", "p2", at(30))), 1)
 }
+
+// Guards against a second run of a task whose start an incarnation has settled, while the next one would carry out a
+// call that is still under way: until the call is too old, the task starts on that instance alone.
+func TestACallUnderWayPinsItsTask(t *testing.T) {
+	const lease = 10 * time.Second
+	a := Incarnation{"a", 1}
+	pinned := func(t *testing.T) *Scheduler {
+		s := schedulerWithAStart(t)
+		s.SetLongestLease(lease)
+		registerOn(s, registrationOf("b", 64))
+		s.Ended(at(1), a, []End{{Task: firstTask, Run: 1, Reason: EndNotStarted, UnderWay: 5000}})
+		return s
+	}
+	t.Run("the instance has room", func(t *testing.T) {
+		expect(t, "starts", startsOf(pinned(t).Plan(at(1))), []string{"j.0.0.0 2 a"})
+	})
+	full := registrationOf("a", 0)
+	t.Run("it has no room", func(t *testing.T) {
+		s := pinned(t)
+		s.Register(at(1), full)
+		s.Accept(at(1), jobOf("k", stepOf(1, 1)), nil)
+		expect(t, "others", startsOf(s.Plan(at(1))), []string{"k.0.0.0 1 b"})
+		expect(t, "while the call is under way", startsOf(s.Plan(at(9.9))), []string(nil))
+		expect(t, "afterwards", startsOf(s.Plan(at(10))), []string{"j.0.0.0 2 b"})
+	})
+	t.Run("it does not answer", func(t *testing.T) {
+		s := pinned(t)
+		s.SetReachable("a", false)
+		expect(t, "as it may have begun the run", startsOf(s.Plan(at(14))), []string(nil))
+		s.HoldUnsettled("a", "", at(40))
+		s.Lost(at(14), a)
+		expect(t, "before the run has ended", startsOf(s.Plan(at(15.9))), []string(nil))
+		expect(t, "afterwards", startsOf(s.Plan(at(16))), []string{"j.0.0.0 2 b"})
+	})
+	t.Run("the next owner", func(t *testing.T) {
+		next := successorOf(pinned(t), true)
+		next.SetLongestLease(lease)
+		next.LostByID(at(2), "a")
+		expect(t, "before the run has ended", startsOf(next.Plan(at(15.9))), []string(nil))
+		expect(t, "afterwards", startsOf(next.Plan(at(18))), []string{"j.0.0.0 1000001 b"})
+	})
+	t.Run("an instance that is back", func(t *testing.T) {
+		s := schedulerWithAStart(t)
+		s.SetLongestLease(lease)
+		registerOn(s, registrationOf("b", 64))
+		s.HoldUnsettled("a", "", at(20))
+		s.Lost(at(1), a)
+		registerOn(s, full)
+		expect(t, "while the call is under way", startsOf(s.Plan(at(13.9))), []string(nil))
+		expect(t, "afterwards", startsOf(s.Plan(at(14))), []string{"j.0.0.0 2 b"})
+	})
+}
--- a/internal/decision/dispatch/plan.go
+++ b/internal/decision/dispatch/plan.go
@@ -43,7 +43,7 @@
 	s.drain(now)
 	s.reviewSpeeds(now)
 	s.clearProbed(now)
-	s.lateStarts.dropExpired(now)
+	s.dropExpiredLateStarts(now)
 	p := newPlanner(s, now)
 	p.collectInstances()
 	if len(p.usable)+len(p.quarantined) == 0 {
@@ -168,6 +168,9 @@
 				continue
 			}
 			in := p.findInstance(j, t, o)
+			if in == nil && p.pinned(t) {
+				continue // the others may start elsewhere
+			}
 			if in == nil {
 				p.blocked(j, o, stepIndex)
 				p.addUnmetDemand(j, step, o.steps[stepIndex])
@@ -191,7 +194,7 @@
 		in = p.bestHeld(j.jobState, t, class)
 	} else {
 		in = p.bestInstance(j.jobState, t, "")
-		if in == nil && t.step.MaxPerInstance == 0 {
+		if in == nil && t.step.MaxPerInstance == 0 && !p.pinned(t) {
 			p.unplaceable[class] = append(p.unplaceable[class], t.step.Need)
 		}
 	}
@@ -216,7 +219,7 @@
 
 // startable reports whether a task waits and may start now.
 func (p *planner) startable(t *task) bool {
-	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore) && len(p.scheduler.lateStarts[t.name]) == 0 && !p.awaitsIsolation(t)
+	return t.waiting() && !t.unconfirmed && !p.now.Before(t.notBefore) && !p.scheduler.lateStarts.forbids(t.name) && !p.awaitsIsolation(t)
 }
 
 // bestInstance returns the suitable usable instance with the lowest penalty for a task, or nil.
@@ -259,7 +262,7 @@
 	var best *instance
 	var highest float64
 	for _, in := range p.usable {
-		if !fits(j, t, in) || p.startsSlowly(in) || !p.mayProbe(t.step, in) || p.withheld(j, t, in) {
+		if !p.fits(j, t, in) || p.startsSlowly(in) || !p.mayProbe(t.step, in) || p.withheld(j, t, in) {
 			continue
 		}
 		rate := p.rate(t.step, in)
@@ -279,12 +282,22 @@
 	if t.step.BestEffort && (p.processorRate(t.step, in) < minRate || p.rate(t.step, in) < minRate) {
 		return false
 	}
-	return !in.excludes(t) && !p.startsSlowly(in) && p.mayProbe(t.step, in) && !p.withheld(j, t, in)
+	return !in.excludes(t) && !p.pinnedElsewhere(t, in) && !p.startsSlowly(in) && p.mayProbe(t.step, in) && !p.withheld(j, t, in)
 }
 
 // fits reports whether the constraints of a task allow an instance and its resources are free
 // there.
-func fits(j *jobState, t *task, in *instance) bool { return allows(j, t.step, in) && !in.excludes(t) }
+func (p *planner) fits(j *jobState, t *task, in *instance) bool {
+	return allows(j, t.step, in) && !in.excludes(t) && !p.pinnedElsewhere(t, in)
+}
+
+// pinned reports whether late starts allow a task one instance at most.
+func (p *planner) pinned(t *task) bool { return len(p.scheduler.lateStarts[t.name]) > 0 }
+
+// pinnedElsewhere reports whether late starts of a task keep it off an instance.
+func (p *planner) pinnedElsewhere(t *task, in *instance) bool {
+	return p.scheduler.lateStarts.pinsElsewhere(t.name, in.registration.Incarnation.ID)
+}
 
 // allows reports whether the service, label and resources of a step allow an instance.
 func allows(j *jobState, step *Step, in *instance) bool {
--- a/internal/decision/dispatch/rebalance.go
+++ b/internal/decision/dispatch/rebalance.go
@@ -148,7 +148,7 @@
 			return false
 		}
 		index := slices.IndexFunc(p.usable, func(in *instance) bool {
-			return in != from && fits(t.job, t, in) && placed.need.plus(reserved[in]).fitsIn(in.free()) && p.newlyExcludedShare(placed.step.Image, in) == 0
+			return in != from && p.fits(t.job, t, in) && placed.need.plus(reserved[in]).fitsIn(in.free()) && p.newlyExcludedShare(placed.step.Image, in) == 0
 		})
 		if index < 0 {
 			return false
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -16,7 +16,7 @@
 		listed[status.Task] = true
 		s.reconcileRun(now, in, status)
 	}
-	s.releaseLateStarts(in)
+	s.releaseLateStarts(now, in)
 	for name, p := range in.reservations {
 		switch {
 		case listed[name]:
--- a/internal/decision/dispatch/scheduler.go
+++ b/internal/decision/dispatch/scheduler.go
@@ -44,6 +44,7 @@
 	byID               []*instance          // the same, sorted by that ID
 	unconfirmed        map[string]bool      // instances of earlier owners that have not reported yet
 	lateStarts         lateStarts
+	longestLease       time.Duration // see SetLongestLease
 	unsettled          unsettled
 	formerStarts       map[string][]StoredStart // by instance that has not reported: what earlier owners have stored
 	suspects           map[TaskName]*task       // tasks that a crash of a worker is held against
--- a/internal/decision/dispatch/storedstarts.go
+++ b/internal/decision/dispatch/storedstarts.go
@@ -20,9 +20,9 @@
 }
 
 // late returns the start as a late one of an instance that is lost. Its name has been parsed before.
-func (s StoredStart) late(until time.Time) LateStart {
+func (s StoredStart) late(until time.Time, longestLease time.Duration) LateStart {
 	name, _ := ParseTaskName(s.Task)
-	return LateStart{Task: name, Run: s.Run, Instance: s.Instance, Agent: s.Agent, Until: until}
+	return LateStart{Task: name, Run: s.Run, Instance: s.Instance, Agent: s.Agent, Until: until, CallUntil: until.Add(-longestLease)}
 }
 
 // unsettled holds the reservations whose starts are not known to be settled, with their instances.
@@ -62,7 +62,7 @@
 			if late.superseded {
 				continue // the instance lists the run to the next owner
 			}
-			remaining := late.Until.Sub(now)/time.Second + 1
+			remaining := late.CallUntil.Add(s.longestLease).Sub(now)/time.Second + 1
 			starts = append(starts, StoredStart{Task: late.Task.String(), Run: late.Run, Instance: late.Instance, Agent: late.Agent, Remaining: int64(remaining)})
 		}
 	}
@@ -85,7 +85,7 @@
 		}
 		if start.Remaining > 0 {
 			remaining := time.Duration(min(start.Remaining, int64(until.Sub(now)/time.Second)+1)) * time.Second
-			s.lateStarts.add(start.late(now.Add(remaining)))
+			s.lateStarts.add(start.late(now.Add(remaining), s.longestLease))
 			continue
 		}
 		s.formerStarts[start.Instance] = append(s.formerStarts[start.Instance], start)
@@ -110,7 +110,7 @@
 	var held []LateStart
 	for _, start := range s.formerStarts[id] {
 		if process == "" || start.Process != process {
-			held = append(held, start.late(until))
+			held = append(held, start.late(until, s.longestLease))
 		}
 	}
 	s.hold(held)
--- a/internal/decision/dispatch/storedstarts_test.go
+++ b/internal/decision/dispatch/storedstarts_test.go
@@ -139,7 +139,7 @@
 	for _, remaining := range []int64{1 << 62, 1e15, 51} {
 		s := New(2, 9)
 		s.RestoreStarts(at(0), []StoredStart{{Task: "j.0.0.0", Run: 1, Instance: "a", Remaining: remaining}}, at(50))
-		s.lateStarts.dropExpired(at(50).Add(time.Second))
+		s.dropExpiredLateStarts(at(50).Add(time.Second))
 		if diff := cmp.Diff(0, s.LateStarts()); diff != "" {
 			t.Errorf("%d: (-want +got):\n%s", remaining, diff)
 		}
--- a/internal/owner/latestarts.go
+++ b/internal/owner/latestarts.go
@@ -28,8 +28,8 @@
 	for i := range starts {
 		starts[i].Remaining = min(max(starts[i].Remaining, 0), maxCallRemaining.Milliseconds())
 	}
-	t.logHeld(t.scheduler.HoldUnderWay(now, id, agent, starts, link.MaxStaleLease(maxLease)))
 	t.logHeld(t.scheduler.HoldUnsettled(id, process, now.Add(link.MaxUnfencedLease(maxLease))))
+	t.logHeld(t.scheduler.HoldUnderWay(now, id, agent, starts))
 }
 
 func (t *term) logHeld(held []dispatch.LateStart) {
--- a/internal/owner/latestarts_test.go
+++ b/internal/owner/latestarts_test.go
@@ -15,6 +15,7 @@
 	t.Helper()
 	current := newTestTerm(nil)
 	current.elector.settings.MaxLease = testMaxLease
+	current.scheduler.SetLongestLease(link.MaxStaleLease(testMaxLease))
 	current.leaseExpiry, current.sessions, current.attached = map[string]time.Time{}, map[string]*session{}, map[string]bool{}
 	incarnation := dispatch.Incarnation{ID: "a", StartedAt: 1}
 	now := time.Now()
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -207,6 +207,9 @@
 }
 
 func (t *term) recordEnds(now time.Time, s *session, ends []dispatch.End) {
+	for i := range ends {
+		ends[i].UnderWay = min(ends[i].UnderWay, maxCallRemaining.Milliseconds())
+	}
 	for _, end := range ends {
 		if end.Sequence > 0 && end.Sequence <= s.lastSeenEnd {
 			continue
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -113,7 +113,7 @@
 func newTerm(e *Elector, holder Holder, claimed instant) *term {
 	ctx, stop := context.WithCancel(e.loop.Context())
 	log := e.log.With(zap.Uint64("epoch", holder.Epoch))
-	return &term{
+	t := &term{
 		elector: e, log: log, commitFailures: logs.NewFailureLogger(log, "commit-unanswered"),
 		progressFailures: logs.NewFailureLogger(log, "progress-not-stored"),
 		epoch:            holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
@@ -122,6 +122,8 @@
 		inForce: map[string]bool{},
 		ctx:     ctx, stop: stop,
 	}
+	t.scheduler.SetLongestLease(link.MaxStaleLease(e.settings.MaxLease))
+	return t
 }
 
 // post runs f on the loop, unless the term has ended by then.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -280,6 +280,9 @@
 	}
 	report.Ends = append(report.Ends, s.notStarted...)
 	s.notStarted = nil
+	for i := range report.Ends {
+		report.Ends[i].UnderWay = r.startCalls.remaining(report.Ends[i].Task)
+	}
 	report.Full = s.listed && !s.full
 	report.Running = r.takeRunning(report.Full)
 	if report.LeasesExpired {
--- a/internal/runner/startcalls.go
+++ b/internal/runner/startcalls.go
@@ -87,12 +87,20 @@
 	}
 }
 
+// remaining returns for how long a call may still start a run of the task, in ms.
+func (s startCalls) remaining(name dispatch.TaskName) int64 {
+	calls := s.pending(name)
+	if len(calls) == 0 {
+		return 0
+	}
+	return time.Until(calls[len(calls)-1].expiresAt()).Milliseconds() + 1 // a started millisecond counts whole
+}
+
 // underWay returns what the owner learns of the starts that may still be carried out.
 func (s startCalls) underWay() []dispatch.StartUnderWay {
 	var starts []dispatch.StartUnderWay
 	for name, call := range s.list() {
-		// A started millisecond counts whole.
-		starts = append(starts, dispatch.StartUnderWay{Task: name, Run: call.run, Remaining: time.Until(call.expiresAt()).Milliseconds() + 1})
+		starts = append(starts, dispatch.StartUnderWay{Task: name, Run: call.run, Remaining: s.remaining(name)})
 	}
 	return starts
 }
--- a/internal/runner/startcalls_test.go
+++ b/internal/runner/startcalls_test.go
@@ -144,6 +144,10 @@
 			if report := r.takeReport(r.session); report.UnderWay != nil {
 				t.Errorf("%v without the news", report.UnderWay)
 			}
+			r.reportNotStarted(task, 3)
+			if ends := r.takeReport(r.session).Ends; len(ends) != 1 || ends[0].UnderWay != (orderTimeout+link.MaxCallDelay-5*time.Second).Milliseconds()+1 {
+				t.Errorf("the end of a run is reported as %+v", ends)
+			}
 			r.silent = true
 			want := []dispatch.StartUnderWay{{Task: task, Run: 3, Remaining: (orderTimeout + link.MaxCallDelay - 5*time.Second).Milliseconds() + 1}}
 			if diff := cmp.Diff(want, r.takeReport(r.session).UnderWay); diff != "" {
