An instance that drains and runs nothing gets no row

What callers saw: a task of a long-running job did not run for 23 s though nine instances had room for it. Cause: an owner removes the row of a draining instance once nothing runs there, so that later owners need not wait for it. The next owner wrote the row again as soon as the agent attached, though the worker had ended by then. If the agent was told to stop after that, nobody was left who knew of the instance, and each owner from then on waited for it, for up to 10.3 s from its claim. Each owner that was replaced before that handed the wait on, from its start. Change: Scheduler.requestRow asks for no row of an instance that drains and has no reservation, unless it is a new incarnation of one that has a row. A full report that lists runs asks for it. Why it works: the row is there to make later owners wait for what may run, and to hold back starts until it is written. Nothing starts on a draining instance. One without a row had none when its owner read the table, so an earlier owner had removed it, as empty or as lost, or had never written it and started nothing there. What runs there all the same is in the full report, and gets the row as before. An instance that drains no more gets its row before it is used. The stand-in of the worker can say that it drains.

--- a/internal/decision/dispatch/instances.go
+++ b/internal/decision/dispatch/instances.go
@@ -71,7 +71,8 @@
 // Register records an instance's registration by its agent. A new incarnation under a known ID
 // replaces the old one. Start orders for the old one may still be in transit and would be
 // executed by the new one, so its reservations remain until the first call of Reconcile.
-// Register reports whether the instance's row must be written first; RowWritten confirms that.
+// Register reports whether the instance's row must be written before anything starts there; RowWritten
+// confirms that.
 func (s *Scheduler) Register(now time.Time, registration Registration) bool {
 	id := registration.Incarnation.ID
 	in, known := s.instances[id]
@@ -95,13 +96,24 @@
 	if registration.Draining {
 		in.drainDeadline = now.Add(time.Duration(registration.GracePeriod) * time.Millisecond)
 	}
-	if !in.rowWritten && !in.rowChangeRequested {
-		in.rowChangeRequested = true
-		s.instanceChanges = append(s.instanceChanges, InstanceChange{Registration: registration})
-	}
+	s.requestRow(in)
 	return !in.rowWritten
 }
 
+// requestRow asks for the row of an instance, unless that is written already or a change of it waits. The
+// row makes later owners wait for the instance. They need not wait for one that drains and runs nothing: its
+// row, if it had one, was deleted for that reason, and nothing will start there.
+func (s *Scheduler) requestRow(in *instance) {
+	if in.rowWritten || in.rowChangeRequested {
+		return
+	}
+	if in.registration.Draining && !in.restarted && len(in.reservations) == 0 {
+		return
+	}
+	in.rowChangeRequested = true
+	s.instanceChanges = append(s.instanceChanges, InstanceChange{Registration: in.registration})
+}
+
 // Restarted reports whether the ID of a known instance has had an earlier incarnation.
 func (s *Scheduler) Restarted(id string) bool {
 	in, known := s.instances[id]
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -32,6 +32,7 @@
 		}
 	}
 	in.reconciled, in.restarted = true, false
+	s.requestRow(in)
 	s.confirm(incarnation.ID)
 }
 
--- a/internal/decision/dispatch/takeover_test.go
+++ b/internal/decision/dispatch/takeover_test.go
@@ -207,3 +207,62 @@
 	expect(t, "starts", startsOf(starts), []string{"j.0.0.0 1000001 a"})
 	expect(t, "checkpoint", starts[0].Checkpoint, "c1")
 }
+
+// A later owner waits for each instance that has a row. It must not wait for one that drains and runs
+// nothing, whose row an earlier owner has deleted: its worker may end, and its agent stop, before a report.
+func TestADrainingInstanceHasARowOnlyForItsRuns(t *testing.T) {
+	draining := registrationOf("a", 8)
+	draining.Draining = true
+	next := draining
+	next.Incarnation.StartedAt = 2
+	written, removed := []InstanceChange{{Registration: draining}}, []InstanceChange{{Registration: draining, Gone: true}}
+	running := []RunStatus{{Task: TaskName{"j", 0, 0, 0}, Run: 1}}
+	newOwner := func() *Scheduler {
+		s := New(2, 9)
+		s.Accept(startTime, jobOf("j", stepOf(1, 1)), nil)
+		return s
+	}
+	t.Run("it runs nothing", func(t *testing.T) {
+		s := newOwner()
+		s.Register(at(0), draining)
+		s.Register(at(1), draining) // as a report states it
+		expect(t, "row of the attach", s.TakeInstanceChanges(), []InstanceChange(nil))
+		s.Reconcile(at(2), draining.Incarnation, nil)
+		s.Plan(at(2))
+		expect(t, "row after the full report", s.TakeInstanceChanges(), []InstanceChange(nil))
+	})
+	t.Run("it runs a task", func(t *testing.T) {
+		s := newOwner()
+		s.Register(at(0), draining)
+		s.Reconcile(at(1), draining.Incarnation, running)
+		s.Plan(at(1))
+		expect(t, "row of what runs", s.TakeInstanceChanges(), written)
+		s.RowWritten(draining.Incarnation)
+		s.Ended(at(2), draining.Incarnation, []End{{Sequence: 1, Task: running[0].Task, Run: 1, Reason: EndDone}})
+		s.Plan(at(2))
+		expect(t, "row after the end", s.TakeInstanceChanges(), removed)
+	})
+	t.Run("its row is in the table", func(t *testing.T) {
+		s := newOwner()
+		s.RestoreInstance(registrationOf("a", 8))
+		s.Register(at(0), draining)
+		expect(t, "row of the attach", s.TakeInstanceChanges(), []InstanceChange(nil))
+		s.Reconcile(at(1), draining.Incarnation, nil)
+		s.Plan(at(1))
+		expect(t, "row after the full report", s.TakeInstanceChanges(), removed)
+	})
+	t.Run("its worker has restarted", func(t *testing.T) {
+		s := newOwner()
+		s.RestoreInstance(registrationOf("a", 8))
+		s.Register(at(0), next)
+		restarted := next
+		restarted.Restarted = true
+		expect(t, "row of the attach", s.TakeInstanceChanges(), []InstanceChange{{Registration: restarted}})
+	})
+	t.Run("it drains no more", func(t *testing.T) {
+		s := newOwner()
+		s.Register(at(0), draining)
+		s.Register(at(1), registrationOf("a", 8))
+		expect(t, "row of one that is used", s.TakeInstanceChanges(), []InstanceChange{{Registration: registrationOf("a", 8)}})
+	})
+}
--- a/internal/process/takeover_wait_test.go
+++ b/internal/process/takeover_wait_test.go
@@ -114,3 +114,36 @@
 		})
 	}
 }
+
+// The tasks of a worker that drains have moved, and it ends without a word. Its agent attaches to the next
+// owner and stops. The owner after that must not wait for the worker, on which nothing ran any more.
+func TestATakeoverDoesNotWaitForADrainedWorkerThatHasEnded(t *testing.T) {
+	const (
+		drainTime  = 3 * time.Second
+		attachTime = 1500 * time.Millisecond // from a handover until all agents have attached to the next owner
+	)
+	withJobCluster(t, 3, 5, func(t *testing.T, system *testcluster.JobCluster) {
+		tasks := submitLongRunning(t, system)
+		system.Workers[0].SetDraining(true)
+		time.Sleep(drainTime)
+		if running := system.Workers[0].Running(); running > 0 {
+			t.Fatalf("%d tasks run on the worker that drains", running)
+		}
+		system.Workers[0].Crash()
+		if err := system.DrainEntry(ownerIndex(t, system)); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(attachTime)
+		if err := system.DrainAgent(0); err != nil {
+			t.Error(err)
+		}
+		if err := system.KillEntry(ownerIndex(t, system)); err != nil {
+			t.Error(err)
+		}
+		system.Workers[1].Crash() // tasks that the next owner finds nowhere
+		system.Workers[1].Restart()
+		if shortfall := longestShortfall(system, tasks, 15*time.Second); shortfall > maxUnownedTime {
+			t.Errorf("tasks did not run for %v", shortfall)
+		}
+	})
+}
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -87,6 +87,7 @@
 		if r := c.agents[i].runner.Load(); up && r != nil && !c.Workers[i].isCut() {
 			r.Register(dispatch.Registration{
 				Incarnation: incarnation, Service: "s", Domain: c.DomainOf(i), Rack: "r", Labels: []string{"a", "r"}, Capacity: c.Checker.capacity,
+				Draining: c.Workers[i].isDraining(),
 			}, sequence)
 		}
 		select {
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -49,6 +49,7 @@
 	down          bool
 	dark          bool // while it is down, calls wait instead of failing
 	cut           bool // no call of the agent arrives, and no answer
+	draining      bool // it says in its registrations that it will leave
 	fence         uint64
 	leaseDeadline int64
 	runs          map[dispatch.TaskName]*workerRun
@@ -119,6 +120,19 @@
 	w.cut = cut
 }
 
+// SetDraining sets whether the worker says, from its next registration on, that it will leave.
+func (w *Worker) SetDraining(draining bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = draining
+}
+
+func (w *Worker) isDraining() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.draining
+}
+
 // Incarnation returns the worker's current incarnation and whether it is up.
 func (w *Worker) Incarnation() (dispatch.Incarnation, bool) {
 	w.mu.Lock()
