--- a/internal/owner/starts.go
+++ b/internal/owner/starts.go
@@ -29,7 +29,7 @@
 }
 
 // encodeStarts returns the value of the starts row, and whether it has changed since its last commit. Before
-// the row of the earlier owner has been read, it has not. A row has room for some 500 starts, which is far more
+// the row of the earlier owner has been read, it has not. A row has room for some 380 starts, which is far more
 // than are under way at a time unless workers stop answering; the others are left out and counted.
 func (t *term) encodeStarts() (value []byte, changed bool) {
 	if !t.loaded {
