Names and comments of late starts; the count of unanswered starts

Cause: read once more as a newcomer: a method that sets was named like one that asks, and a call that stays without an answer counted twice, after 0.4 s and at its end. Change: noteSettled; the doc comment of LateStart says what pinned and superseded are for; start-unanswered counts once; an end of a task without late starts looks at no other. Measured: the tests of internal/decision/dispatch, internal/runner and internal/owner pass.

--- a/internal/decision/dispatch/latestarts.go
+++ b/internal/decision/dispatch/latestarts.go
@@ -13,8 +13,9 @@
 	Remaining int64    `json:"remaining"` // ms until it is not carried out any more
 }
 
-// LateStart is a start that was under way when its instance was lost. The worker may start again under
-// its ID, carry the start out, and run the task until its lease expires without anybody knowing.
+// LateStart is a start that may still be under way while the task waits. The worker of its instance may start
+// again under its ID, carry the start out, and run the task until its lease expires without anybody knowing. While the
+// instance is lost, the task does not start at all; see pinned and superseded for one that is not.
 type LateStart struct {
 	Task     TaskName
 	Run      int64
@@ -68,6 +69,9 @@
 
 // dropRun drops the late start of a run on an instance.
 func (l lateStarts) dropRun(name TaskName, run int64, instance string) {
+	if len(l[name]) == 0 {
+		return
+	}
 	l.drop(func(late LateStart) bool { return late.Task == name && late.Run == run && late.Instance == instance })
 }
 
@@ -111,8 +115,8 @@
 	})
 }
 
-// settled records that no call is under way that starts the run of a reservation.
-func (in *instance) settled(status RunStatus) {
+// noteSettled records that no call is under way that starts the run of a reservation, if the report says so.
+func (in *instance) noteSettled(status RunStatus) {
 	if p := in.reservations[status.Task]; p != nil && p.run == status.Run && status.Settled {
 		p.settled = true
 	}
--- a/internal/decision/dispatch/reconcile.go
+++ b/internal/decision/dispatch/reconcile.go
@@ -38,7 +38,7 @@
 
 // reconcileRun processes one run that an instance reports.
 func (s *Scheduler) reconcileRun(now time.Time, in *instance, status RunStatus) {
-	in.settled(status)
+	in.noteSettled(status)
 	if p, ok := in.reservations[status.Task]; ok && p.run == status.Run {
 		p.agentIncarnation = in.registration.AgentIncarnation
 		if p.stopping { // the stop order may have been lost with the previous session
@@ -131,7 +131,7 @@
 func (s *Scheduler) Checkpointed(now time.Time, incarnation Incarnation, runs []RunStatus) {
 	for _, status := range runs {
 		if in, ok := s.instances[incarnation.ID]; ok && in.registration.Incarnation == incarnation {
-			in.settled(status)
+			in.noteSettled(status)
 		}
 		t := s.findTask(status.Task)
 		if t == nil || t.instance != incarnation.ID || t.run != status.Run {
--- a/internal/runner/runs.go
+++ b/internal/runner/runs.go
@@ -149,7 +149,9 @@
 			r.settleOther(known, call)
 			return
 		}
-		r.startCallEnded(call, sending, err)
+		if !r.startCallEnded(call, sending, err) {
+			r.registry.Add("start-unanswered", 1)
+		}
 		r.startAnswered(known, call, try, sent, answer, err)
 	}, func(answer Answer, err error) {
 		if r.answeredByOther(call.Incarnation, leastClock, answer, err) {
@@ -170,15 +172,16 @@
 	})
 }
 
-// startCallEnded records that a call was answered or failed.
-func (r *Runner) startCallEnded(call StartCall, sending startCall, err error) {
-	if err == nil || neverSent(err) {
+// startCallEnded records that a call was answered or failed. It reports whether the call is not under way any more.
+func (r *Runner) startCallEnded(call StartCall, sending startCall, err error) bool {
+	ended := err == nil || neverSent(err)
+	if ended {
 		r.startCalls.remove(call.Task, sending)
-		return
 	}
-	r.registry.Add("start-unanswered", 1)
+	return ended
 }
 
+// startAnswered handles the answer of the known incarnation to a start, or its lack after orderTimeout.
 func (r *Runner) startAnswered(known *run, call StartCall, try int, sent time.Time, answer Answer, err error) {
 	r.recordStartAnswer(known, call, sent, answer, err)
 	if !r.isCurrent(call.Incarnation, known, call.Task) {
