A stopping server answers the requests that it has read

What callers saw: on a connection that was open as an entry ended its accept period, 2.5 s after SIGTERM, a whole request was read and the connection closed without an answer; a kept connection closed while its next request lay unread. If the entry had little processor time at that moment, this also hit requests sent up to 0.2 s before.

Cause: Shutdown of net/http. From its call on, the server closes each connection once it has read a request, without calling the handler. It also closes connections between two requests, also if the next one has begun to come, and what the kernel has accepted and the process hasn't is reset with the listener.

Change: budget.Server stops in another order, in entries and agents alike. Each connection has 100 ms more for a request to begin, and then one more read, since the deadline of a process that stood still passes together with the bytes. The listener closes once no connection waits to be accepted. Shutdown of net/http comes when no connection is left.

Why it works: net/http isn't told of the stop while a connection is open, so a request of which a byte was read gets its answer unless the drain (2.5 s) ends first. A request that comes during a drain is given 2 s at most, so that one that is there within 0.5 s of the stop ends in time. A connection on which nothing came in 0.1 s is closed as an idle one. One case is left: of a pipelined request, net/http may hold first bytes that it read beside the answer before; if the rest takes more than 0.1 s, the connection counts as idle.

--- a/internal/budget/conn.go
+++ b/internal/budget/conn.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -62,8 +63,8 @@
 
 	writeDeadline atomic.Int64 // of the last write, in ns since the budget began: the time of day may jump
 
-	mu   sync.Mutex
-	held int64 // of the share of heads
+	mu   sync.Mutex // held also while a read deadline is chosen and set
+	held int64      // of the share of heads
 
 	// Guarded by the listener's mutex.
 	list    *list.List
@@ -88,6 +89,10 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && c.endsWaiting(err) {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastLookTime)) // the read fails as well
+		n, err = c.Conn.Read(p)
+	}
 	if n == 0 || c.listener.class == Links || phase(c.phase.Load()) == inRequest {
 		return n, err
 	}
@@ -157,11 +162,17 @@
 // SetReadDeadline implements net.Conn. The limits of the configuration apply to the deadlines of
 // the server.
 func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	limits := c.budget.limits.Load()
 	latest := time.Time{}
 	switch phase(c.phase.Load()) {
 	case waiting:
-		latest = time.Now().Add(limits.IdleTimeout + limitSlack)
+		wait := limits.IdleTimeout + limitSlack
+		if c.listener.stopping.Load() {
+			wait = min(wait, lastRequestTime)
+		}
+		latest = time.Now().Add(wait)
 	case inHead:
 		latest = time.Now().Add(limits.HeaderTimeout + limitSlack)
 	case inRequest:
@@ -172,6 +183,21 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// boundWait bounds the wait for the next request if the connection waits for one. The listener is
+// stopping, so that each later wait is bounded when it begins.
+func (c *Conn) boundWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if phase(c.phase.Load()) == waiting {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastRequestTime)) // the next read fails as well
+	}
+}
+
+// endsWaiting reports whether a read has failed because a stopping server waits for no other request.
+func (c *Conn) endsWaiting(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.listener.stopping.Load() && phase(c.phase.Load()) == waiting
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.leave()
--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -2,12 +2,15 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -47,7 +50,11 @@
 	busy  list.List // of *Conn: in a request
 	freed chan struct{}
 	ended chan struct{}
-	once  sync.Once
+
+	once   sync.Once // the listener closes
+	failed error     // of the close
+
+	stopping atomic.Bool // connections wait for a request for lastRequestTime at most
 }
 
 // Listener returns a listener that accepts the connections of inner within the budget.
@@ -107,10 +114,85 @@
 	}
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. Later calls return the error of the first.
 func (l *listener) Close() error {
-	l.once.Do(func() { close(l.ended) })
-	return l.Listener.Close()
+	l.once.Do(func() {
+		close(l.ended)
+		l.failed = l.Listener.Close()
+	})
+	return l.failed
+}
+
+// pending reports whether a connection waits to be accepted. It reports false where the system can't
+// tell.
+func (l *listener) pending() bool {
+	raw, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := 0
+	err = control.Control(func(fd uintptr) {
+		waiting, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // 0 after an error
+	})
+	return err == nil && waiting > 0
+}
+
+// closeEmpty bounds how long connections wait for a request from now on, and closes the listener once
+// no connection waits to be accepted, since the kernel resets those that do.
+func (l *listener) closeEmpty(ctx context.Context) {
+	l.stopping.Store(true)
+	for _, conn := range l.connections() {
+		conn.boundWait()
+	}
+	for deadline := time.Now().Add(lastRequestTime); l.pending() && time.Now().Before(deadline); {
+		if !sleep(ctx, stopCheckInterval) {
+			break
+		}
+	}
+	_ = l.Close() // the next accept fails as well
+}
+
+// awaitEnds waits until all connections have ended.
+func (l *listener) awaitEnds(ctx context.Context) error {
+	for l.openCount() > 0 {
+		if !sleep(ctx, stopCheckInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// sleep reports whether ctx lasted for a time.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *listener) openCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// connections returns the open connections.
+func (l *listener) connections() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var open []*Conn
+	for _, of := range []*list.List{&l.fresh, &l.idle, &l.busy} {
+		for e := of.Front(); e != nil; e = e.Next() {
+			open = append(open, e.Value.(*Conn))
+		}
+	}
+	return open
 }
 
 // admit adds a connection, and waits until there is room for it. It reports false if the listener
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -86,7 +86,7 @@
 
 	gateListener    net.Listener
 	metricsListener net.Listener
-	servers         []*http.Server
+	servers         []*budget.Server
 	budget          *budget.Budget
 	drainRequested  atomic.Bool
 	failure         failure
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -94,7 +94,7 @@
 	failure        failure
 	listeners      listeners
 	failureLoggers failureLoggers
-	servers        []*http.Server
+	servers        []*budget.Server
 	budget         *budget.Budget
 }
 
--- a/internal/process/job_agent.go
+++ b/internal/process/job_agent.go
@@ -72,7 +72,7 @@
 	runner   *runner.Runner
 	holder   atomic.Pointer[owner.Holder]
 	elector  *owner.Elector // nil without a link address
-	servers  []*http.Server
+	servers  []*budget.Server
 }
 
 // NewJobAgent starts an agent. The agent stops when ctx is done or with Drain. The
--- a/internal/process/job_entry.go
+++ b/internal/process/job_entry.go
@@ -75,7 +75,7 @@
 	ownerClient *owner.Client
 	routes      *submission.ActiveRoutes
 	budget      *budget.Budget
-	servers     []*http.Server
+	servers     []*budget.Server
 	service     *submission.Service
 	peers       *submission.Peers
 	evacuations *evacuation.Tracker
