An entry retries a failed write of its row after a second

Seen: TestNoPlatformAtStart failed now and then, "after the platform is available again: 503", step "route": no instance can take the request. Cause: the product. An entry that starts in an outage fails to write its row and tried again only after 4 s, the period of the heartbeats in that row, while all its reads are tried again after 1 s. In the traced run e0's first write failed at 0 s and e1's was carried out then, before or after the outage of that instant. The agent read the rows at 1 s and linked to e1 alone. e0 had the contract from 3 s, so it took requests, but its row was written at 4 s only, and the agent had no link to e0 by the request of 6 s. By the periods (not logged) e1 reads the row at 4 s or 5 s and a heartbeat of the agent gets it up to 1 s later, at 6 s if both run before the news of their instant, which is when the test asks. A caller minds: after an outage an entry that has the contract refused at once, for up to 6 s after its end, what an idle instance could run. If all entries start in an outage, nobody serves until their rows are written, up to 4 s after it. Change: after a failed write of its row an entry tries again after 1 s (rowRetryInterval). It costs an entry one read a second in an outage, not one in 4 s. TestNoPlatformAtStart stays as it is: the chain that decides it takes 3 s at most now (row, read of another entry, heartbeat), not 6 s. TestEntriesThatStartInAnOutageServeSoonAfterIt is new: both entries serve 3 s after an outage that ends between two tries.

--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -33,6 +33,10 @@
 	configInterval = time.Second
 	// rowInterval is the time between two writes of the entry's own row.
 	rowInterval = 4 * time.Second
+	// rowRetryInterval is the time from a failed write of the entry's own row to the next
+	// try. It is that of the reads, so that the entry is not ready long before agents
+	// can find it.
+	rowRetryInterval = time.Second
 	// entriesInterval is the time between two reads of the rows of all entries.
 	entriesInterval = time.Second
 	// entryTimeout is how long another entry's row may stay unchanged before that entry
@@ -205,7 +209,7 @@
 	e.metrics.Gauge("evacuated-domains", func() any { return len(e.evacuations().Domains) })
 	e.loop.GoEvery(configInterval, e.readConfig)
 	e.loop.GoEvery(configInterval, e.readEvacuations)
-	e.loop.GoEvery(rowInterval, e.writeRow)
+	e.loop.Go(e.maintainRow)
 	e.loop.GoEvery(entriesInterval, e.readEntries)
 	e.loop.Every(e.settings.Window, func() { e.closeWindow(false) })
 	e.serveAll()
--- a/internal/process/entry_platform.go
+++ b/internal/process/entry_platform.go
@@ -8,6 +8,7 @@
 
 	"github.com/apricotwind/apricotwind/internal/config"
 	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/loop"
 	"github.com/apricotwind/apricotwind/internal/record"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
 	"go.uber.org/zap"
@@ -23,21 +24,34 @@
 	e.loop.Post(func() { e.applyConfig(document) })
 }
 
-// writeRow writes this entry's row with a new heartbeat value. Other entries consider this
-// entry failed if its row does not change for entryTimeout.
-func (e *Entry) writeRow(ctx context.Context) {
-	if e.draining.Load() {
-		return
+// maintainRow writes this entry's row every rowInterval, and after a failed write every
+// rowRetryInterval, until the entry drains or the loop ends. Agents without a link find the
+// entry by its row, and other entries consider it failed if its row does not change for
+// entryTimeout.
+func (e *Entry) maintainRow() {
+	ctx := e.loop.Context()
+	for ctx.Err() == nil && !e.draining.Load() {
+		err := e.writeRow(ctx)
+		e.failureLoggers.row.Note(err)
+		if err != nil {
+			loop.Sleep(ctx, rowRetryInterval)
+			continue
+		}
+		loop.Sleep(ctx, rowInterval)
 	}
+}
+
+// writeRow writes this entry's row with a new heartbeat value.
+func (e *Entry) writeRow(ctx context.Context) error {
 	_, operatorAddress, linkAddress := e.Addresses()
 	row, err := e.table.Get(ctx, record.EntryPrefix+e.settings.Name)
-	if err == nil {
-		err = e.putRow(ctx, row.Revision, record.Entry{
-			Name: e.settings.Name, Incarnation: e.incarnation, LinkAddress: linkAddress, OperatorAddress: operatorAddress,
-			Domain: e.settings.Domain, Heartbeat: e.sequence.Add(1),
-		})
+	if err != nil {
+		return err
 	}
-	e.failureLoggers.row.Note(err)
+	return e.putRow(ctx, row.Revision, record.Entry{
+		Name: e.settings.Name, Incarnation: e.incarnation, LinkAddress: linkAddress, OperatorAddress: operatorAddress,
+		Domain: e.settings.Domain, Heartbeat: e.sequence.Add(1),
+	})
 }
 
 // readEntries reads the rows of all entries.
--- a/internal/process/requests_test.go
+++ b/internal/process/requests_test.go
@@ -14,7 +14,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/operator"
 	"github.com/apricotwind/apricotwind/internal/standin"
+	"github.com/apricotwind/apricotwind/internal/testcluster"
 )
 
 func TestBadRequestsGetAClearAnswerAndAreNotRun(t *testing.T) {
@@ -299,3 +301,31 @@
 		}
 	})
 }
+
+// An entry that starts while the platform is unavailable is found by agents once its row is written.
+// That must not take longer than the tries of everything else that the entry needs.
+func TestEntriesThatStartInAnOutageServeSoonAfterIt(t *testing.T) {
+	const (
+		// ends is when the outage ends: between two tries, after a whole period of the rows.
+		ends = 4500 * time.Millisecond
+		// bound is a second until the row is written, one until the agent or the entry that it has
+		// found already reads the row, and one until a heartbeat brings the agent the address.
+		bound = 3 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		p := &cluster{t: t, Cluster: testcluster.New(t, 1, func(c *testcluster.Cluster) {
+			c.Platform.Set(standin.Faults{Outage: true})
+		})}
+		time.Sleep(ends)
+		p.Platform.Set(standin.Faults{})
+		if _, err := p.Operator("e0").Propose(p.Ctx, operator.Proposal{Text: testcluster.Contract, By: "test"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(bound)
+		for _, entry := range []string{"e0", "e1"} {
+			if status, _, text := p.do(http.MethodGet, entry, nil); status != http.StatusOK {
+				t.Errorf("%s, %v after the outage: %d %s", entry, bound, status, text)
+			}
+		}
+	})
+}
