--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,11 +119,14 @@
 // A start that gets no answer is sent again with the same run number, and then settled by a
 // stop. Until then the run stays known, so that no other run of the task starts.
 func TestAStartWithoutAnAnswer(t *testing.T) {
+	var mu sync.Mutex // guards runs: a call goes on while the next one is sent
 	var runs []int64
 	stopped := 0
 	worker := Worker{
 		Start: func(ctx context.Context, call StartCall) (Answer, error) {
+			mu.Lock()
 			runs = append(runs, call.Run)
+			mu.Unlock()
 			<-ctx.Done()
 			return Answer{}, ctx.Err()
 		},
@@ -144,6 +148,8 @@
 		})
 		time.Sleep(2 * time.Second)
 		onLoop(t, r, func() {
+			mu.Lock()
+			defer mu.Unlock()
 			if len(runs) != maxStartTries || runs[0] != 4 || runs[maxStartTries-1] != 4 || stopped != 1 {
 				t.Errorf("starts of runs %v, %d stops", runs, stopped)
 			}
--- a/internal/runner/startcalls_test.go
+++ b/internal/runner/startcalls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,11 +165,11 @@
 // against a restart that only a slow answer tells of.
 func TestASlowAnswerCounts(t *testing.T) {
 	for _, startedAt := range []int64{5, 9} {
-		calls := 0
+		var calls atomic.Int32
 		worker := Worker{
 			Poll: unansweredPoll,
 			Start: func(context.Context, StartCall) (Answer, error) {
-				calls++
+				calls.Add(1)
 				time.Sleep(600 * time.Millisecond)
 				return Answer{StartedAt: startedAt}, nil
 			},
@@ -189,8 +190,8 @@
 				}
 			})
 		})
-		if calls != 2 {
-			t.Errorf("%d calls, want 2: the second is sent before the first is answered", calls)
+		if calls.Load() != 2 {
+			t.Errorf("%d calls, want 2: the second is sent before the first is answered", calls.Load())
 		}
 	}
 }
