review: case 11, a sound job is shown as failed after two crashes of its worker

Cause: the owner counts crashes of a worker against the tasks that it had begun within 200 ms, and fails the job after two, though the rule counts ends 'failed' only. With it comes the player of the third review's scripts.

--- /dev/null
+++ b/review/lab3/cases.go
@@ -0,0 +1,277 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// scripts are the cases, by the name of their folder.
+var scripts = map[string]script{
+	"11": {3, 11, sameKind, playCrash},
+	"12": {3, 11, sameKind, playGang},
+	"14": {3, 11, sameKind, playPower},
+	"15": {3, 6, twoKinds, playStalled},
+	"13": {3, 11, sameKind, playEdge},
+}
+
+// twoKinds is a deployment of two kinds of workers, 32 cores and 125 GB each.
+func twoKinds(i int) (kind string, cpu, mem int) { return []string{"a", "b"}[i/3], 32000, 125000 }
+
+// proof returns a job like the ordinary ones of the small sites.
+func proof(tasks int) *job {
+	return &job{ID: newID(), Spec: "proof", Steps: []step{{Count: tasks, CPU: 960, MemMB: 1900, EstimateMS: 640, work: 640 * time.Millisecond}}}
+}
+
+// lasting returns a job whose tasks last and serve users, each on a worker of its own.
+func lasting(tasks int) *job {
+	return &job{ID: newID(), Spec: "feed", Steps: []step{{
+		Count: tasks, CPU: 13000, MemMB: 26000, EstimateMS: 320, LongRunning: true, Anti: 1, Image: "feeder", TargetMS: 40,
+	}}}
+}
+
+const (
+	crashAfter = 80 * time.Millisecond // from the start of a task to the crash of its worker
+	crashDown  = time.Second
+	crashes    = 2
+)
+
+// playCrash has one worker crash, soon after it has started a task, twice. The task is sound.
+func playCrash(c *cluster, k *client, trouble bool) {
+	flapping, left := c.workers[0], crashes
+	c.world.onStart = func(w *worker, _ taskID, _ int64) {
+		c.world.mu.Lock()
+		hit := trouble && w == flapping && left > 0
+		if hit {
+			left--
+		}
+		c.world.mu.Unlock()
+		if !hit {
+			return
+		}
+		time.Sleep(crashAfter)
+		w.end(gone)
+		time.Sleep(crashDown)
+		if err := w.start(); err != nil {
+			c.rec.block("worker: %v", err)
+		}
+	}
+	j := proof(1)
+	if !k.submit(j) {
+		c.rec.block("the job was not accepted")
+		return
+	}
+	k.checkShown(j, k.awaitState(j.ID, 40*time.Second, "completed", "failed", "cancelled", "410"))
+}
+
+// playGang has a gang lose its worker. On every other worker a task serves users.
+func playGang(c *cluster, k *client, trouble bool) {
+	if !k.submit(lasting(len(c.workers) - 1)) {
+		c.rec.block("the lasting job was not accepted")
+		return
+	}
+	time.Sleep(4 * time.Second)
+	idle := c.idleWorker()
+	if idle == nil {
+		c.rec.block("no worker is free")
+		return
+	}
+	gang := &job{ID: newID(), Spec: "separation", Steps: []step{{
+		Count: 2, CPU: 7000, MemMB: 13000, EstimateMS: 2200, Gang: true, Fills: true, Image: "separator", work: 2200 * time.Millisecond,
+	}}}
+	if !k.submit(gang) {
+		c.rec.block("the gang was not accepted")
+		return
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		idle.end(gone)
+	}
+	time.Sleep(finishTime)
+	k.checkStandstill([]*job{gang})
+	k.checkShown(gang, k.state(gang.ID))
+}
+
+// idleWorker returns a worker without runs, or nil.
+func (c *cluster) idleWorker() *worker {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	for _, w := range c.workers {
+		if w.mode == up && len(w.runs) == 0 {
+			return w
+		}
+	}
+	return nil
+}
+
+// playPower has the machine of one worker lose its power for good, under ordinary traffic.
+func playPower(c *cluster, k *client, trouble bool) {
+	const (
+		between    = 120 * time.Millisecond
+		lossAfter  = 4 * time.Second
+		traffic    = 6 * time.Second
+		powerTasks = 24 // of each job
+	)
+	var jobs []*job
+	answers := make(chan bool)
+	began, lost := time.Now(), false
+	for time.Since(began) < traffic {
+		if trouble && !lost && time.Since(began) >= lossAfter {
+			lost = true
+			c.workers[0].end(dark)
+		}
+		j := proof(powerTasks)
+		jobs = append(jobs, j)
+		go func() { answers <- k.submit(j) }()
+		time.Sleep(between)
+	}
+	for range jobs {
+		<-answers
+	}
+	time.Sleep(time.Until(began.Add(traffic + finishTime)))
+	k.checkStandstill(jobs)
+	for _, j := range jobs {
+		if !j.accepted.IsZero() {
+			k.checkShown(j, k.state(j.ID))
+		}
+	}
+}
+
+// standstill is how long a job must have nothing running to break LOST.
+const standstill = 3 * time.Second
+
+// checkStandstill checks that no accepted job has nothing running for standstill from now on, while a
+// task's turn has come, there is room for it twice over and under half of the processors are in use.
+func (k *client) checkStandstill(jobs []*job) {
+	world := k.c.world
+	still := map[*job]bool{}
+	for _, j := range jobs {
+		still[j] = !j.accepted.IsZero()
+	}
+	for began := time.Now(); time.Since(began) < standstill+4*worldTick; time.Sleep(worldTick) {
+		world.mu.Lock()
+		cpu, mem, whole := world.free()
+		for j := range still {
+			need, needMem := 0, 0
+			for _, s := range j.Steps {
+				needMem = max(needMem, s.MemMB)
+				if !s.Fills {
+					need = max(need, s.CPU)
+				}
+			}
+			if world.allDone(j) || world.running(j.ID) > 0 || cpu < 2*need || mem < 2*needMem || 2*cpu <= whole {
+				still[j] = false
+			}
+		}
+		world.mu.Unlock()
+	}
+	for _, j := range jobs {
+		if still[j] {
+			k.c.rec.broken("LOST", "%s, accepted %.1f s ago, has nothing running for %v, and there is room", j.ID, time.Since(j.accepted).Seconds(), standstill)
+		}
+	}
+}
+
+// playStalled has a burst of large jobs take the processors that tasks of a step with may_miss fill.
+func playStalled(c *cluster, k *client, trouble bool) {
+	large := func(kind string, work time.Duration) *job {
+		return &job{ID: newID(), Spec: "separation", Steps: []step{{Count: 12, CPU: 7500, MemMB: 6000, EstimateMS: work.Milliseconds(), Requires: kind, work: work}}}
+	}
+	if !k.submit(large("b", 6*time.Second)) {
+		c.rec.block("the first job was not accepted")
+		return
+	}
+	time.Sleep(time.Second)
+	fills := &job{ID: newID(), Spec: "sync", Steps: []step{{
+		Count: 3, CPU: 20000, MemMB: 6000, EstimateMS: 320, Anti: 1, LongRunning: true, Checkpoint: true, Fills: true, Image: "sync", MayMiss: 1,
+	}}}
+	if !k.submit(fills) {
+		c.rec.block("the lasting job was not accepted")
+		return
+	}
+	time.Sleep(8 * time.Second)
+	if trouble && !k.submit(large("a", 6*time.Second)) {
+		c.rec.block("the burst was not accepted")
+		return
+	}
+	time.Sleep(10 * time.Second)
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	if c.world.running(fills.ID) == 0 {
+		c.rec.block("the lasting tasks did not run")
+	}
+}
+
+// sized returns a job whose first image has a name of so many bytes.
+func sized(bytes int) *job {
+	j := &job{ID: newID(), Spec: "proof"}
+	for i := range 16 {
+		s := step{Count: 1, CPU: 960, MemMB: 1900, EstimateMS: 10, work: 10 * time.Millisecond, Image: strings.Repeat("i", 4000)}
+		if i == 0 {
+			s.Image = strings.Repeat("i", bytes)
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+// playEdge hands in the largest job that is accepted, after the owner was killed and replaced.
+func playEdge(c *cluster, k *client, trouble bool) {
+	low, high := 1, 8000
+	for high-low > 1 {
+		middle := (low + high) / 2
+		if j := sized(middle); k.offer(j) {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	c.rec.note("the largest job that is accepted has an image of %d bytes", low)
+	if trouble {
+		owner := c.owner()
+		if owner == nil {
+			c.rec.block("no owner")
+			return
+		}
+		c.kill(owner)
+		time.Sleep(time.Second)
+		if err := c.launch(owner); err != nil {
+			c.rec.block("start: %v", err)
+			return
+		}
+		time.Sleep(10 * time.Second)
+	}
+	j := sized(low)
+	if !k.submit(j) {
+		c.rec.note("the job is not accepted any more")
+		return
+	}
+	time.Sleep(finishTime)
+	k.checkStandstill([]*job{j})
+	k.checkShown(j, k.state(j.ID))
+}
+
+// offer hands a job in once, and reports whether it was accepted and completed.
+func (k *client) offer(j *job) bool {
+	k.c.world.add(j)
+	status, err := k.post(0, j)
+	if err != nil || status/100 != 2 {
+		return false
+	}
+	j.accepted = time.Now()
+	if shown := k.awaitState(j.ID, 10*time.Second, "completed"); shown != "completed" {
+		k.c.rec.block("%s is %s before the disruption", j.ID, shown)
+	}
+	return true
+}
+
+// post sends a job to a front.
+func (k *client) post(front int, j *job) (int, error) {
+	text, err := encode(j)
+	if err != nil {
+		return 0, fmt.Errorf("encode: %w", err)
+	}
+	status, _ := k.do(front, "POST", prefix+j.ID, text)
+	k.c.rec.note("POST %s: %d", j.ID, status)
+	return status, nil
+}
