--- a/review/lab3/cases.go
+++ b/review/lab3/cases.go
@@ -3,16 +3,15 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 )
 
 // scripts are the cases, by the name of their folder.
 var scripts = map[string]script{
-	"11": {3, 11, sameKind, playCrash},
-	"12": {3, 11, sameKind, playCancel},
-	"13": {3, 11, sameKind, playGang},
-	"14": {3, 11, sameKind, playEdge},
+	"11": {3, 11, sameKind, playCancel},
+	"12": {3, 11, sameKind, playLate},
+	"13": {3, 11, sameKind, playCrash},
+	"14": {3, 11, sameKind, playGang},
 	"15": {3, 11, sameKind, playPower},
 }
 
@@ -28,40 +27,6 @@
 	}}}
 }
 
-const (
-	crashAfter = 80 * time.Millisecond // from the start of a task to the crash of its worker
-	crashDown  = time.Second
-	crashes    = 2
-)
-
-// playCrash has one worker crash, soon after it has started a task, twice. The task is sound.
-func playCrash(c *cluster, k *client, trouble bool) {
-	flapping, left := c.workers[0], crashes
-	c.world.onStart = func(w *worker, _ taskID, _ int64) {
-		c.world.mu.Lock()
-		hit := trouble && w == flapping && left > 0
-		if hit {
-			left--
-		}
-		c.world.mu.Unlock()
-		if !hit {
-			return
-		}
-		time.Sleep(crashAfter)
-		w.end(gone)
-		time.Sleep(crashDown)
-		if err := w.start(); err != nil {
-			c.rec.block("worker: %v", err)
-		}
-	}
-	j := proof(1)
-	if !k.submit(j) {
-		c.rec.block("the job was not accepted")
-		return
-	}
-	k.checkShown(j, k.awaitState(j.ID, 40*time.Second, "completed", "failed", "cancelled", "410"))
-}
-
 // patience is how long the client of playCancel waits for an answer before it leaves and cancels.
 const patience = time.Second
 
@@ -102,6 +67,122 @@
 	k.state(j.ID)
 }
 
+const (
+	lateStart    = 9 * time.Second // by which the start without an answer is carried out late
+	cutAfter     = 6 * time.Second // from that start to the cut
+	cutFor       = 5 * time.Second
+	downFor      = 800 * time.Millisecond // of the worker that is cut off
+	lateTraffic  = 5 * time.Second
+	lateInterval = 120 * time.Millisecond
+)
+
+// playLate has one start of a worker carried out late, and the worker start again under its ID behind a
+// cut before that. The task has been done on the second try of the start long before.
+func playLate(c *cluster, k *client, trouble bool) {
+	hit, orders := c.workers[0], 0
+	var sent time.Time
+	var victim call
+	c.world.mu.Lock()
+	for _, w := range c.workers {
+		w.sameID = true
+		w.delays = func(order call) time.Duration {
+			orders++
+			if !trouble || w != hit || !sent.IsZero() || orders < 2*len(c.workers) {
+				return 0
+			}
+			sent, victim = time.Now(), order
+			return lateStart
+		}
+	}
+	c.world.mu.Unlock()
+	var jobs []*job
+	answers := make(chan bool)
+	for began := time.Now(); time.Since(began) < lateTraffic; time.Sleep(lateInterval) {
+		j := proof(6)
+		jobs = append(jobs, j)
+		go func() { answers <- k.submit(j) }()
+	}
+	for range jobs {
+		<-answers
+	}
+	if trouble {
+		c.world.mu.Lock()
+		at := sent
+		c.world.mu.Unlock()
+		if at.IsZero() {
+			c.rec.block("no start was sent to %s", hit.name)
+			return
+		}
+		time.Sleep(time.Until(at.Add(cutAfter)))
+		c.cutOff(hit, true)
+		hit.end(gone)
+		time.Sleep(downFor)
+		if err := hit.restartCut(); err != nil {
+			c.rec.block("worker: %v", err)
+			return
+		}
+		time.Sleep(time.Until(at.Add(cutAfter + cutFor)))
+		c.cutOff(hit, false)
+	}
+	time.Sleep(finishTime)
+	c.rec.note("%d orders were sent; late was that of %s run %d", orders, victim.Task, victim.Run)
+	for _, j := range jobs {
+		if !j.accepted.IsZero() {
+			k.checkShown(j, k.state(j.ID))
+		}
+	}
+}
+
+// cutOff sets whether a worker is cut off from its agent.
+func (c *cluster) cutOff(w *worker, cut bool) {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	c.rec.note("worker %s is cut off: %v", w.name, cut)
+	w.cut = cut
+}
+
+// restartCut starts the next life of a worker that stays cut off.
+func (w *worker) restartCut() error {
+	w.world.mu.Lock()
+	w.cut = true
+	w.world.mu.Unlock()
+	return w.start()
+}
+
+const (
+	crashAfter = 80 * time.Millisecond // from the start of a task to the crash of its worker
+	crashDown  = time.Second
+	crashes    = 2
+)
+
+// playCrash has one worker crash, soon after it has started a task, twice. The task is sound.
+func playCrash(c *cluster, k *client, trouble bool) {
+	flapping, left := c.workers[0], crashes
+	c.world.onStart = func(w *worker, _ taskID, _ int64) {
+		c.world.mu.Lock()
+		hit := trouble && w == flapping && left > 0
+		if hit {
+			left--
+		}
+		c.world.mu.Unlock()
+		if !hit {
+			return
+		}
+		time.Sleep(crashAfter)
+		w.end(gone)
+		time.Sleep(crashDown)
+		if err := w.start(); err != nil {
+			c.rec.block("worker: %v", err)
+		}
+	}
+	j := proof(1)
+	if !k.submit(j) {
+		c.rec.block("the job was not accepted")
+		return
+	}
+	k.checkShown(j, k.awaitState(j.ID, 40*time.Second, "completed", "failed", "cancelled", "410"))
+}
+
 // playGang has a gang lose its worker. On every other worker a task serves users.
 func playGang(c *cluster, k *client, trouble bool) {
 	if !k.submit(lasting(len(c.workers) - 1)) {
@@ -177,69 +258,6 @@
 	}
 }
 
-// sized returns a job whose first image has a name of so many bytes.
-func sized(bytes int) *job {
-	j := &job{ID: newID(), Spec: "proof"}
-	for i := range 16 {
-		s := step{Count: 1, CPU: 960, MemMB: 1900, EstimateMS: 10, work: 10 * time.Millisecond, Image: strings.Repeat("i", 4000)}
-		if i == 0 {
-			s.Image = strings.Repeat("i", bytes)
-		}
-		j.Steps = append(j.Steps, s)
-	}
-	return j
-}
-
-// playEdge hands in the largest job that is accepted, after the owner was killed and replaced.
-func playEdge(c *cluster, k *client, trouble bool) {
-	low, high := 1, 8000
-	for high-low > 1 {
-		middle := (low + high) / 2
-		if j := sized(middle); k.offer(j) {
-			low = middle
-		} else {
-			high = middle
-		}
-	}
-	c.rec.note("the largest job that is accepted has an image of %d bytes", low)
-	if trouble {
-		owner := c.owner()
-		if owner == nil {
-			c.rec.block("no owner")
-			return
-		}
-		c.kill(owner)
-		time.Sleep(time.Second)
-		if err := c.launch(owner); err != nil {
-			c.rec.block("start: %v", err)
-			return
-		}
-		time.Sleep(10 * time.Second)
-	}
-	j := sized(low)
-	if !k.submit(j) {
-		c.rec.note("the job is not accepted any more")
-		return
-	}
-	time.Sleep(finishTime)
-	k.checkStandstill([]*job{j})
-	k.checkShown(j, k.state(j.ID))
-}
-
-// offer hands a job in once, and reports whether it was accepted and completed.
-func (k *client) offer(j *job) bool {
-	k.c.world.add(j)
-	status, err := k.post(0, j)
-	if err != nil || status/100 != 2 {
-		return false
-	}
-	j.accepted = time.Now()
-	if shown := k.awaitState(j.ID, 10*time.Second, "completed"); shown != "completed" {
-		k.c.rec.block("%s is %s before the disruption", j.ID, shown)
-	}
-	return true
-}
-
 // post sends a job to a front.
 func (k *client) post(front int, j *job) (int, error) {
 	text, err := encode(j)
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -78,6 +78,10 @@
 	listener  *silentListener
 	server    *http.Server
 	stopBeats chan struct{}
+	sameID    bool // it comes back under its ID
+	cut       bool // it runs on, and nothing passes between it and its agent
+	// delays returns by how much an order is carried out late; it gets no answer then. 0: it does at once.
+	delays func(c call) time.Duration
 }
 
 func newWorker(w *world, name, address, control, zone, kind, rack string, cpu, mem int) *worker {
@@ -92,7 +96,9 @@
 	w.world.mu.Lock()
 	defer w.world.mu.Unlock()
 	w.lives++
-	w.id = fmt.Sprintf("i-%s-%d", w.name, w.lives)
+	if w.id == "" || !w.sameID {
+		w.id = fmt.Sprintf("i-%s-%d", w.name, w.lives)
+	}
 	w.mode, w.born, w.fence, w.until, w.seq, w.lastEnd = up, time.Now(), 0, 0, 0, 0
 	w.runs, w.barred, w.ended, w.draining = map[taskID]*taskRun{}, map[taskID]int64{}, nil, false
 	w.world.rec.note("worker %s starts as %s", w.name, w.id)
@@ -152,7 +158,7 @@
 
 func (w *worker) sendBeat(client *http.Client) {
 	w.world.mu.Lock()
-	if w.mode != up {
+	if w.mode != up || w.cut {
 		w.world.mu.Unlock()
 		return
 	}
@@ -222,7 +228,14 @@
 			return
 		}
 		w.world.mu.Lock()
-		if w.mode != up {
+		if w.mode != up || w.cut {
+			w.world.mu.Unlock()
+			hang(r)
+		}
+		if late := w.delay(r, c); late > 0 {
+			w.world.rec.note("no answer to the start of %s run %d on %s, carried out %v late", c.Task, c.Run, w.name, late)
+			expected := r.Header.Get("Expected-Instance")
+			time.AfterFunc(late, func() { w.carryOut(expected, c) })
 			w.world.mu.Unlock()
 			hang(r)
 		}
@@ -238,7 +251,7 @@
 			a = handle(r, c) // hold releases the mutex while it waits
 		}
 		a.body["clock_ms"], a.body["born"] = w.clock(time.Now()), w.born.UnixMilli()
-		sameLife := w.mode == up && life == w.lives
+		sameLife := w.mode == up && life == w.lives && !w.cut
 		w.world.mu.Unlock()
 		if !sameLife {
 			hang(r)
@@ -247,6 +260,27 @@
 	}
 }
 
+// delay returns by how much a call is carried out late. The caller holds the mutex.
+func (w *worker) delay(r *http.Request, c call) time.Duration {
+	if w.delays == nil || r.URL.Path != "/api/run-start" {
+		return 0
+	}
+	return w.delays(c)
+}
+
+// carryOut carries out a start that is late, by whichever life of the worker is there.
+func (w *worker) carryOut(expected string, c call) {
+	w.world.mu.Lock()
+	defer w.world.mu.Unlock()
+	if w.mode != up || expected != w.id || c.Fence < w.fence {
+		w.world.rec.note("the late start of %s run %d on %s is rejected", c.Task, c.Run, w.name)
+		return
+	}
+	w.fence = c.Fence
+	a := w.runStart(nil, c)
+	w.world.rec.note("the late start of %s run %d on %s: %d %v", c.Task, c.Run, w.name, a.status, a.body)
+}
+
 func conflict(reason string) answer {
 	return answer{http.StatusConflict, map[string]any{"reason": reason}}
 }
