A job whose cancellation was answered "no such job" never runs

Cause: a cancellation that found no row of the job answered 410 and wrote nothing. An insert of the job that the store had not answered was carried out 5 s later, and found its conditions met: no row of the job, and the same owner.

Fix: such a cancellation puts a tombstone in the place of the job's row, if there is no row, and answers 410 only after that. The insert has required all along that there is no row, so it fails from then on, at any entry, after restarts and after a change of the owner; nothing is added to inserts and commits. The owner removes tombstones like finished jobs, after the retention time. A submission of the ID is refused meanwhile, and one that still waits as soon as it reads the tombstone. On the way: a late write of a cancellation left a row of a job that is gone; it now requires the job's row.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -253,7 +253,7 @@
 		t.scheduler.Committed(change)
 		if change.Progress.State.Final() {
 			t.log.Info("finished", zap.String("job", change.Job), zap.Stringer("state", change.Progress.State))
-			t.finished = append(t.finished, finishedJob{change.Job, time.Now().Add(t.elector.settings.Retention)})
+			t.expire(change.Job)
 		}
 	}
 	for _, change := range b.instances {
@@ -264,6 +264,7 @@
 	t.submissionsCommitted(b)
 	for _, expired := range b.removed {
 		t.scheduler.Forget(expired.id)
+		delete(t.expiring, expired.id)
 	}
 	t.acknowledge(b.acks)
 	if t.onEnd != nil {
@@ -304,6 +305,15 @@
 	return true
 }
 
+// expire has the rows of a finished job, or a tombstone, removed after the retention time.
+func (t *term) expire(id string) {
+	if t.expiring[id] {
+		return
+	}
+	t.expiring[id] = true
+	t.finished = append(t.finished, finishedJob{id, time.Now().Add(t.elector.settings.Retention)})
+}
+
 // removeExpiredJobs removes the rows of jobs that finished more than the retention time ago.
 func (t *term) removeExpiredJobs() {
 	if len(t.finished) > 0 && time.Now().After(t.finished[0].remove) {
--- a/internal/owner/jobs.go
+++ b/internal/owner/jobs.go
@@ -22,30 +22,66 @@
 	}, nil
 }
 
-// ReadInsertConflict decodes the rows returned by a JobInsertTxn that conflicted. It returns
-// the stored job of that ID, or nil and the current revision of the owner's row.
-func ReadInsertConflict(job dispatch.Job, rows []table.Record) (*dispatch.Job, uint64) {
-	var ownerRevision uint64
+// InsertConflict is why a job cannot be inserted. If the ID is free, the owner has changed.
+type InsertConflict struct {
+	Stored        *dispatch.Job // the job that has the ID; nil: none
+	Tombstone     bool          // the ID was cancelled before a job with it was stored
+	OwnerRevision uint64        // current revision of the owner's row, if the ID is free
+}
+
+// ReadInsertConflict decodes the rows returned by a JobInsertTxn that conflicted.
+func ReadInsertConflict(job dispatch.Job, rows []table.Record) InsertConflict {
+	var conflict InsertConflict
 	for _, row := range rows {
 		if row.RowKey == ownerRowKey() {
-			ownerRevision = row.Revision
+			conflict.OwnerRevision = row.Revision
 		}
 		if row.RowKey != jobRowKey(job.ID, suffixJob) || row.Revision == table.Absent {
 			continue
 		}
-		known := &dispatch.Job{}
-		if err := json.Unmarshal(row.Value, known); err != nil {
+		known := &jobRow{}
+		switch err := json.Unmarshal(row.Value, known); {
+		case err != nil:
 			// A row that cannot be decoded still occupies the ID. The owner logs it.
-			return &job, 0
+			return InsertConflict{Stored: &job}
+		case known.Tombstone:
+			return InsertConflict{Tombstone: true}
 		}
-		return known, 0
+		return InsertConflict{Stored: &known.Job}
 	}
-	return nil, ownerRevision
+	return conflict
 }
 
-// JobCancelTxn returns a transaction that marks a job as cancelled.
-func JobCancelTxn(id string) table.Txn {
-	return table.Txn{Puts: []table.Put{{RowKey: jobRowKey(id, suffixCancel), Value: []byte("{}")}}}
+// JobCancelTxn returns a transaction that marks a job as cancelled, if its row still is at
+// jobRevision. A transaction that the table carries out late leaves no mark of a job whose rows are
+// removed by then.
+func JobCancelTxn(id string, jobRevision uint64) table.Txn {
+	return table.Txn{
+		Preconditions: []table.Precondition{{RowKey: jobRowKey(id, suffixJob), Revision: jobRevision}},
+		Puts:          []table.Put{{RowKey: jobRowKey(id, suffixCancel), Value: []byte("{}")}},
+	}
+}
+
+// jobRow is the value of a job's row: the job or, with Tombstone, only the ID of a job that was
+// cancelled before it was stored. A tombstone takes the place of the job, so no insert of the job
+// finds its preconditions met, also none that the table carries out late. The owner removes a
+// tombstone like the rows of a finished job.
+type jobRow struct {
+	dispatch.Job
+	Tombstone bool `json:"tombstone,omitempty"`
+}
+
+// TombstoneTxn returns a transaction that puts a tombstone if no job has the ID.
+func TombstoneTxn(id string) (table.Txn, error) {
+	value, err := json.Marshal(jobRow{Job: dispatch.Job{ID: id}, Tombstone: true})
+	if err != nil {
+		return table.Txn{}, errors.Wrapf(err, "encode tombstone of job %s", id)
+	}
+	rowKey := jobRowKey(id, suffixJob)
+	return table.Txn{
+		Preconditions: []table.Precondition{{RowKey: rowKey}},
+		Puts:          []table.Put{{RowKey: rowKey, Value: value}},
+	}, nil
 }
 
 // JobRange selects the rows of one job.
@@ -56,11 +92,13 @@
 // AllJobsRange selects the rows of all jobs.
 func AllJobsRange() table.Range { return table.Range{Table: tableJobs, Partition: shardPartition} }
 
-// JobState is the state of one job according to its rows. State is meaningless unless Known
-// is set.
+// JobState is the state of one job according to its rows. State and Revision are meaningless unless
+// Known is set.
 type JobState struct {
-	Known bool
-	State dispatch.State
+	Known     bool
+	State     dispatch.State
+	Revision  uint64 // of the job's row
+	Tombstone bool   // the ID was cancelled before a job with it was stored
 }
 
 // ReadJob decodes the rows of one job. An error names a row that could not be decoded; the
@@ -70,9 +108,9 @@
 	jobs := gatherJobs(rows, func(key string, err error) { bad = errors.Wrapf(err, "row %s", key) })
 	stored := jobs[id]
 	if stored == nil || stored.job == nil {
-		return JobState{}, bad
+		return JobState{Tombstone: stored != nil && stored.tombstone}, bad
 	}
-	return JobState{Known: true, State: stored.state()}, bad
+	return JobState{Known: true, State: stored.state(), Revision: stored.jobRevision}, bad
 }
 
 func (r *jobRows) state() dispatch.State {
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -100,5 +100,8 @@
 		if stored.cancelled {
 			t.cancel(id)
 		}
+		if stored.tombstone {
+			t.expire(id)
+		}
 	}
 }
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -145,6 +145,8 @@
 // jobRows holds the decoded rows of one job.
 type jobRows struct {
 	job              *dispatch.Job
+	jobRevision      uint64
+	tombstone        bool
 	progress         *dispatch.Progress
 	progressRevision uint64
 	cancelled        bool
@@ -174,14 +176,18 @@
 func (r *jobRows) setField(id, suffix string, row table.Record) error {
 	switch suffix {
 	case suffixJob:
-		job := &dispatch.Job{}
+		job := &jobRow{}
 		if err := json.Unmarshal(row.Value, job); err != nil {
 			return errors.Wrap(err, "decode job")
 		}
 		if job.ID != id || job.OwnerRevision > row.Revision {
 			return errors.Newf("the row at revision %d has job %.80q, accepted at revision %d", row.Revision, job.ID, job.OwnerRevision)
 		}
-		r.job = job
+		if job.Tombstone {
+			r.tombstone = true
+			return nil
+		}
+		r.job, r.jobRevision = &job.Job, row.Revision
 	case suffixProgress:
 		r.progress = &dispatch.Progress{}
 		if err := json.Unmarshal(row.Value, r.progress); err != nil {
--- a/internal/owner/rows_test.go
+++ b/internal/owner/rows_test.go
@@ -26,6 +26,7 @@
 		{"cancelled", []table.Record{job, newRecord("j/cancel", `{}`, 3)}, true, dispatch.Cancelled, false},
 		{"completed before the cancellation", []table.Record{job, newRecord("j/cancel", `{}`, 3), newRecord("j/progress", `{"state":2}`, 4)}, true, dispatch.Completed, false},
 		{"a cancellation of no job", []table.Record{newRecord("j/cancel", `{}`, 3)}, false, 0, false},
+		{"a tombstone", []table.Record{newRecord("j/job", `{"id":"j","tombstone":true}`, 1)}, false, 0, false},
 		{"another writer's row", []table.Record{newRecord("j/job", `"\u0000`, 1)}, false, 0, true},
 		{"another job", []table.Record{newRecord("k/job", `{"id":"k"}`, 1)}, false, 0, false},
 	}
@@ -56,16 +57,20 @@
 // A job is inserted only if no job has its ID and the owner is the one that the job names.
 func TestReadInsertConflict(t *testing.T) {
 	job := dispatch.Job{ID: "j", Queue: "q", OwnerRevision: 17}
-	known, ownerRevision := ReadInsertConflict(job, []table.Record{{RowKey: jobRowKey("j", suffixJob)}, {RowKey: ownerRowKey(), Revision: 20}})
-	if known != nil || ownerRevision != 20 {
-		t.Errorf("owner has changed: job %+v, owner revision %d", known, ownerRevision)
+	conflict := ReadInsertConflict(job, []table.Record{{RowKey: jobRowKey("j", suffixJob)}, {RowKey: ownerRowKey(), Revision: 20}})
+	if conflict.Stored != nil || conflict.Tombstone || conflict.OwnerRevision != 20 {
+		t.Errorf("owner has changed: %+v", conflict)
 	}
-	known, _ = ReadInsertConflict(job, []table.Record{{RowKey: jobRowKey("j", suffixJob), Value: []byte(`{"id":"j","queue":"first"}`), Revision: 5}, {RowKey: ownerRowKey(), Revision: 17}})
-	if known == nil || known.Queue != "first" {
-		t.Errorf("job is stored already: got %+v", known)
+	conflict = ReadInsertConflict(job, []table.Record{{RowKey: jobRowKey("j", suffixJob), Value: []byte(`{"id":"j","queue":"first"}`), Revision: 5}, {RowKey: ownerRowKey(), Revision: 17}})
+	if conflict.Stored == nil || conflict.Stored.Queue != "first" || conflict.Tombstone {
+		t.Errorf("job is stored already: got %+v", conflict)
 	}
-	known, _ = ReadInsertConflict(job, []table.Record{{RowKey: jobRowKey("j", suffixJob), Value: []byte(`?`), Revision: 5}})
-	if known == nil {
+	conflict = ReadInsertConflict(job, []table.Record{{RowKey: jobRowKey("j", suffixJob), Value: []byte(`{"id":"j","tombstone":true}`), Revision: 5}, {RowKey: ownerRowKey(), Revision: 17}})
+	if conflict.Stored != nil || !conflict.Tombstone {
+		t.Errorf("job was cancelled before: got %+v", conflict)
+	}
+	conflict = ReadInsertConflict(job, []table.Record{{RowKey: jobRowKey("j", suffixJob), Value: []byte(`?`), Revision: 5}})
+	if conflict.Stored == nil {
 		t.Error("a row that cannot be decoded is taken for a free job ID")
 	}
 }
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -147,7 +147,8 @@
 }
 
 // submissionsConflicted handles the jobs of a commit that conflicted. Those that are in the
-// table were accepted earlier and are answered; the others wait for the next commit.
+// table were accepted earlier and are answered, and those that were cancelled before they were stored
+// will not be; the others wait for the next commit.
 func (t *term) submissionsConflicted(b *batch, rows []table.Record) {
 	there := map[table.RowKey]table.Record{}
 	for _, row := range rows {
@@ -162,6 +163,10 @@
 			continue
 		}
 		t.applyRows([]table.Record{row})
+		if ReadInsertConflict(sub.job, []table.Record{row}).Tombstone {
+			sub.answer(table.Conflict)
+			continue
+		}
 		sub.answer(table.Committed)
 	}
 }
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -73,6 +73,7 @@
 	removing         map[string]bool           // by instance ID: a removal of its row is in flight
 	removalUncertain map[string]bool           // instances whose row an unanswered removal may still remove
 	finished         []finishedJob             // in the order in which they finished
+	expiring         map[string]bool           // the IDs in finished
 
 	pendingJobs []*pendingJob
 
@@ -104,7 +105,7 @@
 	commitsLeft         int    // of unsaved progress, before the handover
 }
 
-// finishedJob is a finished job and the time at which its rows are to be removed.
+// finishedJob is a finished job, or a tombstone, and the time at which its rows are to be removed.
 type finishedJob struct {
 	id     string
 	remove time.Time
@@ -119,8 +120,8 @@
 		epoch:            holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
 		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{}, attached: map[string]bool{},
 		leaseExpiry: map[string]time.Time{}, grantsEnd: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, attaches: map[string]uint64{}, staleLeaseUntil: map[string]time.Time{},
-		inForce: map[string]bool{},
-		ctx:     ctx, stop: stop,
+		inForce: map[string]bool{}, expiring: map[string]bool{},
+		ctx: ctx, stop: stop,
 	}
 	t.scheduler.SetLongestLease(link.MaxStaleLease(e.settings.MaxLease))
 	return t
@@ -177,7 +178,7 @@
 	if t.scheduler.Accept(time.Now(), job, progress) {
 		t.log.Info("job", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.Int("steps", len(job.Steps)), zap.Uint64("under", job.OwnerRevision))
 	} else if state, done := t.scheduler.Finished(job.ID); done && progress != nil && progress.State == state {
-		t.finished = append(t.finished, finishedJob{job.ID, time.Now().Add(t.elector.settings.Retention)})
+		t.expire(job.ID)
 	}
 	t.schedulePlan()
 }
--- a/internal/process/shard_test.go
+++ b/internal/process/shard_test.go
@@ -57,6 +57,7 @@
 	random        *rand.Rand
 	maybeAccepted map[string]bool // jobs that were accepted or whose outcome is unknown
 	refused       []string        // jobs that no entry accepted or may have accepted
+	gone          []string        // jobs whose cancellation was answered: there is no such job
 	accepted      map[string]bool // jobs that were accepted
 	cancelled     map[string]bool
 	jobs          int
@@ -111,6 +112,21 @@
 	}
 	if !s.maybeAccepted[job.ID] {
 		s.refused = append(s.refused, job.ID)
+		return
+	}
+	s.cancelUnknown(job.ID)
+}
+
+// cancelUnknown cancels a job whose submission had an unknown outcome, at a random entry.
+func (s *scenario) cancelUnknown(id string) {
+	service := s.system.Service(s.random.IntN(len(s.system.Entries)))
+	if service == nil {
+		return
+	}
+	s.cancelled[id] = true
+	if outcome, _ := service.Cancel(s.t.Context(), id); outcome == submission.NotFound { // any other outcome promises nothing
+		delete(s.maybeAccepted, id)
+		s.gone = append(s.gone, id)
 	}
 }
 
@@ -297,6 +313,11 @@
 			t.Error("REFUSED, and started: " + id)
 		}
 	}
+	for _, id := range s.gone {
+		if system.Checker.Started(id) {
+			t.Error("UNASKED, started after its cancellation was answered with no such job: " + id)
+		}
+	}
 	if system.Checker.Starts() < len(s.accepted) {
 		t.Errorf("%d starts for %d jobs", system.Checker.Starts(), len(s.accepted))
 	}
--- a/internal/submission/peers.go
+++ b/internal/submission/peers.go
@@ -248,6 +248,19 @@
 	return failed
 }
 
+// Count returns the number of other entries that have not failed, as far as this one knows.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, other := range p.others {
+		if !other.gone() {
+			count++
+		}
+	}
+	return count
+}
+
 // Outranked reports whether another entry has so many more cores than this one that it
 // should be the owner instead.
 func (p *Peers) Outranked() bool {
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -20,6 +20,7 @@
 	"github.com/apricotwind/apricotwind/internal/owner"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -65,12 +66,14 @@
 
 	mu          sync.Mutex
 	finalStates map[string]dispatch.State // cache by job ID; final states never change
+
+	tombstones *rate.Limiter // of the tombstones that this entry writes
 }
 
 // New returns a service that calls the table through store, the owner through ownerClient
 // and other entries through peers.
 func New(store *table.Store, health *table.Health, ownerClient *owner.Client, peers *Peers, registry *metrics.Registry) *Service {
-	return &Service{store: store, health: health, ownerClient: ownerClient, peers: peers, registry: registry, finalStates: map[string]dispatch.State{}}
+	return &Service{store: store, health: health, ownerClient: ownerClient, peers: peers, registry: registry, finalStates: map[string]dispatch.State{}, tombstones: rate.NewLimiter(maxTombstoneRate, maxTombstoneBurst)}
 }
 
 // errTableUnavailable is returned when the table was not called, because it has not answered this
@@ -151,44 +154,6 @@
 	s.finalStates[id] = state
 }
 
-// Cancel marks a job as cancelled, through another entry if this one cannot. The outcome is
-// Accepted also if the job has ended already, and NotFound if there is no such job.
-func (s *Service) Cancel(ctx context.Context, id string) (Outcome, error) {
-	outcome, err := s.cancelLocally(ctx, id)
-	if outcome != Unknown {
-		return outcome, err
-	}
-	var reply link.ForwardReply
-	if callErr := s.peers.Forward(ctx, s.ownerClient.Holder().Address, link.MethodCancel, link.JobID{ID: id}, &reply); callErr != nil {
-		return Unknown, errors.CombineErrors(err, callErr)
-	}
-	return Outcome(reply.Outcome), err
-}
-
-func (s *Service) cancelLocally(ctx context.Context, id string) (Outcome, error) {
-	rows, err := s.read(ctx, id)
-	if err != nil {
-		return Unknown, err
-	}
-	job, err := owner.ReadJob(id, rows)
-	switch {
-	case err != nil:
-		return Unknown, err
-	case !job.Known:
-		return NotFound, nil
-	case job.State.Final():
-		return Accepted, nil
-	}
-	callCtx, cancel := s.withCallTimeout(ctx, minWriteTimeout)
-	defer cancel()
-	result, err := s.store.Apply(callCtx, owner.JobCancelTxn(id))
-	if result.Outcome != table.Committed {
-		return Unknown, err
-	}
-	s.ownerClient.Notify(link.MethodCancelled, link.Cancelled{ID: id})
-	return Accepted, nil
-}
-
 // Backlog returns the number of stored jobs of a queue of which no task has started. The
 // owner knows the exact number. If the owner does not answer, the result is an upper bound
 // from the table.
--- a/internal/submission/submit.go
+++ b/internal/submission/submit.go
@@ -35,6 +35,10 @@
 // errLeftToOwner is returned if the table was not called, because it is slow.
 var errLeftToOwner = errors.Mark(errors.New("the table is slow: left to the owner"), table.ErrRefused)
 
+// errCancelledBefore is returned for a job that was cancelled before it was stored. It is not stored, and
+// no write of it that is on its way to the table will be.
+var errCancelledBefore = errors.New("the job was cancelled before it was stored")
+
 // timeLeft returns the time until the deadline of ctx, which must have one.
 func timeLeft(ctx context.Context) time.Duration {
 	deadline, _ := ctx.Deadline()
@@ -61,37 +65,46 @@
 		return Refused, errTooLate
 	}
 	outcome, err := s.submitOnce(ctx, job)
-	if outcome == Unknown && s.followUp(ctx, job) {
+	if outcome != Unknown {
+		return outcome, err
+	}
+	switch s.followUp(ctx, job) {
+	case Accepted:
 		return Accepted, nil
+	case Refused:
+		return Refused, errCancelledBefore
 	}
 	return outcome, err
 }
 
-// followUp reports whether a job whose submission had an unknown outcome is known to be stored
-// before ctx ends. It reads the job's row until it is there. Once the table answers and the row is
+// followUp finds out what became of a submission with an unknown outcome: Accepted if the job is
+// stored, Refused if it was cancelled before that, Unknown if ctx ends before either is known. It reads
+// the job's row until it is there. Once the table answers and the row is
 // not there, it submits the job again, which does no harm, since a job is stored once per ID. It does
 // so once only: more writes would keep a table slow that is slow already.
-func (s *Service) followUp(ctx context.Context, job dispatch.Job) bool {
+func (s *Service) followUp(ctx context.Context, job dispatch.Job) Outcome {
 	for again := true; ; {
 		loop.Sleep(ctx, minFollowUpDelay+rand.N(followUpDelayRange))
 		if s.tooLate(ctx) {
-			return false
+			return Unknown
 		}
 		rows, err := s.read(ctx, job.ID)
 		if err != nil {
 			continue // the table still does not answer
 		}
-		stored, _ := owner.ReadInsertConflict(job, rows)
+		conflict := owner.ReadInsertConflict(job, rows)
 		switch {
-		case stored != nil:
-			s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: *stored})
-			return true
+		case conflict.Stored != nil:
+			s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: *conflict.Stored})
+			return Accepted
+		case conflict.Tombstone:
+			return Refused
 		case again:
 			again = false
 			s.registry.Add("accept-repeated", 1)
 			// Any other outcome tells nothing of the first submission.
 			if outcome, _ := s.submitOnce(ctx, job); outcome == Accepted {
-				return true
+				return Accepted
 			}
 		}
 	}
@@ -105,7 +118,7 @@
 	if s.health.ReadLatency() < slowReadLatency || s.ownerClient.Owns() {
 		outcome, err = s.submitLocally(ctx, job)
 	}
-	if outcome == Accepted {
+	if outcome == Accepted || errors.Is(err, errCancelledBefore) {
 		return outcome, err
 	}
 	wait := min(timeLeft(ctx), forwardTimeout) - replyTime
@@ -182,20 +195,21 @@
 	if err != nil {
 		return Refused, 0, err
 	}
-	callCtx, cancel := s.withCallTimeout(ctx, minWriteTimeout)
-	defer cancel()
-	result, err := s.store.Apply(callCtx, txn)
+	result, err := s.apply(ctx, txn)
 	switch result.Outcome {
 	case table.Committed:
 		s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: job})
 		return Accepted, 0, nil
 	case table.Conflict:
-		known, ownerRevision := owner.ReadInsertConflict(job, result.Rows)
-		if known != nil {
-			s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: *known})
+		conflict := owner.ReadInsertConflict(job, result.Rows)
+		switch {
+		case conflict.Stored != nil:
+			s.ownerClient.Notify(link.MethodAccepted, link.Accepted{Job: *conflict.Stored})
 			return Accepted, 0, nil
+		case conflict.Tombstone:
+			return Refused, 0, errCancelledBefore
 		}
-		return NotFound, ownerRevision, nil
+		return NotFound, conflict.OwnerRevision, nil
 	}
 	if errors.Is(err, table.ErrRefused) {
 		return Refused, 0, err
--- a/internal/testcluster/jobcluster.go
+++ b/internal/testcluster/jobcluster.go
@@ -20,8 +20,8 @@
 const (
 	// registrationInterval is the time between two registrations of a stand-in worker.
 	registrationInterval = time.Second
-	// jobRetention is how long the cluster's entries retain a finished job.
-	jobRetention = 10 * time.Minute
+	// JobRetention is how long the cluster's entries retain a finished job.
+	JobRetention = 10 * time.Minute
 )
 
 // JobCluster is a system that runs jobs with steps: real entries and agents on an
@@ -110,7 +110,7 @@
 	address := fmt.Sprintf("10.0.0.%d:1", i+1)
 	store, log := c.Store.View(e.name), c.log.Named(e.name)
 	proc, err := process.NewJobEntry(ctx, process.JobEntrySettings{
-		Name: e.name, API: c.APIAddress(i), Ready: "ready-" + e.name, Link: address, Retention: jobRetention, MaxLease: maxLease,
+		Name: e.name, API: c.APIAddress(i), Ready: "ready-" + e.name, Link: address, Retention: JobRetention, MaxLease: maxLease,
 	}, process.JobEntryDeps{
 		Store: store,
 		API: func(service *submission.Service, _ *submission.ActiveRoutes, _ func() bool, _ *zap.Logger) http.Handler {
@@ -170,7 +170,7 @@
 	ctx, stop := context.WithCancel(c.ctx)
 	store := c.Store.View(a.name)
 	proc, err := process.NewJobAgent(ctx, process.JobAgentSettings{
-		Name: a.name, Registration: "control-" + a.name, Link: fmt.Sprintf("10.1.0.%d:1", i+1), Retention: jobRetention, MaxLease: maxLease,
+		Name: a.name, Registration: "control-" + a.name, Link: fmt.Sprintf("10.1.0.%d:1", i+1), Retention: JobRetention, MaxLease: maxLease,
 	}, process.JobAgentDeps{
 		Store: store, Evacuations: evacuationRequests(store), Worker: c.Workers[i].Calls(),
 		Registration: func(r *runner.Runner, _ *zap.Logger) http.Handler {
--- a/internal/testcluster/store.go
+++ b/internal/testcluster/store.go
@@ -43,6 +43,7 @@
 	writeSemaphore chan struct{} // capacity 1: held by the InTurn write in progress
 	pendingWrites  int           // InTurn writes, waiting and in progress
 	fault          atomic.Pointer[func(process string, write bool) StoreFault]
+	txnFault       atomic.Pointer[func(process string, change table.Txn) StoreFault]
 	unreachable    sync.Map // names of the processes that are cut off from the store
 }
 
@@ -80,6 +81,12 @@
 // whether the call writes. A nil function injects no faults.
 func (s *Store) SetFault(fault func(process string, write bool) StoreFault) { s.fault.Store(&fault) }
 
+// SetTxnFault sets the function that returns the fault of each transaction, by calling process. It has
+// precedence over that of SetFault where it returns one. A nil function injects no faults.
+func (s *Store) SetTxnFault(fault func(process string, change table.Txn) StoreFault) {
+	s.txnFault.Store(&fault)
+}
+
 // SetUnreachable sets whether a process is cut off from the store, whatever the other faults.
 func (s *Store) SetUnreachable(process string, unreachable bool) {
 	if unreachable {
@@ -99,6 +106,15 @@
 	return StoreFault{}
 }
 
+func (s *Store) faultOfTxn(process string, change table.Txn) StoreFault {
+	if faultOf := s.txnFault.Load(); faultOf != nil && *faultOf != nil {
+		if fault := (*faultOf)(process, change); fault != (StoreFault{}) {
+			return fault
+		}
+	}
+	return s.currentFault(process, true)
+}
+
 // simulateRead waits for the duration of a read, or fails it as the current fault demands.
 func (s *Store) simulateRead(ctx context.Context, process string) error {
 	fault := s.currentFault(process, false)
@@ -172,7 +188,7 @@
 }
 
 func (s *Store) apply(ctx context.Context, process string, change table.Txn) (table.TxnResult, error) {
-	fault := s.currentFault(process, true)
+	fault := s.faultOfTxn(process, change)
 	switch {
 	case fault.Refuse:
 		return table.TxnResult{}, errors.Mark(errors.New("turned away"), table.ErrRefused)
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -47,6 +47,7 @@
 	job             dispatch.Job
 	acceptedAt      time.Time // zero while the client has received no acceptance
 	refused         bool      // every submission was refused with 503 or 429
+	gone            bool      // the cancellation was answered: no such job exists
 	cancelRequested bool      // the client has requested cancellation, even if the response was lost
 	finalState      string    // final state that an entry returned, or "lost"; empty until then
 }
@@ -100,8 +101,8 @@
 	return job
 }
 
-// submit submits a job up to maxSubmissions times under the same ID. If the job is accepted and
-// cancels is set, it cancels the job after a random delay of up to 1 s.
+// submit submits a job up to maxSubmissions times under the same ID. If cancels is set, it cancels the
+// job, after a random delay of up to 1 s if the job was accepted.
 func (c *jobClient) submit(s *submittedJob, cancels bool) {
 	refusals := 0
 	for submission := range maxSubmissions {
@@ -123,13 +124,19 @@
 	s.refused = refusals == maxSubmissions
 	accepted := !s.acceptedAt.IsZero()
 	c.mu.Unlock()
-	if cancels && accepted {
+	if !cancels {
+		return
+	}
+	if accepted {
 		time.Sleep(time.Duration(rand.Int64N(int64(time.Second))))
-		c.mu.Lock()
-		s.cancelRequested = true // set before the request, so that it holds if the response is lost
-		c.mu.Unlock()
-		c.call(http.MethodDelete, s.job.ID, nil)
 	}
+	c.mu.Lock()
+	s.cancelRequested = true // set before the request, so that it holds if the response is lost
+	c.mu.Unlock()
+	status, _ := c.call(http.MethodDelete, s.job.ID, nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.gone = status == http.StatusGone
 }
 
 // encodeJob returns the request body that submits a job.
@@ -218,6 +225,8 @@
 	switch {
 	case s.refused && c.cluster.checker.Started(s.job.ID):
 		c.cluster.addViolation("REFUSED %s was refused at each try and has started", s.job.ID)
+	case s.gone && c.cluster.checker.Started(s.job.ID):
+		c.cluster.addViolation("UNASKED %s has started, and its cancellation was answered with 410", s.job.ID)
 	case s.acceptedAt.IsZero():
 	case s.finalState == "":
 		c.cluster.addViolation("LOST %s was accepted and has not ended", s.job.ID)
