Logs say why a worker rejects a poll, and what keeps a waiting task off each instance

Cause: `worker-silent` and `pace-failed` dropped the reason of the worker's answer, and `tasks-wait` counted usable instances without a word on why the tasks don't fit there.

Change: both lines have the reason; `tasks-wait` names one unplaced task and counts the known instances by its obstacle there.

--- a/internal/decision/dispatch/waits.go
+++ b/internal/decision/dispatch/waits.go
@@ -14,6 +14,9 @@
 	Quarantined      int // instances on which only tasks of long-running steps may be placed
 	Evacuated        int // instances in evacuated failure domains
 	MissingInstances int // instances of an earlier owner that have not reported yet
+	// Obstacles counts the known instances by what keeps Example off them, which is one of the unplaced tasks.
+	Example   TaskName
+	Obstacles map[Obstacle]int
 }
 
 // Tasks returns the number of waiting tasks.
@@ -40,6 +43,17 @@
 	return waits
 }
 
+// explainUnplaced records what keeps a task off each known instance.
+func (s *Scheduler) explainUnplaced(now time.Time, j *jobState, t *task, waits *Waits) {
+	waits.Example, waits.Obstacles = t.name, map[Obstacle]int{}
+	p := newPlanner(s, now)
+	p.collectInstances()
+	p.bestEffortImages = s.costModel.BestEffortImages()
+	for _, in := range s.byID {
+		waits.Obstacles[p.obstacle(j, t, in)]++
+	}
+}
+
 // countWaits adds the waiting tasks of a job's long-running steps to waits.
 func (s *Scheduler) countWaits(now time.Time, j *jobState, waits *Waits) {
 	for _, o := range j.occurrences {
@@ -54,7 +68,9 @@
 				case len(s.lateStarts[t.name]) > 0:
 					waits.LateStarts++
 				default:
-					waits.Unplaced++
+					if waits.Unplaced++; waits.Obstacles == nil {
+						s.explainUnplaced(now, j, t, waits)
+					}
 				}
 			}
 		}
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -116,7 +116,7 @@
 			return
 		}
 		r.loop.Post(func() {
-			r.log.Info("pace-failed", zap.Stringer("task", name), zap.Stringer("answer", answer.Status), logs.Error(err))
+			r.log.Info("pace-failed", zap.Stringer("task", name), zap.Stringer("answer", answer.Status), zap.String("reason", answer.Reason), logs.Error(err))
 			if p.sent[name] == next {
 				p.sent[name] = pacedRun{known.number, unknownPace} // sent again after the next poll
 			}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -147,7 +147,7 @@
 	now := time.Now()
 	if !r.silent && now.Sub(r.lastAnswerAt) > silenceTimeout {
 		r.silent = true
-		r.log.Warn("worker-silent", zap.String("instance", r.registration.Incarnation.ID), zap.Stringer("answer", result.Status), logs.Error(err))
+		r.log.Warn("worker-silent", zap.String("instance", r.registration.Incarnation.ID), zap.Stringer("answer", result.Status), zap.String("reason", result.Reason), logs.Error(err))
 		r.logStartCalls()
 		r.requestReport()
 	}
