A worker that replaces another is used, however often its agent has attached

A worker that came back under another ID is never used again.

Cause: the fencing token is the epoch and, within it, the number of the agent's session, and the owner counted sessions by the worker's ID. An agent that had attached more than once has a token of 2 or more. It shows it to the worker that replaces its own (its probe, and its polls until the next attach); the owner then gave the first session of the new ID the number 1, and the worker rejects all calls until the next takeover.

Fix: the owner counts all sessions of its term together. Whatever token an agent shows to whatever worker was given out before the next session began, so the next session's is higher, also where a registration passes from one agent to another. A term that has numbered 999,999 sessions ends; the next epoch has numbers of its own.

--- a/internal/link/dispatch.go
+++ b/internal/link/dispatch.go
@@ -56,11 +56,15 @@
 // fencesPerEpoch is the size of the range of fencing tokens that each owner epoch has to itself.
 const fencesPerEpoch = 1_000_000
 
+// MaxAttaches bounds the attaches that one epoch can number.
+const MaxAttaches = fencesPerEpoch - 1
+
 // Fence returns the fencing token of an agent's calls to its worker: attach is the number of the
-// agent's session among those of the worker's ID under the owner of an epoch. Each session has a higher one
+// agent's session among all sessions, of any agent, under the owner of an epoch. Each session has a higher one
 // than all before it, so that a call of an earlier session, which may have been meant for an earlier
-// incarnation of the worker, has no effect once the worker has seen it.
-func Fence(epoch, attach uint64) uint64 { return epoch*fencesPerEpoch + min(attach, fencesPerEpoch-1) }
+// incarnation of the worker, has no effect once the worker has seen it. And no worker has seen a higher one, whatever
+// agent called it, before a later session began.
+func Fence(epoch, attach uint64) uint64 { return epoch*fencesPerEpoch + min(attach, MaxAttaches) }
 
 // Attach starts a session of an agent with the owner. The owner sends no starts until the
 // agent has sent a full report; it may send stops and Committed before.
@@ -100,7 +104,7 @@
 // AttachReply is the reply to Attach. Epoch is the fencing token of the owner's orders.
 type AttachReply struct {
 	Epoch uint64 `json:"epoch"`
-	// Attach is the number of this attach among those of the worker's ID in this epoch, see Fence.
+	// Attach is the number of this attach among all in this epoch, see Fence.
 	Attach uint64 `json:"n,omitempty"`
 	// Restarted says that the worker's ID has had an earlier incarnation.
 	Restarted bool `json:"restarted,omitempty"`
--- a/internal/owner/fuzz_test.go
+++ b/internal/owner/fuzz_test.go
@@ -92,6 +92,7 @@
 	}
 	f.Add("j"+suffixJob, []byte(`{"id":"j","under":18446744073709551615,"policy":{"service":"s"},"steps":[{"count":1}]}`), "j"+suffixProgress, []byte(`null`))
 	f.Add("w", []byte(`{"life":{"id":"x","born":9223372036854775807},"capacity":{"cpu":9223372036854775807}}`), "j"+suffixJob, []byte(`{"id":"k"}`))
+	f.Add("j"+suffixJob, []byte(`{"id":"j","tombstone":true}`), "j"+suffixCancel, []byte(`{}`))
 	f.Add("0", []byte(`[{"task":"j.-1.7.99","run":-3,"instance":"w","remaining":9223372036854775807}]`), "j"+suffixJob, []byte(badJobs[0]))
 	f.Fuzz(func(t *testing.T, firstKey string, first []byte, secondKey string, second []byte) {
 		onTerm(t, func(current *term, _ *Conn) {
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -49,13 +49,13 @@
 
 // handleAttach starts a session of an agent and closes the link of its previous session.
 func (t *term) handleAttach(conn *Conn, a link.Attach) link.AttachReply {
+	t.attaches++
 	id := a.Registration.Incarnation.ID
 	t.attached[id] = true
 	if old := t.sessions[id]; old != nil && old.conn != conn {
 		old.conn.link.Close()
 	}
 	t.log.Info("attach", zap.String("instance", id), zap.Int64("born", a.Registration.Incarnation.StartedAt), zap.String("agent", a.Registration.Agent), zap.Uint64("session", a.Session))
-	t.attaches[id]++
 	t.recordCrash(a)
 	t.register(a)
 	t.scheduler.SetReachable(id, false) // until the agent has sent its full run list
@@ -78,7 +78,7 @@
 	})
 	t.noteAgentEvacuation(s, a.Evacuation)
 	t.schedulePlan()
-	return link.AttachReply{Epoch: t.epoch, Attach: t.attaches[id], Restarted: t.scheduler.Restarted(id), Incremental: true, Evacuation: t.evacuationNotice(s)}
+	return link.AttachReply{Epoch: t.epoch, Attach: t.attaches, Restarted: t.scheduler.Restarted(id), Incremental: true, Evacuation: t.evacuationNotice(s)}
 }
 
 // recordCrash passes the crash of a worker that its agent reports to the scheduler.
--- a/internal/owner/sessions_test.go
+++ b/internal/owner/sessions_test.go
@@ -211,3 +211,43 @@
 	}
 	return text
 }
+
+// Each session of a term has a higher fencing token than all before it, whichever agent and worker it is of:
+// an agent may show the token of a session to another worker, before that one's own session begins.
+func TestEachSessionHasAHigherTokenThanAllBefore(t *testing.T) {
+	onTerm(t, func(current *term, conn *Conn) {
+		last := uint64(0)
+		for i, id := range []string{"x", "x", "x", "y", "x", "z", "y"} {
+			registration := dispatch.Registration{Incarnation: dispatch.Incarnation{ID: id, StartedAt: 1}, Service: "s", Agent: "a" + id}
+			attached := current.handleAttach(conn, link.Attach{Registration: registration, Session: uint64(i)})
+			if token := link.Fence(attached.Epoch, attached.Attach); token <= last {
+				t.Errorf("session %d, of %s, has the token %d after %d", i, id, token, last)
+			} else {
+				last = token
+			}
+		}
+		if next := link.Fence(current.epoch+1, 1); next <= link.Fence(current.epoch, link.MaxAttaches) {
+			t.Errorf("the first token of the next epoch is %d", next)
+		}
+	})
+}
+
+// An owner whose epoch has no more fencing tokens gives up the ownership, since two sessions with one token
+// are not kept apart.
+func TestAnOwnerWithoutTokensGivesUp(t *testing.T) {
+	onTerm(t, func(current *term, conn *Conn) {
+		current.elector.term = current
+		current.attaches = link.MaxAttaches
+		attach := link.Attach{Registration: dispatch.Registration{Incarnation: dispatch.Incarnation{ID: "x", StartedAt: 1}, Service: "s", Agent: "ax"}, Session: 1}
+		params, err := json.Marshal(attach)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if reply, err := current.handleCall(conn, link.MethodAttach, params); err == nil {
+			t.Errorf("attached as %+v", reply)
+		}
+		if !current.ended || current.elector.term != nil {
+			t.Error("it still is the owner")
+		}
+	})
+}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -68,7 +68,7 @@
 	grantsEnd        map[string]time.Time      // of the same: when the last lease that an owner granted expires; no start is sent after that
 	revisions        map[table.RowKey]uint64   // last known revision per row
 	changes          []dispatch.InstanceChange // instance rows to be committed
-	attaches         map[string]uint64         // by instance ID: how often its agent has attached in this term
+	attaches         uint64                    // how often an agent has attached in this term, whichever it was, see link.Fence
 	staleLeaseUntil  map[string]time.Time      // until when the worker of an instance may hold a stale lease, as its agent says
 	removing         map[string]bool           // by instance ID: a removal of its row is in flight
 	removalUncertain map[string]bool           // instances whose row an unanswered removal may still remove
@@ -119,7 +119,7 @@
 		progressFailures: logs.NewFailureLogger(log, "progress-not-stored"),
 		epoch:            holder.Epoch, ownerRevision: holder.OwnerRevision, claimed: claimed.at, epochConfirmed: claimed,
 		scheduler: dispatch.New(holder.Epoch, holder.OwnerRevision), sessions: map[string]*session{}, attached: map[string]bool{},
-		leaseExpiry: map[string]time.Time{}, grantsEnd: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, attaches: map[string]uint64{}, staleLeaseUntil: map[string]time.Time{},
+		leaseExpiry: map[string]time.Time{}, grantsEnd: map[string]time.Time{}, revisions: map[table.RowKey]uint64{}, removing: map[string]bool{}, removalUncertain: map[string]bool{}, staleLeaseUntil: map[string]time.Time{},
 		inForce: map[string]bool{}, expiring: map[string]bool{},
 		ctx: ctx, stop: stop,
 	}
@@ -207,6 +207,11 @@
 		if attach.LeasesExpired {
 			return t.handleExpired(attach), nil
 		}
+		if t.attaches == link.MaxAttaches {
+			// The next claim, which may be of this process, has an epoch and tokens of its own.
+			t.elector.stepDown("the fencing tokens of the epoch are used up")
+			return nil, ErrNotOwner
+		}
 		return t.handleAttach(conn, attach), nil
 	case link.MethodReport:
 		report, err := link.Decode[link.Report](params)
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,7 @@
 	mu            sync.Mutex
 	name          string
 	checker       *Checker
+	replacements  int // how often another ID has replaced its ID
 	incarnation   dispatch.Incarnation
 	startedAt     time.Time
 	down          bool
@@ -76,13 +78,16 @@
 }
 
 func (w *Worker) reset() {
-	w.incarnation = dispatch.Incarnation{ID: w.name, StartedAt: time.Now().UnixMilli()}
+	id := w.name
+	if w.replacements > 0 {
+		id = fmt.Sprint(w.name, "-", w.replacements)
+	}
+	w.incarnation = dispatch.Incarnation{ID: id, StartedAt: time.Now().UnixMilli()}
 	w.startedAt, w.fence, w.leaseDeadline, w.sequence = time.Now(), 0, 0, 0
 	w.runs, w.finishedRuns, w.ended = map[dispatch.TaskName]*workerRun{}, map[dispatch.TaskName]int64{}, nil
 }
 
-// Crash ends all runs and takes the worker down. Restart starts a new incarnation with the
-// same ID.
+// Crash ends all runs and takes the worker down. Restart and Replace start it again.
 func (w *Worker) Crash() { w.crash(false) }
 
 // CrashDark is like Crash, but calls that are sent to the worker while it is down wait. The next
@@ -99,14 +104,20 @@
 	w.runs = map[dispatch.TaskName]*workerRun{}
 }
 
-// Restart starts the next incarnation of the worker if it has crashed.
-func (w *Worker) Restart() {
+// Restart starts the next incarnation of the worker under its ID if it has crashed.
+func (w *Worker) Restart() { w.restart(0) }
+
+// Replace starts a worker with another ID in the place of one that has crashed.
+func (w *Worker) Replace() { w.restart(1) }
+
+func (w *Worker) restart(replacements int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.down {
 		return
 	}
 	w.down = false
+	w.replacements += replacements
 	w.reset()
 	select {
 	case w.restarted <- struct{}{}:
