An agent that is fenced off attaches again, instead of taking its worker for silent

Cause: a poll that is rejected for its token counted as no answer. The agent reported its worker as silent, then its leases as over, and attached no more, until the next takeover. The owner had a higher token for the asking.

In the test, one poll of each worker with the token of the last agent's session leaves three of four workers unused.

Fix: a rejection for the token of the current session ends that session (`fenced-off`), and the agent attaches again, for a token above all that were given out, as soon as the worker registers with it again. A worker registers with the one agent that is to drive it, so an agent that is fenced off for good stays without a session, and says neither that the worker is silent nor that its leases are over; the owner waits for those by itself.

--- a/internal/process/replaced_worker_test.go
+++ b/internal/process/replaced_worker_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/apricotwind/apricotwind/internal/link"
+	"github.com/apricotwind/apricotwind/internal/runner"
 	"github.com/apricotwind/apricotwind/internal/testcluster"
 )
 
@@ -23,6 +25,29 @@
 	}
 }
 
+// Guards against a sound worker that is never used: another agent showed it a higher fencing token than
+// that of its own agent's session, as the agent of a machine does that a registration has reached by mistake.
+func TestAWorkerThatAnotherAgentHasCalledIsUsed(t *testing.T) {
+	withJobCluster(t, 2, 4, func(t *testing.T, system *testcluster.JobCluster) {
+		for i := range system.Workers {
+			incarnation, _ := system.Workers[i].Incarnation()
+			// The last of the agents' tokens: four sessions have begun.
+			call := runner.PollCall{Incarnation: incarnation, Fence: link.Fence(holder(t, system).Epoch, uint64(len(system.Workers)))}
+			if answer, err := system.Workers[i].Calls().Poll(t.Context(), call); err != nil || answer.Status != runner.Applied {
+				t.Fatalf("%+v, %v", answer, err)
+			}
+		}
+		time.Sleep(time.Second)
+		submitOnePerWorker(t, system)
+		time.Sleep(usableBound)
+		for i, worker := range system.Workers {
+			if worker.Running() == 0 {
+				t.Errorf("worker %d is not used within %v", i, usableBound)
+			}
+		}
+	})
+}
+
 // Guards against a sound worker that is never used: the agent had reconnected, its worker was replaced by
 // one with another ID, and the agent showed that one a higher fencing token than the owner gave out for it.
 func TestAWorkerThatReplacesAnotherIsUsed(t *testing.T) {
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -97,6 +97,10 @@
 	if r.registration == nil || call.Incarnation != r.registration.Incarnation {
 		return false
 	}
+	if err == nil && result.Fenced {
+		r.noteFencedOff(call, got)
+		return true
+	}
 	if err != nil || result.Status != Applied {
 		r.handlePollFailure(result, err)
 		return true
@@ -140,6 +144,24 @@
 	}
 }
 
+// noteFencedOff handles a poll that the worker rejected since it has seen a higher fencing token than that of
+// the current session. So another session began later, or another agent has called the worker. The agent
+// ends its session, and attaches again for a higher token once the worker registers here again: a worker
+// registers with the one agent that is to drive it. Until then it reports nothing of the worker,
+// which answers, and which another agent may drive.
+func (r *Runner) noteFencedOff(call PollCall, got time.Time) {
+	r.registry.Add("hold-failed", 1)
+	r.recordAnswer(got)
+	r.incarnationUncertain = true
+	if r.fencedOff || call.Fence != r.sessionFence {
+		return
+	}
+	r.fencedOff = true
+	r.registry.Add("fenced-off", 1)
+	r.log.Warn("fenced-off", zap.String("instance", call.Incarnation.ID), zap.Uint64("fence", call.Fence), zap.String("reason", "the worker has seen a higher token"))
+	r.endSession()
+}
+
 // handlePollFailure handles a poll that the worker rejected or did not answer.
 func (r *Runner) handlePollFailure(result PollResult, err error) {
 	r.registry.Add("hold-failed", 1)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -56,6 +56,7 @@
 	probing             bool                   // a poll is to show whether another incarnation has replaced the known one
 	epoch               uint64                 // highest epoch of an owner that this agent has attached to
 	sessionFence        uint64                 // fencing token of the last session, 0 before the first one
+	fencedOff           bool                   // see noteFencedOff
 	runs                runsByTask
 	startCalls          startCalls
 	ends                []dispatch.End // from the worker's poll results and not yet in the table
@@ -123,6 +124,7 @@
 		case sequence <= r.sequence:
 			return
 		}
+		r.fencedOff = false
 		changed := registration.Draining != r.registration.Draining
 		r.sequence, r.left = sequence, false
 		r.forgetOtherDomain(registration)
@@ -167,7 +169,7 @@
 	r.sequence = 0
 	r.runs = unsettled
 	r.ends, r.lastListedEnd, r.committedEnd = nil, 0, 0
-	r.clockReadAt, r.lastAnswerAt, r.silent, r.left = time.Time{}, time.Now(), false, false
+	r.clockReadAt, r.lastAnswerAt, r.silent, r.left, r.fencedOff = time.Time{}, time.Now(), false, false, false
 	r.endSession()
 	r.wakePoll()
 }
@@ -206,7 +208,7 @@
 				return
 			}
 			r.log.Info("worker-left", zap.String("instance", id))
-			r.registration.Draining, r.left = true, true
+			r.registration.Draining, r.left, r.fencedOff = true, true, false
 			r.registrationVersion++
 			r.requestReport()
 		}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -83,6 +83,9 @@
 // sessionDue reports whether the agent should attach to the owner of the given epoch. If all leases have
 // expired it does so once more for each new owner, which otherwise waits for the instance.
 func (r *Runner) sessionDue(epoch uint64) bool {
+	if r.fencedOff {
+		return false
+	}
 	if r.vacant() || r.leasesExpired() {
 		return epoch > r.lossReportedTo
 	}
@@ -181,7 +184,7 @@
 			if attached.Restarted {
 				r.leases.learnRestarted()
 			}
-			r.lossReportedTo = 0 // a later loss is to be reported to the same owner again
+			r.lossReportedTo, r.fencedOff = 0, false // a later loss is to be reported to the same owner again
 			r.noteEvacuation(attached.Evacuation)
 			r.wakePoll()
 			r.pollNow()
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -38,6 +38,7 @@
 type Answer struct {
 	Status    Status
 	Reason    string // why the worker rejected the order
+	Fenced    bool   // the worker rejected the order because it has seen a higher fencing token
 	StartedAt int64  // start of the incarnation that answered, Unix ms; 0 if not given
 	// AnsweredAt is the reading of the worker's own clock, in ms, as it answered; 0 if not given. It is the only
 	// mark of the incarnation in answers that have no StartedAt: the clock of each starts anew.
--- a/internal/testcluster/worker.go
+++ b/internal/testcluster/worker.go
@@ -267,7 +267,7 @@
 			return runner.Answer{Status: runner.WrongIncarnation}, nil
 		}
 		if fence < w.fence {
-			return runner.Answer{Status: runner.Rejected, Reason: "fence"}, nil
+			return runner.Answer{Status: runner.Rejected, Reason: "fence", Fenced: true}, nil
 		}
 		w.fence = fence
 		w.advance()
