--- a/internal/process/replaced_worker_test.go
+++ b/internal/process/replaced_worker_test.go
@@ -11,7 +11,7 @@
 )
 
 // usableBound is the time from its registration within which a sound worker is used, if its agent and
-// the owner run and can reach each other.
+// the owner run and can reach each other: the users' bound for a task that is ready while there is room.
 const usableBound = 3 * time.Second
 
 // submitOnePerWorker submits long-running tasks, one for each worker.
@@ -25,6 +25,18 @@
 	}
 }
 
+// checkUsable checks that each worker is used. All must be up, and their agents.
+func checkUsable(t *testing.T, system *testcluster.JobCluster) {
+	t.Helper()
+	submitOnePerWorker(t, system)
+	time.Sleep(usableBound)
+	for i, worker := range system.Workers {
+		if worker.Running() == 0 {
+			t.Errorf("UNUSED worker %d, within %v", i, usableBound)
+		}
+	}
+}
+
 // Guards against a sound worker that is never used: another agent showed it a higher fencing token than
 // that of its own agent's session, as the agent of a machine does that a registration has reached by mistake.
 func TestAWorkerThatAnotherAgentHasCalledIsUsed(t *testing.T) {
@@ -38,13 +50,7 @@
 			}
 		}
 		time.Sleep(time.Second)
-		submitOnePerWorker(t, system)
-		time.Sleep(usableBound)
-		for i, worker := range system.Workers {
-			if worker.Running() == 0 {
-				t.Errorf("worker %d is not used within %v", i, usableBound)
-			}
-		}
+		checkUsable(t, system)
 	})
 }
 
--- a/internal/process/shard_test.go
+++ b/internal/process/shard_test.go
@@ -165,7 +165,11 @@
 	case 2:
 		if _, up := system.Workers[worker].Incarnation(); up {
 			system.Workers[worker].Crash()
-			time.AfterFunc(duration, system.Workers[worker].Restart)
+			again := system.Workers[worker].Restart
+			if duration.Milliseconds()%2 == 0 {
+				again = system.Workers[worker].Replace
+			}
+			time.AfterFunc(duration, again)
 		}
 	case 3:
 		a, b := fmt.Sprintf("a%d", worker), fmt.Sprintf("e%d", entry)
@@ -318,6 +322,7 @@
 			t.Error("UNASKED, started after its cancellation was answered with no such job: " + id)
 		}
 	}
+	checkUsable(t, system)
 	if system.Checker.Starts() < len(s.accepted) {
 		t.Errorf("%d starts for %d jobs", system.Checker.Starts(), len(s.accepted))
 	}
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -145,7 +145,7 @@
 	for _, step := range job.Steps {
 		steps = append(steps, map[string]any{
 			"count": step.Count, "cpu": step.Need.Processors, "mem_mb": step.Need.Memory, "estimate_ms": step.Estimate, "after": step.After,
-			"long_running": step.LongRunning,
+			"long_running": step.LongRunning, "anti_affinity": step.MaxPerInstance,
 		})
 	}
 	content, _ := json.Marshal(map[string]any{"spec": job.Payload, "steps": steps}) // a map of plain values always encodes
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -109,14 +109,18 @@
 	return fault{"store " + kind.name, func() { c.store.SetFault(faultFor) }, func() { c.store.SetFault(nil) }}
 }
 
-// workerCrashFault crashes a random worker and restarts it under its ID when the fault ends. Calls to a
-// worker with an even number wait meanwhile, and the next incarnation carries them out.
+// workerCrashFault crashes a random worker and restarts it when the fault ends: under its ID or, one in four,
+// under another one. Calls to a worker with an even number wait meanwhile, and the next incarnation carries
+// them out.
 func (c *cluster) workerCrashFault(random *rand.Rand) fault {
 	i := random.IntN(len(c.workers))
 	w := c.workers[i]
 	if i%2 == 0 {
 		return fault{fmt.Sprintf("dark crash of worker %d", i), w.CrashDark, w.Restart}
 	}
+	if i%4 == 3 {
+		return fault{fmt.Sprintf("crash of worker %d, which is replaced", i), w.Crash, w.Replace}
+	}
 	return fault{fmt.Sprintf("crash of worker %d", i), w.Crash, w.Restart}
 }
 
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -129,6 +129,7 @@
 		events.addViolation("%s", text)
 	}
 	c.checkEvacuated()
+	c.checkUsable(client)
 	accepted := 0
 	for _, s := range client.jobs {
 		if !s.acceptedAt.IsZero() {
