--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -59,7 +59,10 @@
 	t.recordCrash(a)
 	t.register(a)
 	t.scheduler.SetReachable(id, false) // until the agent has sent its full run list
-	s := &session{conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, agent: a.Registration.Agent, leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{}, domain: a.Registration.Domain}
+	s := &session{
+		conn: conn, number: a.Session, incarnation: a.Registration.Incarnation, agent: a.Registration.Agent, domain: a.Registration.Domain,
+		leaseCountedFrom: time.Now(), lastReportAt: time.Now(), sentCost: map[interference.Pair]float64{},
+	}
 	t.sessions[id] = s
 	delete(t.leaseExpiry, id)
 	if t.removing[id] || t.removalUncertain[id] {
@@ -78,7 +81,9 @@
 	})
 	t.noteAgentEvacuation(s, a.Evacuation)
 	t.schedulePlan()
-	return link.AttachReply{Epoch: t.epoch, Attach: t.attaches, Restarted: t.scheduler.Restarted(id), Incremental: true, Evacuation: t.evacuationNotice(s)}
+	return link.AttachReply{
+		Epoch: t.epoch, Attach: t.attaches, Restarted: t.scheduler.Restarted(id), Incremental: true, Evacuation: t.evacuationNotice(s),
+	}
 }
 
 // recordCrash passes the crash of a worker that its agent reports to the scheduler.
--- a/internal/process/cancellation_test.go
+++ b/internal/process/cancellation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotwind/apricotwind/internal/decision/dispatch"
+	"github.com/apricotwind/apricotwind/internal/owner"
 	"github.com/apricotwind/apricotwind/internal/submission"
 	"github.com/apricotwind/apricotwind/internal/testcluster"
 	"github.com/apricotwind/apricotwind/pkg/platform/table"
@@ -116,6 +117,35 @@
 	}
 }
 
+// A job that is stored after its cancellation has read the table, and before the tombstone, is cancelled.
+func TestAJobThatIsStoredDuringItsCancellationIsCancelled(t *testing.T) {
+	withJobCluster(t, 3, 2, func(t *testing.T, system *testcluster.JobCluster) {
+		const id = "0123456789abcdef"
+		job := newJob(id, 1, 60_000)
+		job.OwnerRevision = holder(t, system).OwnerRevision
+		system.Checker.Submitted(&job)
+		insert, err := owner.JobInsertTxn(job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		system.Store.SetTxnFault(func(_ string, change table.Txn) testcluster.StoreFault {
+			if len(change.Puts) == 1 && strings.Contains(string(change.Puts[0].Value), "tombstone") {
+				if stored, err := system.Store.View("late").Apply(t.Context(), insert); err != nil || stored.Outcome != table.Committed {
+					t.Errorf("insert: %v, %v", stored.Outcome, err)
+				}
+			}
+			return testcluster.StoreFault{}
+		})
+		if outcome := cancelAt(t, system, 1, id); outcome != submission.Accepted {
+			t.Errorf("cancelled: %v, want %v", outcome, submission.Accepted)
+		}
+		time.Sleep(2 * time.Second)
+		if state := stateAt(t, system, 2, id); state != dispatch.Cancelled {
+			t.Errorf("shown as %v", state)
+		}
+	})
+}
+
 // A job that is submitted after it was cancelled, as by a repeated request that arrives late, is refused
 // and never runs, whether entries store jobs themselves or leave that to the owner.
 func TestAJobIsRefusedAfterItsCancellation(t *testing.T) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -273,7 +273,11 @@
 // takeReport returns the next report to the owner and marks what it contains as reported. If it
 // is not delivered, the session must end.
 func (r *Runner) takeReport(s *session) link.Report {
-	report := link.Report{Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s), Silent: r.silent, LeasesExpired: r.declareLeasesExpired(), StaleLease: r.leases.staleFor().Milliseconds(), Measurements: slices.Clone(r.pacer.measurements), Evacuation: r.knownEvacuation()}
+	report := link.Report{
+		Incarnation: r.registration.Incarnation, Registration: r.changedRegistration(s),
+		Silent: r.silent, LeasesExpired: r.declareLeasesExpired(), StaleLease: r.leases.staleFor().Milliseconds(),
+		Measurements: slices.Clone(r.pacer.measurements), Evacuation: r.knownEvacuation(),
+	}
 	for _, end := range r.ends {
 		if end.Sequence > s.lastReportedEnd {
 			report.Ends = append(report.Ends, end)
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -71,7 +71,7 @@
 // PollCall requests the worker's running and ended runs and extends its lease.
 type PollCall struct {
 	Incarnation   dispatch.Incarnation
-	Fence         uint64 // epoch of the owner that the agent serves, as a fencing token
+	Fence         uint64 // fencing token of the session, see link.Fence
 	LeaseDeadline int64  // in ms on the worker's clock; 0 leaves the lease as it is
 	Acked         int64  // the worker may forget ends up to this sequence number
 	Wait          int64  // ms that the worker may wait for a run to end
@@ -80,7 +80,7 @@
 // StartCall starts a run.
 type StartCall struct {
 	Incarnation   dispatch.Incarnation
-	Fence         uint64 // epoch of the owner that the agent serves, as a fencing token
+	Fence         uint64 // fencing token of the session, see link.Fence
 	LeaseDeadline int64  // in ms on the worker's clock; the order is void afterwards
 	Task          dispatch.TaskName
 	Run           int64
@@ -91,7 +91,7 @@
 // StopCall ends a run.
 type StopCall struct {
 	Incarnation dispatch.Incarnation
-	Fence       uint64 // epoch of the owner that the agent serves, as a fencing token
+	Fence       uint64 // fencing token of the session, see link.Fence
 	Task        dispatch.TaskName
 	Run         int64
 }
@@ -100,7 +100,7 @@
 // the same order is worker.Client.Throttle, with a share of 0 to 1.
 type PaceCall struct {
 	Incarnation dispatch.Incarnation
-	Fence       uint64 // epoch of the owner that the agent serves, as a fencing token
+	Fence       uint64 // fencing token of the session, see link.Fence
 	Task        dispatch.TaskName
 	Run         int64
 	Pace        int
