A test compares outcomes, not their names

Cause: submitOnePerWorker compared the text of an outcome, which a change of the text would break without a word.

Change: it compares with submission.Accepted, as the other tests do. Nothing else changes.

--- a/internal/process/replaced_worker_test.go
+++ b/internal/process/replaced_worker_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/apricotwind/apricotwind/internal/link"
 	"github.com/apricotwind/apricotwind/internal/runner"
+	"github.com/apricotwind/apricotwind/internal/submission"
 	"github.com/apricotwind/apricotwind/internal/testcluster"
 )
 
@@ -20,7 +21,7 @@
 	job := newJob("everywhere", len(system.Workers), 60_000)
 	job.Steps[0].LongRunning, job.Steps[0].MaxPerInstance = true, 1
 	system.Checker.Submitted(&job)
-	if outcome, err := firstService(t, system).Submit(t.Context(), job); outcome.String() != "accepted" {
+	if outcome, err := firstService(t, system).Submit(t.Context(), job); outcome != submission.Accepted {
 		t.Fatalf("submitted: %v, %v", outcome, err)
 	}
 }
